--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,276 @@
+// Package config reads the two settings files: the platform's TOML, which says what
+// this controller is and where the others are, and the operators' properties, which
+// tune it. Everything is checked, and every error names the key.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// Sibling is another controller.
+type Sibling struct {
+	Node     string
+	Zone     string
+	Endpoint string
+}
+
+// Team is a group of users with a guarantee and a limit; zero means none.
+type Team struct {
+	Name      string
+	Guarantee sched.Resources
+	Limit     sched.Resources
+}
+
+// Objective is one of the users' aims.
+type Objective struct {
+	Kind   string
+	Class  string
+	Within micros.Micros
+	Share  float64
+}
+
+// Settings are all settings of a controller.
+type Settings struct {
+	Node        string
+	Zone        string
+	Listen      string
+	PeerListen  string
+	Siblings    []Sibling
+	CloudAddr   string
+	StateAddr   string
+	Zones       []string
+	ClockBound  micros.Micros
+	Teams       []Team
+	Objectives  []Objective
+	ReportEvery micros.Micros
+	Lease       micros.Micros
+	GangWait    micros.Micros
+	GangPeer    micros.Micros
+	CancelIn    micros.Micros
+	StateRPS    float64
+	WriteRPS    float64
+	ValueBytes  int
+	TxnOps      int
+	CloudRPS    float64
+	ListLag     micros.Micros
+	MemoryBytes int64
+	Sockets     int
+	Tuning      Tuning
+}
+
+// Team finds a team by its name.
+func (s *Settings) Team(name string) (Team, bool) {
+	for _, t := range s.Teams {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Team{}, false
+}
+
+type file struct {
+	Node          string `toml:"node"`
+	Zone          string `toml:"zone"`
+	Listen        string `toml:"listen"`
+	ClusterListen string `toml:"cluster_listen"`
+	Siblings      []struct {
+		Node     string `toml:"node"`
+		Zone     string `toml:"zone"`
+		Endpoint string `toml:"endpoint"`
+	} `toml:"siblings"`
+	Services struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"services"`
+	Params struct {
+		Count       int      `toml:"count"`
+		Zones       []string `toml:"zones"`
+		TimeBoundMS float64  `toml:"time_bound_ms"`
+		Teams       []struct {
+			Name    string  `toml:"name"`
+			CPUs    float64 `toml:"cpus"`
+			CPUsMax float64 `toml:"cpus_max"`
+			GPUs    float64 `toml:"gpus"`
+			GPUsMax float64 `toml:"gpus_max"`
+		} `toml:"teams"`
+		Objectives []struct {
+			Kind    string  `toml:"kind"`
+			Class   string  `toml:"class"`
+			WithinS float64 `toml:"within_s"`
+			Share   float64 `toml:"share"`
+		} `toml:"objectives"`
+		Workers struct {
+			ReportS   float64 `toml:"report_s"`
+			LeaseS    float64 `toml:"lease_s"`
+			GangWaitS float64 `toml:"gang_wait_s"`
+			GangPeerS float64 `toml:"gang_peer_s"`
+			CancelS   float64 `toml:"cancel_s"`
+		} `toml:"workers"`
+		State struct {
+			RPS      float64 `toml:"rps"`
+			WriteRPS float64 `toml:"write_rps"`
+			ValueKB  float64 `toml:"value_kb"`
+			TxnOps   int     `toml:"txn_ops"`
+		} `toml:"state"`
+		Cloud struct {
+			RPS      float64 `toml:"rps"`
+			ListLagS float64 `toml:"list_lag_s"`
+		} `toml:"cloud"`
+		Quota struct {
+			Cores   float64 `toml:"cores"`
+			RAMMB   float64 `toml:"ram_mb"`
+			Sockets int     `toml:"sockets"`
+		} `toml:"quota"`
+	} `toml:"params"`
+}
+
+// Load reads the platform's file and, if its path is not empty, the operators'.
+func Load(path, properties string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	s.Tuning = DefaultTuning()
+	if properties == "" {
+		return s, nil
+	}
+	data, err = os.ReadFile(properties)
+	if err != nil {
+		return nil, err
+	}
+	if s.Tuning, err = ParseTuning(data); err != nil {
+		return nil, fmt.Errorf("%s: %w", properties, err)
+	}
+	return s, nil
+}
+
+type checker struct{ err error }
+
+func (c *checker) require(ok bool, key, what string) {
+	if !ok && c.err == nil {
+		c.err = fmt.Errorf("%s: %s", key, what)
+	}
+}
+
+func (c *checker) text(key, v string) string {
+	c.require(v != "", key, "missing")
+	return v
+}
+
+func (c *checker) addr(key, v string) string {
+	_, err := netip.ParseAddrPort(c.text(key, v))
+	c.require(err == nil, key, "must be an IP address and a port")
+	return v
+}
+
+func (c *checker) positive(key string, v float64) float64 {
+	c.require(v > 0 && !math.IsInf(v, 0), key, "must be above 0")
+	return v
+}
+
+func (c *checker) atLeastZero(key string, v float64) float64 {
+	c.require(v >= 0 && !math.IsInf(v, 0), key, "must not be negative")
+	return v
+}
+
+func (c *checker) seconds(key string, v float64) micros.Micros {
+	return micros.FromSeconds(c.positive(key, v))
+}
+
+// Parse reads the platform's settings.
+func Parse(data []byte) (*Settings, error) {
+	var f file
+	if err := toml.Unmarshal(data, &f); err != nil {
+		var de *toml.DecodeError
+		if errors.As(err, &de) && len(de.Key()) > 0 {
+			return nil, fmt.Errorf("%s: %w", joinKey(de.Key()), err)
+		}
+		return nil, err
+	}
+	var c checker
+	p := &f.Params
+	s := &Settings{
+		Node:        c.text("node", f.Node),
+		Zone:        c.text("zone", f.Zone),
+		Listen:      c.addr("listen", f.Listen),
+		PeerListen:  c.addr("cluster_listen", f.ClusterListen),
+		CloudAddr:   c.addr("services.cloud", f.Services.Cloud),
+		StateAddr:   c.addr("services.state", f.Services.State),
+		Zones:       p.Zones,
+		ClockBound:  micros.FromMillis(c.atLeastZero("params.time_bound_ms", p.TimeBoundMS)),
+		ReportEvery: c.seconds("params.workers.report_s", p.Workers.ReportS),
+		Lease:       c.seconds("params.workers.lease_s", p.Workers.LeaseS),
+		GangWait:    c.seconds("params.workers.gang_wait_s", p.Workers.GangWaitS),
+		GangPeer:    c.seconds("params.workers.gang_peer_s", p.Workers.GangPeerS),
+		CancelIn:    c.seconds("params.workers.cancel_s", p.Workers.CancelS),
+		StateRPS:    c.positive("params.state.rps", p.State.RPS),
+		WriteRPS:    c.positive("params.state.write_rps", p.State.WriteRPS),
+		ValueBytes:  int(c.positive("params.state.value_kb", p.State.ValueKB) * 1024),
+		TxnOps:      p.State.TxnOps,
+		CloudRPS:    c.positive("params.cloud.rps", p.Cloud.RPS),
+		ListLag:     micros.FromSeconds(c.atLeastZero("params.cloud.list_lag_s", p.Cloud.ListLagS)),
+		MemoryBytes: int64(c.positive("params.quota.ram_mb", p.Quota.RAMMB) * 1e6),
+		Sockets:     p.Quota.Sockets,
+	}
+	c.positive("params.quota.cores", p.Quota.Cores)
+	c.require(len(p.Zones) > 0, "params.zones", "missing")
+	c.require(p.Count == len(f.Siblings)+1, "params.count", "must be the number of siblings and this node")
+	c.require(s.ValueBytes >= 1024, "params.state.value_kb", "must be at least 1")
+	c.require(s.TxnOps >= 4, "params.state.txn_ops", "must be at least 4")
+	c.require(s.Sockets >= 32, "params.quota.sockets", "must be at least 32")
+	names := map[string]bool{f.Node: true}
+	for i, b := range f.Siblings {
+		key := fmt.Sprintf("siblings[%d].", i)
+		c.require(!names[b.Node], key+"node", "must be unique")
+		names[b.Node] = true
+		s.Siblings = append(s.Siblings, Sibling{c.text(key+"node", b.Node), b.Zone, c.addr(key+"endpoint", b.Endpoint)})
+	}
+	c.require(len(p.Teams) > 0, "params.teams", "missing")
+	teams := map[string]bool{}
+	for i, t := range p.Teams {
+		key := fmt.Sprintf("params.teams[%d].", i)
+		c.require(!teams[t.Name], key+"name", "must be unique")
+		teams[t.Name] = true
+		s.Teams = append(s.Teams, Team{
+			Name:      c.text(key+"name", t.Name),
+			Guarantee: sched.NewResources(c.atLeastZero(key+"cpus", t.CPUs), c.atLeastZero(key+"gpus", t.GPUs), 0),
+			Limit:     sched.NewResources(c.atLeastZero(key+"cpus_max", t.CPUsMax), c.atLeastZero(key+"gpus_max", t.GPUsMax), 0),
+		})
+	}
+	for i, o := range p.Objectives {
+		key := fmt.Sprintf("params.objectives[%d].", i)
+		s.Objectives = append(s.Objectives, Objective{
+			c.text(key+"kind", o.Kind), o.Class,
+			micros.FromSeconds(c.atLeastZero(key+"within_s", o.WithinS)),
+			c.atLeastZero(key+"share", o.Share),
+		})
+	}
+	if c.err != nil {
+		return nil, c.err
+	}
+	return s, nil
+}
+
+func joinKey(key []string) string {
+	out := ""
+	for i, k := range key {
+		if i > 0 {
+			out += "."
+		}
+		out += k
+	}
+	return out
+}
--- /dev/null
+++ b/controller/budget.go
@@ -0,0 +1,80 @@
+package controller
+
+import (
+	"golang.org/x/time/rate"
+
+	"tamarindlead/config"
+	"tamarindlead/micros"
+)
+
+// purpose says what a call to the state service is for, the most urgent first.
+type purpose int
+
+const (
+	forOwnership purpose = iota // leases, leadership, claims
+	forUsers                    // accepting, cancelling, answering
+	forWork                     // placements and completions
+	forTidying                  // deleting what nobody reads any more
+)
+
+// reserve is the part of a limit that a purpose must leave to more urgent ones.
+var reserve = map[purpose]float64{forOwnership: 0, forUsers: 0, forWork: 0.2, forTidying: 0.6}
+
+// leaderWrites is the leader's part of the write limit: it records placements and
+// completions, the others only accept and cancel.
+const leaderWrites = 0.64
+
+// budget keeps this node within its part of the state service's limits.
+type budget struct {
+	requests *rate.Limiter
+	writes   *rate.Limiter
+}
+
+func (b *budget) init(cfg *config.Settings) {
+	b.requests = rate.NewLimiter(rate.Limit(cfg.StateRPS), 1)
+	b.writes = rate.NewLimiter(rate.Limit(cfg.WriteRPS), 1)
+}
+
+// setRole parts the limits anew when this node starts or stops leading.
+func (b *budget) setRole(cfg *config.Settings, leads bool, now micros.Micros) {
+	n := float64(len(cfg.Siblings) + 1)
+	requests, writes := cfg.StateRPS/n, cfg.WriteRPS
+	if n > 1 {
+		if leads {
+			writes *= leaderWrites
+		} else {
+			writes *= (1 - leaderWrites) / (n - 1)
+		}
+	}
+	set := func(l *rate.Limiter, v float64) {
+		l.SetLimitAt(now.Time(), rate.Limit(v))
+		l.SetBurstAt(now.Time(), max(1, int(v)))
+	}
+	set(b.requests, requests)
+	set(b.writes, writes)
+}
+
+// room tells how many writes a commit for a purpose may have now; 0: wait.
+func (b *budget) room(p purpose, now micros.Micros) int {
+	if !enough(b.requests, p, 1, now) {
+		return 0
+	}
+	free := b.writes.TokensAt(now.Time()) - reserve[p]*float64(b.writes.Burst())
+	return max(0, int(free))
+}
+
+// take takes one request with some writes, and tells whether that was granted.
+func (b *budget) take(p purpose, writes int, now micros.Micros) bool {
+	if !enough(b.requests, p, 1, now) || writes > 0 && !enough(b.writes, p, writes, now) {
+		return false
+	}
+	b.requests.AllowN(now.Time(), 1)
+	if writes > 0 {
+		b.writes.AllowN(now.Time(), writes)
+	}
+	return true
+}
+
+func enough(l *rate.Limiter, p purpose, n int, now micros.Micros) bool {
+	return l.TokensAt(now.Time())-reserve[p]*float64(l.Burst()) >= float64(n)
+}
--- /dev/null
+++ b/controller/core.go
@@ -0,0 +1,164 @@
+package controller
+
+import (
+	"log/slog"
+	"math/rand/v2"
+
+	"golang.org/x/time/rate"
+
+	"tamarindlead/config"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// Core is the state of a controller node.
+type Core struct {
+	cfg *config.Settings
+	log *slog.Logger
+	rng *rand.Rand
+	now micros.Micros // steady
+	day micros.Micros // time of day
+
+	out    []Effect
+	nextID uint64
+	calls  map[uint64]func(CallDone)
+
+	life   uint64 // tells this life of the node from earlier ones
+	budget budget
+	route  route
+	peers  map[string]*sibling
+	types  typeTable
+	users  users
+	lead   leadership
+	owner  *owner // set while this node leads
+
+	timers    []timer
+	cloudRate *rate.Limiter
+
+	heard    []micros.Micros // arrivals of workers' reports, latest last
+	nextSlow micros.Micros
+}
+
+// New returns the core of a node that has just started.
+func New(cfg *config.Settings, seed uint64, log *slog.Logger, now, day micros.Micros) *Core {
+	c := &Core{
+		cfg: cfg, log: log, now: now, day: day,
+		rng:   rand.New(rand.NewPCG(seed, 0x7461_6d61)),
+		calls: map[uint64]func(CallDone){},
+		peers: map[string]*sibling{},
+	}
+	c.cloudRate = rate.NewLimiter(rate.Limit(cfg.CloudRPS), max(1, int(cfg.CloudRPS)))
+	c.life = c.rng.Uint64() >> 12
+	for _, s := range cfg.Siblings {
+		c.peers[s.Node] = &sibling{Sibling: s}
+	}
+	c.budget.init(cfg)
+	c.budget.setRole(cfg, false, now)
+	c.route.lastOK = now
+	c.users.init()
+	return c
+}
+
+// Handle takes one event and returns what must be done.
+func (c *Core) Handle(now, day micros.Micros, ev Event) []Effect {
+	c.now, c.day = max(now, c.now), day
+	c.out = nil
+	switch e := ev.(type) {
+	case Request:
+		c.request(e)
+	case CallDone:
+		if done, ok := c.calls[e.ID]; ok {
+			delete(c.calls, e.ID)
+			done(e)
+		}
+	case Tick:
+	}
+	c.tick()
+	return c.out
+}
+
+// slowTick is how often the slower duties are looked at.
+const slowTick = 250 * micros.Millisecond
+
+type timer struct {
+	at micros.Micros
+	do func()
+}
+
+// after calls do once d has passed, as exactly as ticks come.
+func (c *Core) after(d micros.Micros, do func()) {
+	c.timers = append(c.timers, timer{c.now + d, do})
+}
+
+func (c *Core) runTimers() {
+	due := c.timers
+	c.timers = nil
+	for _, t := range due {
+		if c.now >= t.at {
+			t.do()
+		} else {
+			c.timers = append(c.timers, t)
+		}
+	}
+}
+
+func (c *Core) tick() {
+	c.runTimers()
+	if c.now >= c.nextSlow {
+		c.nextSlow = c.now + slowTick
+		c.tickRoute()
+		c.tickPeers()
+		c.tickTypes()
+		c.tickLeadership()
+		if c.owner != nil {
+			c.owner.slowTick()
+		}
+	}
+	c.users.flush(c)
+	if c.owner != nil {
+		c.owner.advance()
+	}
+}
+
+// call starts an outbound request.
+func (c *Core) call(call Call, done func(CallDone)) {
+	c.nextID++
+	call.ID = c.nextID
+	c.calls[call.ID] = done
+	c.out = append(c.out, call)
+}
+
+func (c *Core) respond(id uint64, status int, body any) {
+	var data []byte
+	if body != nil {
+		data = wire.Encode(body)
+	}
+	c.out = append(c.out, Respond{ID: id, Status: status, Body: data})
+}
+
+// refuse answers at once that a request cannot be taken now.
+func (c *Core) refuse(id uint64, status int, why string) {
+	c.out = append(c.out, Respond{ID: id, Status: status, Body: wire.Encode(wire.Problem{Error: why}), RetryAfter: retryAfter})
+}
+
+// retryAfter is what users are told, in seconds: the least they wait anyway.
+const retryAfter = 1
+
+// typeTable is what the node knows of machine types.
+type typeTable struct {
+	list    []sched.MachineType
+	asking  bool
+	next    micros.Micros
+	fromAPI bool
+	raw     wire.MachineTypes
+}
+
+func (t *typeTable) find(name string) *sched.MachineType {
+	for i := range t.list {
+		if t.list[i].Name == name {
+			return &t.list[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/controller/leader.go
@@ -0,0 +1,332 @@
+package controller
+
+import (
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// leadState is the state machine of leadership.
+type leadState int
+
+const (
+	leadUnknown     leadState = iota // nothing read yet
+	leadFollower                     // somebody leads
+	leadVacant                       // nobody leads
+	leadCampaigning                  // trying to lead
+	leadLeading                      // this node leads
+)
+
+func (s leadState) String() string {
+	return [...]string{"unknown", "follower", "vacant", "campaigning", "leading"}[s]
+}
+
+// Times of elections.
+const (
+	campaignJitter = 150 * micros.Millisecond
+	deafDelay      = 2 * micros.Second  // a node that workers cannot reach waits for others
+	resignPause    = 20 * micros.Second // and one that has resigned for that reason, longer
+	deafAfter      = 6 * micros.Second
+)
+
+// leadership is what a node knows of the leader, and its own part in it.
+type leadership struct {
+	state    leadState
+	node     string // the leader
+	life     uint64
+	term     uint64 // revision of the leader's record
+	lease    uint64
+	renewing bool
+	renewAt  micros.Micros
+	watching bool
+	watchRev uint64
+	at       micros.Micros // when to campaign
+	pauseTo  micros.Micros
+}
+
+func (c *Core) setLead(s leadState) {
+	l := &c.lead
+	if l.state == s {
+		return
+	}
+	c.log.Info("leadership", "from", l.state.String(), "to", s.String(), "leader", l.node, "term", l.term)
+	was := l.state
+	l.state = s
+	switch {
+	case s == leadLeading:
+		c.budget.setRole(c.cfg, true, c.now)
+		c.owner = newOwner(c)
+	case was == leadLeading:
+		c.owner.dropAll()
+		c.owner = nil
+		c.budget.setRole(c.cfg, false, c.now)
+	}
+	if s == leadVacant {
+		l.node, l.at = "", c.now+micros.Micros(c.rng.Int64N(int64(campaignJitter)))
+		if c.isDeaf() {
+			l.at += deafDelay
+		}
+		l.at = max(l.at, l.pauseTo)
+	}
+}
+
+// isDeaf tells that no worker reaches this node although some reach a sibling.
+func (c *Core) isDeaf() bool {
+	if len(c.heard) > 0 {
+		return false
+	}
+	for _, s := range c.peers {
+		if s.fresh(c.now) && s.heard > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) tickLeadership() {
+	l := &c.lead
+	if !l.watching {
+		c.readLeader()
+		return
+	}
+	switch l.state {
+	case leadVacant:
+		if c.now >= l.at {
+			c.campaign()
+		}
+	case leadLeading:
+		c.renew()
+		if c.owner.deaf() && c.isDeaf() {
+			c.resign()
+		}
+	}
+}
+
+// readLeader reads the leader's record and then watches it.
+func (c *Core) readLeader() {
+	l := &c.lead
+	l.watching = true
+	c.store(forOwnership, state.List(keyLeader, ""), func(r storeReply) {
+		var p state.Page
+		if r.outcome != outOK || !r.decode(&p) {
+			l.watching = false
+			return
+		}
+		found := false
+		for _, e := range p.Entries {
+			if e.Key == keyLeader {
+				c.leaderIs(e.Value, e.Version)
+				found = true
+			}
+		}
+		if !found {
+			c.leaderGone(p.Revision)
+		}
+		c.watchLeader(p.Revision)
+	})
+}
+
+func (c *Core) watchLeader(after uint64) {
+	l := &c.lead
+	c.storeWithin(forOwnership, state.Watch(keyLeader, after, watchWait), watchTimeout, func(r storeReply) {
+		var ch state.Changes
+		if r.outcome != outOK || !r.decode(&ch) {
+			l.watching = false // read again with the next tick
+			return
+		}
+		for _, e := range ch.Events {
+			switch {
+			case e.Put == keyLeader:
+				c.leaderIs(e.Value, e.Version)
+			case e.Delete == keyLeader:
+				c.leaderGone(e.Version)
+			}
+		}
+		c.watchLeader(max(after, ch.Revision))
+	})
+}
+
+func (c *Core) leaderIs(value []byte, version uint64) {
+	l := &c.lead
+	var rec leaderRecord
+	if wire.Decode(value, &rec) != nil || version < l.term {
+		return
+	}
+	if l.state == leadLeading && version == l.term {
+		return
+	}
+	l.node, l.life, l.term = rec.Node, rec.Life, version
+	if rec.Node == c.cfg.Node && rec.Life == c.life && l.state == leadCampaigning {
+		return // our own commit, seen before its answer
+	}
+	if rec.Node == c.cfg.Node {
+		// An earlier life of this node led, or a commit of ours was executed that
+		// seemed to have failed. There is no need to wait for that lease: commits
+		// made under it fail on their guards.
+		c.setLead(leadVacant)
+		return
+	}
+	c.setLead(leadFollower)
+}
+
+func (c *Core) leaderGone(revision uint64) {
+	if revision >= c.lead.term && c.lead.state != leadCampaigning {
+		c.lead.term = 0
+		c.setLead(leadVacant)
+	}
+}
+
+// heardOfTerm learns from a sibling that somebody leads by a newer record.
+func (c *Core) heardOfTerm(term uint64, node string) {
+	l := &c.lead
+	if term > l.term && l.state == leadLeading && node != c.cfg.Node {
+		l.node, l.term = node, term
+		c.setLead(leadFollower)
+	}
+}
+
+func (c *Core) campaign() {
+	l := &c.lead
+	c.setLead(leadCampaigning)
+	c.store(forOwnership, state.Grant(c.cfg.Tuning.LeaderTTL), func(r storeReply) {
+		var g state.Granted
+		if r.outcome != outOK || !r.decode(&g) {
+			c.campaignFailed()
+			return
+		}
+		l.lease = g.Lease
+		guards := []state.Guard{{Key: keyLeader, Version: l.term}}
+		writes := []state.Write{{
+			Put: keyLeader, Lease: g.Lease, Value: leaderRecord{c.cfg.Node, c.life},
+		}}
+		c.store(forOwnership, state.Commit(guards, writes), func(r storeReply) {
+			var done state.Committed
+			if r.outcome != outOK || !r.decode(&done) {
+				c.campaignFailed()
+				return
+			}
+			l.node, l.life, l.term = c.cfg.Node, c.life, done.Revision
+			l.renewAt = c.now + c.cfg.Tuning.LeaderTTL/3
+			c.setLead(leadLeading)
+		})
+	})
+}
+
+// campaignFailed starts over: the commit may have been executed all the same, which
+// reading the record will show.
+func (c *Core) campaignFailed() {
+	l := &c.lead
+	if l.state != leadCampaigning {
+		return
+	}
+	l.pauseTo = max(l.pauseTo, c.now+2*campaignJitter)
+	c.setLead(leadVacant)
+	c.store(forOwnership, state.Get(keyLeader), func(r storeReply) {
+		var e state.Entry
+		switch {
+		case r.outcome == outOK && r.decode(&e):
+			c.leaderIs(e.Value, e.Version)
+		case r.outcome == outMissing && l.state == leadVacant:
+			l.term = 0
+		}
+	})
+}
+
+func (c *Core) renew() {
+	l := &c.lead
+	if l.renewing || c.now < l.renewAt {
+		return
+	}
+	l.renewing = true
+	term := l.term
+	c.store(forOwnership, state.Renew(l.lease), func(r storeReply) {
+		l.renewing = false
+		if l.term != term || l.state != leadLeading {
+			return
+		}
+		switch r.outcome {
+		case outOK:
+			l.renewAt = c.now + c.cfg.Tuning.LeaderTTL/3
+		case outMissing:
+			c.log.Warn("leadership lost: its lease has ended")
+			l.term = 0
+			c.setLead(leadVacant)
+		default:
+			// An outage, or this node alone is refused: it cannot tell. It goes on;
+			// if somebody else leads, the tokens and guards are theirs.
+			l.renewAt = c.now + slowTick
+		}
+	})
+}
+
+// resign gives up leading, so that a node that workers can reach takes over.
+func (c *Core) resign() {
+	l := &c.lead
+	c.log.Warn("resigning: workers reach a sibling but not this node")
+	l.pauseTo = c.now + resignPause
+	c.store(forOwnership, state.Revoke(l.lease), func(storeReply) {})
+	l.term = 0
+	c.setLead(leadVacant)
+}
+
+// tickTypes keeps the table of machine types. It is kept in the state service too: a
+// node that starts while the cloud does not answer must still be able to accept.
+func (c *Core) tickTypes() {
+	t := &c.types
+	if t.asking || c.now < t.next {
+		return
+	}
+	t.asking, t.next = true, c.now+2*micros.Second
+	if len(t.list) == 0 {
+		c.get(forOwnership, keyTypes, func(out outcome, e state.Entry) {
+			t.asking = false
+			var m wire.MachineTypes
+			if out == outOK && wire.Decode(e.Value, &m) == nil && len(t.list) == 0 {
+				t.list = m.Types()
+			}
+			if len(t.list) == 0 {
+				c.askTypes()
+			}
+		})
+		return
+	}
+	if c.owner == nil && t.fromAPI || c.owner != nil && c.owner.state != ownerActive {
+		t.asking = false
+		return
+	}
+	c.askTypes()
+}
+
+const typesEvery = 30 * micros.Second
+
+func (c *Core) askTypes() {
+	t := &c.types
+	t.asking = true
+	c.cloud("GET", "/machine_types", nil, func(status int, body []byte) {
+		t.asking = false
+		var m wire.MachineTypes
+		if status != 200 || wire.Decode(body, &m) != nil || len(m.Types()) == 0 {
+			return
+		}
+		known := t.raw
+		t.list, t.raw, t.fromAPI = m.Types(), m, true
+		t.next = c.now + typesEvery
+		if c.owner != nil && len(known.Builds) == 0 && state.Size(m) <= c.cfg.ValueBytes {
+			c.store(forTidying, state.Commit(nil, []state.Write{{Put: keyTypes, Value: m}}), func(storeReply) {})
+		}
+	})
+}
+
+const cloudTimeout = 5 * micros.Second
+
+// cloud calls the cloud; status 0: no response.
+func (c *Core) cloud(method, target string, body any, done func(status int, body []byte)) {
+	var data []byte
+	if body != nil {
+		data = wire.Encode(body)
+	}
+	c.call(Call{
+		Addr: c.cfg.CloudAddr, Method: method, Target: target, Body: data,
+		Timeout: cloudTimeout, MaxBody: maxStoreBody,
+	}, func(e CallDone) { done(e.Status, e.Body) })
+}
--- /dev/null
+++ b/controller/machine.go
@@ -0,0 +1,484 @@
+package controller
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// machineState is the state machine of a machine.
+type machineState int
+
+const (
+	machineBooting   machineState = iota
+	machineUp                     // reports
+	machineDraining               // takes nothing new and is returned once empty
+	machineReleasing              // the cloud is asked to delete it
+	machineDeleted                // the cloud has deleted it; its record must go
+)
+
+func (s machineState) String() string {
+	return [...]string{"booting", "up", "draining", "releasing", "deleted"}[s]
+}
+
+// fenceState is the state machine of doubt about a command: one that was sent
+// directly and not answered may still be executed, until the machine has seen a
+// higher token or begun a new session.
+type fenceState int
+
+const (
+	fenceNone   fenceState = iota
+	fenceWanted            // a higher token must be recorded
+	fenceRaised            // it is recorded; the machine has not seen it yet
+)
+
+// machine is a machine at its owner.
+type machine struct {
+	name     string
+	endpoint string
+	kind     string // its type
+	zone     string
+	spot     bool
+	size     sched.Resources
+	state    machineState
+	fence    fenceState
+	version  uint64 // of its record
+	token    uint64 // 0: not claimed yet
+	dirty    bool   // its record must be written
+	writing  bool   // its record is being written
+	rented   micros.Micros
+	heard    micros.Micros // last report, or when we began to wait for one
+	listed   bool
+	unlisted int // lists in a row without it
+	failed   bool
+
+	session, seq uint64
+	synced       bool // has seen our token
+	seen         []wire.TaskReport
+	notice       micros.Micros // when the cloud takes it, 0: not announced
+	sending      bool          // a direct command is under way
+	wantPush     bool
+	held         uint64 // report that waits for the claim
+	heldReport   *wire.Report
+
+	attempts  map[taskKey]*attempt
+	used      sched.Resources
+	images    []string
+	idleSince micros.Micros
+	errors    int // in a row
+	pausedTo  micros.Micros
+}
+
+// maxImages is how many images a machine is believed to keep.
+const maxImages = 8
+
+func (m *machine) noteImage(image string) {
+	if image == "" {
+		return
+	}
+	if i := slices.Index(m.images, image); i >= 0 {
+		m.images = slices.Delete(m.images, i, i+1)
+	}
+	m.images = append(m.images, image)
+	if len(m.images) > maxImages {
+		m.images = m.images[1:]
+	}
+}
+
+func (o *owner) setMachine(m *machine, s machineState, why string) {
+	if m.state == s {
+		return
+	}
+	o.c.log.Info("machine", "machine", m.name, "type", m.kind, "zone", m.zone, "spot", m.spot,
+		"from", m.state.String(), "to", s.String(), "why", why)
+	m.state = s
+	switch s {
+	case machineUp:
+		m.idleSince = o.c.now
+		o.wantSchedule = true
+	case machineReleasing:
+		o.wantRelease = true
+	case machineDeleted:
+		m.dirty = true
+	}
+}
+
+// report takes a worker's report on any node.
+func (c *Core) report(r Request) {
+	rep, err := wire.DecodeReport(r.Body)
+	if err != nil {
+		c.respond(r.ID, 400, wire.Problem{Error: err.Error()})
+		return
+	}
+	if len(c.heard) < 256 {
+		c.heard = append(c.heard, c.now)
+	}
+	if c.owner == nil {
+		to := c.lead.node
+		if to == c.cfg.Node {
+			to = ""
+		}
+		c.respond(r.ID, 421, wire.Redirect{ReportTo: to})
+		return
+	}
+	c.owner.report(r.ID, rep)
+}
+
+func (o *owner) report(req uint64, rep *wire.Report) {
+	c := o.c
+	o.lastHeard = c.now
+	if o.state != ownerActive {
+		c.refuse(req, 503, "taking over")
+		return
+	}
+	m := o.machines[rep.Machine]
+	if m == nil {
+		if until, ok := o.tombs[rep.Machine]; ok && c.now < until {
+			c.refuse(req, 503, "machine was returned")
+			return
+		}
+		m = o.adopt(rep.Machine, rep.Type, rep.Zone, rep.Spot, rep.Endpoint)
+	}
+	if m.state == machineReleasing || m.state == machineDeleted {
+		c.refuse(req, 503, "machine is being returned")
+		return
+	}
+	if m.token == 0 {
+		// Its record is not ours yet: the answer waits for that commit.
+		if m.held != 0 {
+			c.refuse(m.held, 503, "superseded")
+		}
+		m.held, m.heldReport = req, rep
+		return
+	}
+	o.answer(m, req, rep)
+}
+
+func (o *owner) answer(m *machine, req uint64, rep *wire.Report) {
+	if rep.Token > m.token {
+		o.c.refuse(req, 503, "not the owner")
+		o.resync("a machine has seen a higher token")
+		return
+	}
+	ans := wire.ReportAnswer{Token: m.token}
+	if o.takeReport(m, rep, true) {
+		ans.Commands = o.commands(m)
+	}
+	o.c.respond(req, 200, ans)
+}
+
+// takeReport learns from a report. It returns false for one that is older than what
+// is known. A regular report is one that the worker sent by itself; only such a one
+// shows that starts in the response to the report before were executed or dropped,
+// while the answer to a direct command may have overtaken that response.
+func (o *owner) takeReport(m *machine, rep *wire.Report, regular bool) bool {
+	if rep.Session < m.session || rep.Session == m.session && rep.Seq <= m.seq {
+		return false
+	}
+	if rep.Session > m.session && m.session != 0 {
+		m.fence, m.dirty = fenceNone, m.dirty || m.fence == fenceWanted
+	}
+	m.session, m.seq, m.heard, m.seen = rep.Session, rep.Seq, o.c.now, rep.Tasks
+	m.endpoint = cmp.Or(rep.Endpoint, m.endpoint)
+	m.synced = rep.Token == m.token
+	if m.synced && m.fence == fenceRaised {
+		m.fence = fenceNone
+	}
+	if m.state == machineBooting {
+		o.setMachine(m, machineUp, "reports")
+	}
+	if rep.NoticeS != nil {
+		o.noticed(m, micros.FromSeconds(*rep.NoticeS))
+	} else if m.notice != 0 {
+		m.notice = 0
+	}
+	listed := make(map[taskKey]bool, len(rep.Tasks))
+	for i := range rep.Tasks {
+		t := &rep.Tasks[i]
+		id, index, ok := splitTaskName(t.Task)
+		if !ok {
+			continue
+		}
+		a := m.attempts[taskKey{id, index}]
+		if a == nil || a.number != t.Attempt {
+			continue
+		}
+		listed[a.key()] = true
+		o.sawTask(a, t)
+	}
+	// Only a machine that has seen our token, and for which no command is open, can
+	// show that a task is not there and will not appear.
+	if !regular || !m.synced || m.fence != fenceNone || m.sending {
+		return true
+	}
+	for _, a := range m.sorted() {
+		if !listed[a.key()] {
+			o.missing(a)
+		}
+	}
+	return true
+}
+
+func (o *owner) sawTask(a *attempt, t *wire.TaskReport) {
+	a.seen, a.phase = true, t.Phase
+	switch a.state {
+	case attemptRecorded, attemptOrdered:
+		o.setAttempt(a, attemptLive)
+	case attemptFinished, attemptLeaving:
+		return
+	}
+	switch {
+	case t.Phase == wire.PhaseExited:
+		o.exited(a, t)
+	case t.Phase == wire.PhaseRunning && a.running == 0:
+		a.running = o.c.now
+	}
+}
+
+// missing handles an attempt that certainly is not on its machine.
+func (o *owner) missing(a *attempt) {
+	switch a.state {
+	case attemptOrdered:
+		if a.seen {
+			o.lost(a, "vanished")
+		} else if a.startSeq < a.machine.seq {
+			o.setAttempt(a, attemptRecorded) // the start was lost
+		}
+	case attemptLive:
+		o.lost(a, "vanished")
+	case attemptStopping:
+		o.setAttempt(a, attemptLeaving)
+	}
+}
+
+// lost handles an attempt that ended without result.
+func (o *owner) lost(a *attempt, why string) {
+	a.why = why
+	o.setAttempt(a, attemptLeaving)
+	if a.job.Gang && a.job.gang != gangStopping {
+		o.stopJob(a.job, 0, "gang lost a task")
+	}
+}
+
+// Pauses after failures.
+const (
+	errorPause    = micros.Second
+	maxErrorPause = 60 * micros.Second
+	refusalPause  = 5 * micros.Second
+	otherMachines = 2 // a job that fails on this many machines is itself at fault
+)
+
+func (o *owner) exited(a *attempt, t *wire.TaskReport) {
+	j, m := a.job, a.machine
+	if t.Cause == wire.CauseDone {
+		m.errors = 0
+		if j.state != jobActive {
+			o.setAttempt(a, attemptLeaving)
+			return
+		}
+		j.failures = 0
+		clear(j.failedOn)
+		if !j.Gang {
+			o.setAttempt(a, attemptFinished)
+		} else {
+			// The tasks of a gang complete together.
+			for _, b := range j.sorted() {
+				if b.number == a.number {
+					o.setAttempt(b, attemptFinished)
+				}
+			}
+		}
+		if j.doneN == j.Tasks {
+			j.state = jobFinishing
+		}
+		return
+	}
+	switch t.Cause {
+	case wire.CauseError:
+		o.failed(a, true)
+	case wire.CauseUnknown:
+		o.failed(a, false)
+	case wire.CauseNoRoom, wire.CauseBusy:
+		m.pausedTo = o.c.now + refusalPause
+	}
+	o.c.log.Info("task ended", "task", t.Task, "machine", m.name, "cause", t.Cause, "saved", t.Saved, "why", a.why)
+	o.lost(a, string(t.Cause))
+}
+
+// failed tells a sick machine from a job that fails everywhere.
+func (o *owner) failed(a *attempt, machineToo bool) {
+	j, m := a.job, a.machine
+	j.failures++
+	j.failedOn[m.name] = true
+	if machineToo && len(j.failedOn) <= otherMachines {
+		m.errors++
+	}
+	if m.errors >= o.c.cfg.Tuning.SickAfter && m.state == machineUp {
+		o.setMachine(m, machineDraining, "fails task after task")
+		for _, b := range m.sorted() {
+			if b != a {
+				o.evict(b, "machine is sick")
+			}
+		}
+	}
+	if len(j.failedOn) > otherMachines || j.Gang {
+		pause := errorPause << min(j.failures, 8)
+		j.notUntil = max(j.notUntil, o.c.now+min(pause, maxErrorPause))
+	}
+}
+
+// evict stops an attempt in order: a gang everywhere, with time to save.
+func (o *owner) evict(a *attempt, why string) {
+	grace := micros.Micros(0)
+	if a.job.Checkpoint > 0 {
+		grace = a.job.Save + micros.Second
+	}
+	if a.job.Gang {
+		o.stopJob(a.job, grace, why)
+		return
+	}
+	o.stop(a, grace, why)
+}
+
+// noticed handles the cloud's notice that it takes a machine back.
+func (o *owner) noticed(m *machine, left micros.Micros) {
+	first := m.notice == 0
+	m.notice = o.c.now + left
+	if m.state == machineUp {
+		o.setMachine(m, machineDraining, "taken back by the cloud")
+	}
+	if !first {
+		return
+	}
+	for _, a := range m.sorted() {
+		// What would not complete in time is stopped now: it saves if it can, and
+		// starts elsewhere the sooner.
+		if o.remaining(a) > left-micros.Second {
+			o.evict(a, "machine is taken back")
+		}
+	}
+}
+
+// remaining estimates how long an attempt still takes.
+func (o *owner) remaining(a *attempt) micros.Micros {
+	if a.running == 0 {
+		return a.job.Estimate
+	}
+	return max(a.job.Estimate-(o.c.now-a.running), micros.Second)
+}
+
+func (m *machine) sorted() []*attempt {
+	list := slices.Collect(maps.Values(m.attempts))
+	slices.SortFunc(list, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(a.job.ID, b.job.ID), cmp.Compare(a.index, b.index))
+	})
+	return list
+}
+
+// commands tells what a machine must do, given its latest report, and notes starts
+// as ordered.
+func (o *owner) commands(m *machine) []wire.Command {
+	var out []wire.Command
+	if !m.synced {
+		return nil // it learns the token first
+	}
+	present := make(map[taskKey]bool, len(m.seen))
+	settled := m.fence == fenceNone && !m.sending
+	for _, t := range m.seen {
+		id, index, ok := splitTaskName(t.Task)
+		key := taskKey{id, index}
+		present[key] = ok
+		a := m.attempts[key]
+		switch {
+		case a != nil && a.number == t.Attempt:
+			if a.state == attemptStopping && t.Phase != wire.PhaseExited {
+				grace := a.grace.Seconds()
+				out = append(out, wire.Command{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace})
+			}
+		case t.Phase != wire.PhaseExited:
+			grace := 0.0
+			out = append(out, wire.Command{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace})
+		case settled:
+			// What is not recorded here any more has its outcome recorded, so the
+			// machine may forget it; not while a start for it may be on its way.
+			out = append(out, wire.Command{Verb: wire.VerbForget, Task: t.Task, Attempt: t.Attempt})
+			present[key] = false
+		}
+	}
+	for _, a := range m.sorted() {
+		if a.state == attemptOrdered && a.job.state == jobEnded {
+			o.stop(a, 0, "job is over")
+		}
+		if a.state == attemptStopping && !a.seen {
+			// Ordered but not seen: the order to stop must reach it too.
+			grace := a.grace.Seconds()
+			out = append(out, wire.Command{Verb: wire.VerbStop, Task: taskName(a.job.ID, a.index), Attempt: a.number, GraceS: &grace})
+		}
+		if a.state != attemptRecorded || present[a.key()] || a.job.state != jobActive {
+			continue
+		}
+		if a.job.Gang && a.job.gang != gangStarting {
+			continue
+		}
+		a.startSeq = m.seq
+		o.setAttempt(a, attemptOrdered)
+		out = append(out, wire.Command{Verb: wire.VerbStart, Task: taskName(a.job.ID, a.index), Attempt: a.number})
+	}
+	return out
+}
+
+const orderTimeout = 4 * micros.Second
+
+// push sends commands directly, instead of waiting for the next report.
+func (o *owner) push(m *machine) {
+	if m.sending || !m.synced || m.fence != fenceNone || m.endpoint == "" ||
+		m.state != machineUp && m.state != machineDraining {
+		return
+	}
+	m.wantPush = false
+	cmds := o.commands(m)
+	if len(cmds) == 0 {
+		return
+	}
+	m.sending = true
+	o.c.call(Call{
+		Addr: m.endpoint, Method: "POST", Target: "/orders", Timeout: orderTimeout, MaxBody: wire.MaxBody,
+		Body: wire.Encode(wire.Orders{Token: m.token, Session: m.session, Commands: cmds}),
+	}, func(e CallDone) {
+		if o.over() || o.machines[m.name] != m {
+			return
+		}
+		m.sending = false
+		var rep *wire.Report
+		if e.Status == 200 || e.Status == 409 {
+			rep, _ = wire.DecodeReport(e.Body)
+		}
+		switch {
+		case rep != nil:
+			if rep.Token > m.token {
+				o.resync("a machine has seen a higher token")
+				return
+			}
+			o.takeReport(m, rep, false)
+			if hasPending(m) {
+				m.wantPush = true
+			}
+		case e.Sent:
+			o.c.log.Info("command not answered", "machine", m.name)
+			m.fence, m.dirty = fenceWanted, true
+		}
+	})
+}
+
+func hasPending(m *machine) bool {
+	for _, a := range m.attempts {
+		if a.state == attemptRecorded && (!a.job.Gang || a.job.gang == gangStarting) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/controller/owner.go
@@ -0,0 +1,537 @@
+package controller
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
+	"tamarindlead/internal/peer"
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// ownerState is the state machine of owning teams and machines.
+type ownerState int
+
+const (
+	ownerClaiming ownerState = iota // the teams' records are being claimed
+	ownerLoading                    // all other records are being read
+	ownerActive
+)
+
+func (s ownerState) String() string { return [...]string{"claiming", "loading", "active"}[s] }
+
+// owner is the part of a node that places jobs and gives commands.
+type owner struct {
+	c         *Core
+	state     ownerState
+	since     micros.Micros
+	retryAt   micros.Micros
+	busy      bool
+	teams     map[string]*team
+	machines  map[string]*machine
+	jobs      map[string]*job
+	queue     []*job // active jobs in the order in which they are placed
+	rentals   map[string]*rental
+	tombs     map[string]micros.Micros // machines that were returned
+	garbage   []string                 // keys that nobody reads any more
+	watchRev  uint64
+	watchDown bool
+
+	numbers      uint64 // attempts given out
+	lastHeard    micros.Micros
+	wantSchedule bool
+	wantRelease  bool
+	flushing     bool
+	flushAt      micros.Micros
+	nextScale    micros.Micros
+	nextSilent   micros.Micros
+	list         cloudList
+	noCapacity   map[offer]micros.Micros
+	classes      map[string]*classNeed
+	releasing    bool
+	releaseAt    micros.Micros
+}
+
+// team is a team that this node owns.
+type team struct {
+	version uint64
+	used    sched.Resources
+	limit   sched.Resources
+}
+
+func newOwner(c *Core) *owner {
+	return &owner{
+		c: c, since: c.now, lastHeard: c.now,
+		teams:      map[string]*team{},
+		machines:   map[string]*machine{},
+		jobs:       map[string]*job{},
+		rentals:    map[string]*rental{},
+		tombs:      map[string]micros.Micros{},
+		noCapacity: map[offer]micros.Micros{},
+		classes:    map[string]*classNeed{},
+	}
+}
+
+// over tells callbacks of an owner that has been replaced to do nothing.
+func (o *owner) over() bool { return o.c.owner != o }
+
+func (o *owner) setState(s ownerState) {
+	o.c.log.Info("owner", "from", o.state.String(), "to", s.String(),
+		"jobs", len(o.jobs), "machines", len(o.machines))
+	o.state = s
+}
+
+// dropAll answers what waits, when this node stops owning.
+func (o *owner) dropAll() {
+	for _, name := range sortedKeys(o.machines) {
+		if m := o.machines[name]; m.held != 0 {
+			o.c.refuse(m.held, 503, "ownership lost")
+			m.held = 0
+		}
+	}
+}
+
+// resync starts over from the records, after something that should not happen if
+// they were as this node believes.
+func (o *owner) resync(why string) {
+	if o.over() {
+		return
+	}
+	o.c.log.Warn("reading all records again", "why", why)
+	o.dropAll()
+	o.c.owner = newOwner(o.c)
+	o.c.owner.retryAt = o.c.now + 200*micros.Millisecond
+	o.c.owner.lastHeard = o.lastHeard
+}
+
+const loadRetry = 250 * micros.Millisecond
+
+// advance does what can be done now; it is called after every event.
+func (o *owner) advance() {
+	switch o.state {
+	case ownerClaiming:
+		if !o.busy && o.c.now >= o.retryAt {
+			o.claimTeams()
+		}
+	case ownerLoading:
+		if !o.busy && o.c.now >= o.retryAt {
+			o.load()
+		}
+	case ownerActive:
+		o.schedule()
+		o.flush()
+		for _, name := range sortedKeys(o.machines) {
+			if m := o.machines[name]; m.wantPush {
+				o.push(m)
+			}
+		}
+		o.release()
+	}
+}
+
+func (o *owner) slowTick() {
+	if o.state != ownerActive {
+		return
+	}
+	if o.watchDown && o.c.now >= o.retryAt {
+		o.watchDown = false
+		o.watchJobs(o.watchRev)
+	}
+	o.findSilent()
+	o.tickList()
+	o.tickScale()
+	for name, until := range o.tombs {
+		if o.c.now > until {
+			delete(o.tombs, name)
+		}
+	}
+}
+
+// deaf tells that no worker has reached this owner for a while.
+func (o *owner) deaf() bool {
+	return o.state == ownerActive && len(o.machines) > 0 &&
+		o.c.now-max(o.lastHeard, o.since) > deafAfter
+}
+
+// claimTeams records this node as the owner of the teams. From then on placements of
+// an earlier owner fail, since they are guarded on these records.
+func (o *owner) claimTeams() {
+	c := o.c
+	var writes []state.Write
+	for _, t := range c.cfg.Teams {
+		writes = append(writes, state.Write{Put: teamKey(t.Name), Value: teamRecord{c.cfg.Node, c.lead.term}})
+	}
+	o.busy = true
+	most := max(1, min(c.cfg.TxnOps, c.budget.writes.Burst()))
+	var commit func(from int)
+	commit = func(from int) {
+		to := min(from+most, len(writes))
+		c.store(forOwnership, state.Commit(o.guards(nil), writes[from:to]), func(r storeReply) {
+			if o.over() {
+				return
+			}
+			var done state.Committed
+			switch {
+			case r.outcome == outConflict:
+				o.leaderConflict()
+			case r.outcome != outOK || !r.decode(&done):
+				o.busy, o.retryAt = false, c.now+loadRetry
+			default:
+				for _, t := range c.cfg.Teams[from:to] {
+					o.teams[t.Name] = &team{version: done.Revision, limit: t.Limit}
+				}
+				if to < len(writes) {
+					commit(to)
+					return
+				}
+				o.busy = false
+				o.setState(ownerLoading)
+			}
+		})
+	}
+	commit(0)
+}
+
+// guards builds a list of guards that always holds the leader's record: whoever has
+// lost it can change nothing.
+func (o *owner) guards(more map[string]uint64) []state.Guard {
+	list := []state.Guard{{Key: keyLeader, Version: o.c.lead.term}}
+	for _, k := range sortedKeys(more) {
+		list = append(list, state.Guard{Key: k, Version: more[k]})
+	}
+	return list
+}
+
+func (o *owner) leaderConflict() {
+	o.c.lead.term = 0
+	o.c.setLead(leadVacant)
+	o.c.campaignPause()
+}
+
+// campaignPause leaves time to read who leads.
+func (c *Core) campaignPause() {
+	c.lead.at = max(c.lead.at, c.now+500*micros.Millisecond)
+	c.get(forOwnership, keyLeader, func(out outcome, e state.Entry) {
+		if out == outOK {
+			c.leaderIs(e.Value, e.Version)
+		}
+	})
+}
+
+// load reads all records. They do not change meanwhile, but for the jobs, which the
+// watch follows from the revision at which they were listed.
+func (o *owner) load() {
+	o.busy = true
+	c := o.c
+	fail := func() { o.busy, o.retryAt = false, c.now+loadRetry }
+	clear(o.jobs)
+	clear(o.machines)
+	clear(o.rentals)
+	for _, t := range o.teams {
+		t.used = sched.Resources{}
+	}
+	o.queue = nil
+	step := func(prefix string, next func([]state.Entry, uint64)) func() {
+		return func() {
+			c.listAll(prefix, func(ok bool, entries []state.Entry, rev uint64) {
+				switch {
+				case o.over():
+				case !ok:
+					fail()
+				default:
+					next(entries, rev)
+				}
+			})
+		}
+	}
+	var machines []state.Entry
+	final := func() {
+		o.loadMachines(machines, func(ok bool) {
+			if !ok {
+				fail()
+				return
+			}
+			o.busy = false
+			o.activate()
+		})
+	}
+	rentals := step(prefixRental, func(entries []state.Entry, _ uint64) {
+		o.loadRentals(entries)
+		final()
+	})
+	listMachines := step(prefixMachine, func(entries []state.Entry, _ uint64) {
+		machines = entries
+		rentals()
+	})
+	done := step(prefixDone, func(entries []state.Entry, _ uint64) {
+		o.loadDone(entries)
+		listMachines()
+	})
+	step(prefixActive, func(entries []state.Entry, rev uint64) {
+		o.watchRev = rev
+		for _, e := range entries {
+			o.jobRecord(e.Key, e.Value, e.Version)
+		}
+		done()
+	})()
+}
+
+// jobRecord takes an accepted job from its record.
+func (o *owner) jobRecord(key string, value []byte, version uint64) {
+	id := strings.TrimPrefix(key, prefixActive)
+	if o.jobs[id] != nil {
+		return
+	}
+	var rec jobRecord
+	if err := wire.Decode(value, &rec); err != nil {
+		o.c.log.Error("record cannot be read", "key", key, "error", err)
+		return
+	}
+	spec, err := rec.Job.Job()
+	if err != nil {
+		o.c.log.Error("record cannot be read", "key", key, "error", err)
+		return
+	}
+	j := newJob(spec, version, micros.Micros(rec.Accepted))
+	o.jobs[id] = j
+	i, _ := slices.BinarySearchFunc(o.queue, j, queueOrder)
+	o.queue = slices.Insert(o.queue, i, j)
+	o.noteClass(j)
+	o.wantSchedule = true
+}
+
+// queueOrder: higher priority first, then who came first.
+func queueOrder(a, b *job) int {
+	return cmp.Or(-cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.accepted, b.accepted), cmp.Compare(a.ID, b.ID))
+}
+
+func (o *owner) loadDone(entries []state.Entry) {
+	for _, e := range entries {
+		id, chunk, ok := splitDoneKey(e.Key)
+		j := o.jobs[id]
+		if !ok || j == nil {
+			o.garbage = append(o.garbage, e.Key)
+			continue
+		}
+		var rec doneRecord
+		if wire.Decode(e.Value, &rec) != nil || j.done.load(chunk, rec.Bits) != nil {
+			o.c.log.Error("record cannot be read", "key", e.Key)
+			continue
+		}
+		j.chunks[chunk] = true
+		for i := chunk * chunkTasks; i < min((chunk+1)*chunkTasks, j.Tasks); i++ {
+			if j.done.has(i) {
+				j.setTask(i, taskDone)
+			}
+		}
+		delete(j.dirty, chunk) // it is recorded, after all
+		if j.doneN == j.Tasks {
+			j.state = jobFinishing
+		}
+	}
+}
+
+// loadMachines rebuilds machines and attempts. What tasks of jobs that are over take
+// is read from their final records.
+func (o *owner) loadMachines(entries []state.Entry, done func(ok bool)) {
+	missing := map[string]bool{}
+	for _, e := range entries {
+		var rec machineRecord
+		if wire.Decode(e.Value, &rec) != nil {
+			o.c.log.Error("record cannot be read", "key", e.Key)
+			continue
+		}
+		for id := range rec.Tasks {
+			if o.jobs[id] == nil {
+				missing[id] = true
+			}
+		}
+	}
+	ids := sortedKeys(missing)
+	var next func(i int)
+	next = func(i int) {
+		if i == len(ids) {
+			o.buildMachines(entries)
+			done(true)
+			return
+		}
+		o.c.get(forOwnership, finalKey(ids[i]), func(out outcome, e state.Entry) {
+			if o.over() {
+				return
+			}
+			var rec finalRecord
+			if out != outOK || wire.Decode(e.Value, &rec) != nil {
+				done(false)
+				return
+			}
+			j := newJob(rec.job(ids[i]), 0, 0)
+			j.state = jobEnded
+			o.jobs[j.ID] = j
+			next(i + 1)
+		})
+	}
+	next(0)
+}
+
+func (o *owner) buildMachines(entries []state.Entry) {
+	for _, e := range entries {
+		var rec machineRecord
+		if wire.Decode(e.Value, &rec) != nil {
+			continue
+		}
+		m := o.newMachine(strings.TrimPrefix(e.Key, prefixMachine), rec.Type, rec.Zone, rec.Spot, rec.Endpoint)
+		m.version, m.rented = e.Version, micros.Micros(rec.Rented)
+		for _, id := range sortedKeys(rec.Tasks) {
+			j, list := o.jobs[id], rec.Tasks[id]
+			for i := 0; i+1 < len(list); i += 2 {
+				index := int(list[i])
+				if index >= j.Tasks || j.tasks[index] == taskDone && j.state != jobEnded || j.attempts[index] != nil {
+					continue // completed: the record was not written since
+				}
+				a := o.attach(j, index, list[i+1], m, attemptOrdered)
+				if j.Gang {
+					j.gang, j.gangTry = gangStarting, a.number
+				}
+			}
+		}
+	}
+	for _, id := range sortedKeys(o.jobs) {
+		j := o.jobs[id]
+		if j.state == jobEnded && len(j.attempts) == 0 {
+			delete(o.jobs, id)
+		}
+		if j.state == jobActive && j.Gang && len(j.attempts) > 0 && len(j.attempts)+j.doneN < j.Tasks {
+			o.stopJob(j, 0, "gang was not recorded whole")
+		}
+	}
+}
+
+func (o *owner) activate() {
+	for _, m := range o.machines {
+		m.heard = o.c.now + o.c.cfg.Tuning.TakeoverGrace
+	}
+	o.since = o.c.now
+	o.wantSchedule = true
+	o.setState(ownerActive)
+	o.watchJobs(o.watchRev)
+	o.c.types.next = o.c.now
+}
+
+// watchJobs follows jobs that are accepted, and those that are over.
+func (o *owner) watchJobs(after uint64) {
+	c := o.c
+	c.storeWithin(forOwnership, state.Watch(prefixActive, after, watchWait), watchTimeout, func(r storeReply) {
+		if o.over() {
+			return
+		}
+		var ch state.Changes
+		switch {
+		case r.outcome == outGone:
+			o.resync("the watch fell behind")
+			return
+		case r.outcome != outOK || !r.decode(&ch):
+			// Again after a pause, which the slow tick gives.
+			o.rewatch(after)
+			return
+		}
+		for _, e := range ch.Events {
+			if e.Put != "" {
+				o.jobRecord(e.Put, e.Value, e.Version)
+			} else {
+				o.jobGone(strings.TrimPrefix(e.Delete, prefixActive))
+			}
+		}
+		o.watchJobs(max(after, ch.Revision))
+	})
+}
+
+func (o *owner) rewatch(after uint64) {
+	o.watchRev, o.watchDown, o.retryAt = after, true, o.c.now+loadRetry
+}
+
+// jobGone handles a job that is over: by our own commit, or cancelled.
+func (o *owner) jobGone(id string) {
+	j := o.jobs[id]
+	if j == nil || j.state == jobEnded {
+		return
+	}
+	o.c.log.Info("job cancelled", "job", id, "attempts", len(j.attempts))
+	o.endJob(j)
+	o.stopJob(j, 0, "cancelled")
+}
+
+// endJob takes a job out of the queue; its record is gone.
+func (o *owner) endJob(j *job) {
+	j.state = jobEnded
+	o.queue = slices.DeleteFunc(o.queue, func(q *job) bool { return q == j })
+	for _, chunk := range sortedKeys(j.chunks) {
+		o.garbage = append(o.garbage, doneKey(j.ID, chunk))
+	}
+	if len(j.attempts) == 0 {
+		delete(o.jobs, j.ID)
+	}
+	for _, a := range j.sorted() {
+		if a.state != attemptFinished {
+			continue
+		}
+		if o.machines[a.machine.name] == a.machine {
+			o.setAttempt(a, attemptLeaving)
+		} else {
+			o.setAttempt(a, attemptClosed)
+		}
+	}
+	o.wantSchedule = true
+}
+
+func (o *owner) newMachine(name, kind, zone string, spot bool, endpoint string) *machine {
+	m := &machine{
+		name: name, kind: kind, zone: zone, spot: spot, endpoint: endpoint,
+		heard: o.c.now, idleSince: o.c.now, dirty: true,
+		attempts: map[taskKey]*attempt{},
+	}
+	if t := o.c.types.find(kind); t != nil {
+		m.size = t.Size
+	}
+	o.machines[name] = m
+	return m
+}
+
+// adopt takes a machine that nobody expected.
+func (o *owner) adopt(name, kind, zone string, spot bool, endpoint string) *machine {
+	o.c.log.Info("machine adopted", "machine", name, "type", kind, "zone", zone, "spot", spot)
+	m := o.newMachine(name, kind, zone, spot, endpoint)
+	m.rented = o.c.day
+	return m
+}
+
+// counts tells siblings what to show their users.
+func (o *owner) counts() []*peer.JobCount {
+	const most = 200
+	var list []*peer.JobCount
+	for _, j := range o.queue {
+		if len(list) == most {
+			break
+		}
+		if len(j.attempts) > 0 || j.doneN > 0 {
+			list = append(list, &peer.JobCount{Id: j.ID, Done: uint32(j.doneN), Running: uint32(j.running())})
+		}
+	}
+	return list
+}
+
+func (o *owner) countsOf(id string) (done, running int) {
+	if j := o.jobs[id]; j != nil {
+		return j.doneN, j.running()
+	}
+	return 0, 0
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := slices.Collect(maps.Keys(m))
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/controller/peers.go
@@ -0,0 +1,163 @@
+package controller
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"tamarindlead/config"
+	"tamarindlead/internal/peer"
+	"tamarindlead/internal/state"
+	"tamarindlead/micros"
+)
+
+// Times between siblings.
+const (
+	beatEvery   = micros.Second
+	beatTimeout = 1500 * micros.Millisecond
+	beatFresh   = 3500 * micros.Millisecond
+	heardWindow = 5 * micros.Second
+	maxPeerBody = 1 << 20
+)
+
+const peerPath = "/peer"
+
+// sibling is what this node knows of another controller.
+type sibling struct {
+	config.Sibling
+	asking  bool
+	next    micros.Micros
+	lastAt  micros.Micros
+	heard   int // workers that reported to it lately
+	storeOK bool
+	jobs    map[string]*peer.JobCount // set if it leads
+}
+
+func (s *sibling) fresh(now micros.Micros) bool { return s.lastAt > 0 && now-s.lastAt < beatFresh }
+
+func (c *Core) tickPeers() {
+	for len(c.heard) > 0 && c.now-c.heard[0] > heardWindow {
+		c.heard = c.heard[1:]
+	}
+	for _, cfg := range c.cfg.Siblings {
+		s := c.peers[cfg.Node]
+		if s.asking || c.now < s.next {
+			continue
+		}
+		s.asking, s.next = true, c.now+beatEvery
+		c.callPeer(s, c.beat(), beatTimeout, maxPeerBody, func(m *peer.Message, _ bool) {
+			s.asking = false
+			if b := m.GetBeat(); b != nil {
+				c.takeBeat(s, b)
+			}
+		})
+	}
+}
+
+func (c *Core) beat() *peer.Message {
+	b := &peer.Beat{
+		Term: c.lead.term, Leader: c.lead.node,
+		WorkersHeard: uint32(len(c.heard)), StoreOk: c.storeOK(),
+	}
+	if c.owner != nil {
+		b.Jobs = c.owner.counts()
+	}
+	return &peer.Message{Body: &peer.Message_Beat{Beat: b}}
+}
+
+func (c *Core) takeBeat(s *sibling, b *peer.Beat) {
+	s.lastAt, s.heard, s.storeOK = c.now, int(b.WorkersHeard), b.StoreOk
+	s.jobs = nil
+	if b.Leader == s.Node {
+		s.jobs = make(map[string]*peer.JobCount, len(b.Jobs))
+		for _, j := range b.Jobs {
+			s.jobs[j.Id] = j
+		}
+	}
+	c.heardOfTerm(b.Term, b.Leader)
+}
+
+// callPeer sends a message to a sibling; done gets nil if no valid answer came.
+func (c *Core) callPeer(s *sibling, m *peer.Message, timeout micros.Micros, maxBody int, done func(m *peer.Message, sent bool)) {
+	m.From = c.cfg.Node
+	data, err := proto.Marshal(m)
+	if err != nil {
+		done(nil, false)
+		return
+	}
+	c.call(Call{
+		Addr: s.Endpoint, Method: "POST", Target: peerPath, Body: data, Timeout: timeout, MaxBody: maxBody,
+	}, func(e CallDone) {
+		var answer peer.Message
+		if e.Status != 200 || proto.Unmarshal(e.Body, &answer) != nil {
+			done(nil, e.Sent || e.Status != 0)
+			return
+		}
+		done(&answer, true)
+	})
+}
+
+// peerRequest answers a sibling.
+func (c *Core) peerRequest(r Request) {
+	var m peer.Message
+	if r.Method != "POST" || r.Path != peerPath || proto.Unmarshal(r.Body, &m) != nil {
+		c.respond(r.ID, 400, nil)
+		return
+	}
+	s := c.peers[m.From]
+	if s == nil {
+		c.respond(r.ID, 400, nil)
+		return
+	}
+	switch b := m.Body.(type) {
+	case *peer.Message_Beat:
+		c.takeBeat(s, b.Beat)
+		c.answerPeer(r.ID, c.beat())
+	case *peer.Message_StoreCall:
+		c.relay(r.ID, b.StoreCall)
+	case *peer.Message_JobEnded:
+		if c.owner != nil {
+			c.owner.jobGone(b.JobEnded.Id)
+		}
+		c.answerPeer(r.ID, &peer.Message{})
+	default:
+		c.respond(r.ID, 400, nil)
+	}
+}
+
+// relay passes a sibling's request on. It is not counted against this node's part of
+// the limits: the sibling has counted it already.
+func (c *Core) relay(id uint64, call *peer.StoreCall) {
+	timeout := storeTimeout
+	if len(call.Body) == 0 {
+		timeout = watchTimeout
+	}
+	req := state.Request{Method: call.Method, Target: call.Target, Body: call.Body}
+	c.storeDirect(req, timeout, func(e CallDone) {
+		c.noteDirect(e.Status)
+		c.answerPeer(id, &peer.Message{Body: &peer.Message_StoreReply{StoreReply: &peer.StoreReply{
+			Status: uint32(e.Status), Body: e.Body,
+		}}})
+	})
+}
+
+func (c *Core) answerPeer(id uint64, m *peer.Message) {
+	m.From = c.cfg.Node
+	data, err := proto.Marshal(m)
+	if err != nil {
+		c.respond(id, 503, nil)
+		return
+	}
+	c.out = append(c.out, Respond{ID: id, Status: 200, Body: data})
+}
+
+// tellLeader passes on at once that a job is over, so that its tasks are stopped even
+// while the leader's watch hangs.
+func (c *Core) tellLeader(job string) {
+	if c.owner != nil {
+		c.owner.jobGone(job)
+		return
+	}
+	if s := c.peers[c.lead.node]; s != nil {
+		m := &peer.Message{Body: &peer.Message_JobEnded{JobEnded: &peer.JobEnded{Id: job}}}
+		c.callPeer(s, m, beatTimeout, maxPeerBody, func(*peer.Message, bool) {})
+	}
+}
--- /dev/null
+++ b/controller/scale.go
@@ -0,0 +1,472 @@
+package controller
+
+import (
+	"cmp"
+	"fmt"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// offer is something that the cloud may rent.
+type offer struct {
+	kind string
+	zone string
+	spot bool
+}
+
+// rentalState is the state machine of a rental.
+type rentalState int
+
+const (
+	rentalNamed   rentalState = iota // its name must be recorded first
+	rentalAsking                     // recorded; the cloud is asked, again if need be
+	rentalGranted                    // its machines must be recorded
+	rentalOver                       // its record must go
+)
+
+func (s rentalState) String() string { return [...]string{"named", "asking", "granted", "over"}[s] }
+
+// rental is a request for machines.
+type rental struct {
+	name     string
+	offer    offer
+	number   int
+	state    rentalState
+	writing  bool
+	asking   bool
+	next     micros.Micros
+	machines []string
+}
+
+// Bounds and pauses in dealings with the cloud.
+const (
+	scaleEvery   = micros.Second
+	cloudRetry   = micros.Second
+	mostAtOnce   = 10
+	mostReleased = 100
+	tombLife     = 120 * micros.Second
+	leastCharged = 60 * micros.Second // shorter rentals cost as much
+	classMemory  = 10 * micros.Minute
+)
+
+func (o *owner) setRental(r *rental, s rentalState) {
+	o.c.log.Info("rental", "name", r.name, "type", r.offer.kind, "zone", r.offer.zone, "spot", r.offer.spot,
+		"number", r.number, "from", r.state.String(), "to", s.String(), "machines", len(r.machines))
+	r.state = s
+}
+
+func (o *owner) loadRentals(entries []state.Entry) {
+	for _, e := range entries {
+		var rec rentalRecord
+		if wire.Decode(e.Value, &rec) != nil {
+			o.c.log.Error("record cannot be read", "key", e.Key)
+			continue
+		}
+		name := strings.TrimPrefix(e.Key, prefixRental)
+		o.rentals[name] = &rental{
+			name: name, offer: offer{rec.Type, rec.Zone, rec.Spot}, number: rec.Number, state: rentalAsking,
+		}
+	}
+}
+
+// flushRentals records the names of rentals before they are asked for, and removes
+// those that are over.
+func (o *owner) flushRentals(t *txn, full func() bool) {
+	for _, name := range sortedKeys(o.rentals) {
+		r := o.rentals[name]
+		if r.state == rentalGranted && o.allClaimed(r) {
+			o.setRental(r, rentalOver)
+		}
+		if r.writing || r.state != rentalNamed && r.state != rentalOver {
+			continue
+		}
+		if full() {
+			return
+		}
+		r.writing = true
+		key := prefixRental + name
+		if r.state == rentalOver {
+			t.writes = append(t.writes, state.Write{Delete: key})
+		} else {
+			t.put(key, rentalRecord{r.offer.kind, r.offer.zone, r.offer.spot, r.number})
+		}
+		t.results = append(t.results, func(ok bool, _ uint64) {
+			r.writing = false
+			switch {
+			case !ok:
+			case r.state == rentalOver:
+				delete(o.rentals, name)
+			default:
+				o.setRental(r, rentalAsking)
+			}
+		})
+	}
+}
+
+func (o *owner) allClaimed(r *rental) bool {
+	for _, name := range r.machines {
+		if m := o.machines[name]; m != nil && m.token == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (o *owner) ask(r *rental) {
+	if r.asking || o.c.now < r.next || !o.c.cloudRate.AllowN(o.c.now.Time(), 1) {
+		return
+	}
+	r.asking = true
+	body := wire.RentalRequest{Hire: r.name, Type: r.offer.kind, Zone: r.offer.zone, Spot: r.offer.spot, Number: r.number}
+	o.c.cloud("POST", "/rentals", body, func(status int, body []byte) {
+		if o.over() {
+			return
+		}
+		r.asking, r.next = false, o.c.now+cloudRetry
+		var names wire.MachineNames
+		var problem wire.Problem
+		switch {
+		case status == 200 && wire.Decode(body, &names) == nil:
+			r.machines = names.Machines
+			for _, n := range names.Machines {
+				if o.machines[n] == nil {
+					m := o.newMachine(n, r.offer.kind, r.offer.zone, r.offer.spot, "")
+					m.rented = o.c.day
+				}
+			}
+			if len(names.Machines) < r.number {
+				o.noCapacity[r.offer] = o.c.now + o.c.cfg.Tuning.RentalRetry
+			}
+			o.setRental(r, rentalGranted)
+		case status == 503 && wire.Decode(body, &problem) == nil && problem.Error == "no capacity":
+			o.noCapacity[r.offer] = o.c.now + o.c.cfg.Tuning.RentalRetry
+			o.setRental(r, rentalOver)
+		case status == 400:
+			o.c.log.Error("rental refused as malformed", "name", r.name)
+			o.noCapacity[r.offer] = o.c.now + o.c.cfg.Tuning.RentalRetry
+			o.setRental(r, rentalOver)
+		}
+	})
+}
+
+// release asks the cloud to delete machines that are to go.
+func (o *owner) release() {
+	if !o.wantRelease || o.releasing || o.c.now < o.releaseAt {
+		return
+	}
+	var names []string
+	for _, name := range sortedKeys(o.machines) {
+		if o.machines[name].state == machineReleasing && len(names) < mostReleased {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		o.wantRelease = false
+		return
+	}
+	if !o.c.cloudRate.AllowN(o.c.now.Time(), 1) {
+		return
+	}
+	o.releasing = true
+	o.c.cloud("POST", "/rentals/release", wire.MachineNames{Machines: names}, func(status int, _ []byte) {
+		if o.over() {
+			return
+		}
+		o.releasing, o.releaseAt = false, o.c.now+cloudRetry
+		if status != 200 {
+			return
+		}
+		o.releaseAt = o.c.now
+		for _, n := range names {
+			if m := o.machines[n]; m != nil && m.state == machineReleasing {
+				o.tombs[n] = o.c.now + tombLife
+				o.setMachine(m, machineDeleted, "deleted by the cloud")
+			}
+		}
+	})
+}
+
+// findSilent gives up machines that do not report, and returns empty ones that are to
+// go. If no worker at all is heard, the fault is likely on this side.
+func (o *owner) findSilent() {
+	t := &o.c.cfg.Tuning
+	alone := o.c.now-max(o.lastHeard, o.since) > 2*o.c.cfg.ReportEvery
+	for _, name := range sortedKeys(o.machines) {
+		m := o.machines[name]
+		silent := o.c.now - m.heard
+		switch m.state {
+		case machineBooting:
+			boot := micros.Minute
+			if k := o.c.types.find(m.kind); k != nil {
+				boot = k.Boot
+			}
+			if m.failed || silent > micros.Micros(t.BootPatience*float64(boot))+t.SilentAfter {
+				o.setMachine(m, machineReleasing, "never came up")
+			}
+		case machineUp, machineDraining:
+			limit := t.SilentAfter
+			if m.notice != 0 && o.c.now > m.notice {
+				limit = o.c.cfg.ReportEvery * 3 / 2
+			}
+			switch {
+			case m.failed:
+				o.setMachine(m, machineReleasing, "has failed")
+			case m.unlisted >= 2 && silent > 2*o.c.cfg.ReportEvery:
+				o.setMachine(m, machineReleasing, "is not listed any more")
+			case silent > limit && (!alone || silent > 3*limit):
+				o.setMachine(m, machineReleasing, "is silent")
+			case m.state == machineDraining && len(m.attempts) == 0 && m.token != 0:
+				o.setMachine(m, machineReleasing, "is empty")
+			}
+		}
+	}
+}
+
+// cloudList is a reading of the cloud's list, page by page.
+type cloudList struct {
+	asking bool
+	next   micros.Micros
+	found  map[string]wire.ListedMachine
+}
+
+func (o *owner) tickList() {
+	l := &o.list
+	if l.asking || o.c.now < l.next || !o.c.cloudRate.AllowN(o.c.now.Time(), 1) {
+		return
+	}
+	l.asking, l.found = true, map[string]wire.ListedMachine{}
+	o.listPage("")
+}
+
+func (o *owner) listPage(after string) {
+	q := url.Values{"limit": {strconv.Itoa(500)}}
+	if after != "" {
+		q.Set("after", after)
+	}
+	l := &o.list
+	o.c.cloud("GET", "/rentals?"+q.Encode(), nil, func(status int, body []byte) {
+		if o.over() {
+			return
+		}
+		var page wire.MachineList
+		l.next = o.c.now + max(o.c.cfg.ListLag, 2*micros.Second)
+		if status != 200 || wire.Decode(body, &page) != nil {
+			l.asking = false
+			return
+		}
+		for _, m := range page.Machines {
+			l.found[m.Name] = m
+		}
+		if page.More && len(page.Machines) > 0 {
+			o.listPage(page.Machines[len(page.Machines)-1].Name)
+			return
+		}
+		l.asking = false
+		o.takeList(l.found)
+	})
+}
+
+func (o *owner) takeList(found map[string]wire.ListedMachine) {
+	for _, name := range sortedKeys(found) {
+		e := found[name]
+		m := o.machines[name]
+		if m == nil {
+			if until, ok := o.tombs[name]; ok && o.c.now < until {
+				continue
+			}
+			m = o.adopt(e.Name, e.Type, e.Zone, e.Spot, e.Endpoint)
+			m.rented = o.c.day - micros.FromSeconds(e.AgeS)
+		}
+		m.listed, m.unlisted = true, 0
+		m.failed = e.Status == wire.ListFailed
+		m.endpoint = cmp.Or(m.endpoint, e.Endpoint)
+	}
+	for name, m := range o.machines {
+		if _, ok := found[name]; !ok && m.listed {
+			m.unlisted++
+		}
+	}
+}
+
+// classNeed remembers which machine types a class of jobs fits.
+type classNeed struct {
+	types []string
+	seen  micros.Micros
+}
+
+func (o *owner) noteClass(j *job) {
+	var types []string
+	for _, t := range o.c.types.list {
+		if (j.Types == nil || slices.Contains(j.Types, t.Name)) && j.Need.Fits(t.Size) {
+			types = append(types, t.Name)
+		}
+	}
+	o.classes[j.Class] = &classNeed{types, o.c.now}
+}
+
+// scarce tells that some recent class of jobs fits no other machine type.
+func (o *owner) scarce(kind string) bool {
+	for _, c := range o.classes {
+		if len(c.types) == 1 && c.types[0] == kind && o.c.now-c.seen < classMemory {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *owner) tickScale() {
+	for _, name := range sortedKeys(o.rentals) {
+		if r := o.rentals[name]; r.state == rentalAsking {
+			o.ask(r)
+		}
+	}
+	if o.c.now < o.nextScale || len(o.c.types.list) == 0 {
+		return
+	}
+	o.nextScale = o.c.now + scaleEvery
+	o.growth()
+	o.returnIdle()
+}
+
+// demand is waiting work that fits the same machine types.
+type demand struct {
+	first *job
+	work  float64 // in processor seconds
+}
+
+// growth rents machines for work that would wait too long for those there are.
+func (o *owner) growth() {
+	if len(o.rentals) > 0 {
+		return // one decision at a time
+	}
+	groups := map[string]*demand{}
+	var names []string
+	for i, j := range o.queue {
+		if i >= jobsPerPass {
+			break
+		}
+		n := min(j.pending, o.withinTeam(j))
+		if j.state != jobActive || n == 0 || o.c.now+5*micros.Second < j.notUntil {
+			continue
+		}
+		key := fmt.Sprint(j.Gang, j.Spot, j.Zone, o.classes[j.Class].types)
+		g := groups[key]
+		if g == nil {
+			g = &demand{first: j}
+			groups[key] = g
+			names = append(names, key)
+		}
+		g.work += float64(n) * max(j.Need.CPUs(), 0.01) * max(j.Estimate.Seconds(), 1)
+	}
+	for _, key := range names {
+		g := groups[key]
+		capacity := 0.0
+		for _, m := range o.machines {
+			if m.state == machineBooting || m.state == machineUp {
+				capacity += o.usable(g.first, m.kind, m.zone, m.spot)
+			}
+		}
+		short := g.work/max(o.c.cfg.Tuning.QueueTarget.Seconds(), 1) - capacity
+		if g.first.Gang && capacity == 0 {
+			short = max(short, g.first.Need.CPUs()*float64(g.first.Tasks))
+		}
+		if short > 0 {
+			o.rent(g.first, short)
+			return
+		}
+	}
+}
+
+// usable tells how many processors of a machine a job could use.
+func (o *owner) usable(j *job, kind, zone string, spot bool) float64 {
+	t := o.c.types.find(kind)
+	if t == nil || !j.Allows(kind, zone, spot) {
+		return 0
+	}
+	return float64(j.Need.Count(t.Size, recordSlots)) * max(j.Need.CPUs(), 0.01)
+}
+
+// rent asks for the cheapest machines that suit a job, for the processors it is short of.
+func (o *owner) rent(j *job, short float64) {
+	type choice struct {
+		offer
+		cpus, price float64
+	}
+	var choices []choice
+	for _, t := range o.c.types.list {
+		if len(o.classes[j.Class].types) > 1 && o.scarce(t.Name) {
+			continue
+		}
+		for _, z := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				of := offer{t.Name, z, spot}
+				cpus := o.usable(j, t.Name, z, spot)
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				if cpus == 0 || spot && price <= 0 || o.c.now < o.noCapacity[of] {
+					continue
+				}
+				choices = append(choices, choice{of, cpus, price / cpus})
+			}
+		}
+	}
+	if len(choices) == 0 {
+		return
+	}
+	slices.SortStableFunc(choices, func(a, b choice) int {
+		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(o.inZone(a.zone), o.inZone(b.zone)))
+	})
+	best := choices[0]
+	n := min(int(short/best.cpus)+1, mostAtOnce)
+	if most := o.c.cfg.Tuning.MaxMachines; most > 0 {
+		n = min(n, most-len(o.machines))
+	}
+	if n <= 0 {
+		return
+	}
+	o.numbers++
+	r := &rental{name: fmt.Sprintf("h-%d-%d", o.c.lead.term, o.numbers), offer: best.offer, number: n}
+	o.rentals[r.name] = r
+	o.c.log.Info("rental wanted", "name", r.name, "type", r.offer.kind, "zone", r.offer.zone,
+		"spot", r.offer.spot, "number", n, "class", j.Class, "short_cpus", short)
+}
+
+func (o *owner) inZone(zone string) int {
+	n := 0
+	for _, m := range o.machines {
+		if m.zone == zone {
+			n++
+		}
+	}
+	return n
+}
+
+// returnIdle returns machines that have had nothing to do for a while.
+func (o *owner) returnIdle() {
+	for _, name := range sortedKeys(o.machines) {
+		m := o.machines[name]
+		if m.state != machineUp || len(m.attempts) > 0 || m.token == 0 {
+			continue
+		}
+		if o.c.now-m.idleSince > o.c.cfg.Tuning.IdleReturn && o.c.day-m.rented > leastCharged-5*micros.Second {
+			o.setMachine(m, machineDraining, "idle")
+		}
+	}
+}
+
+// machineSize is what a machine offers, once its type is known.
+func (o *owner) machineSize(m *machine) sched.Resources {
+	if t := o.c.types.find(m.kind); t != nil {
+		m.size = t.Size
+	}
+	return m.size
+}
--- /dev/null
+++ b/controller/users.go
@@ -0,0 +1,397 @@
+package controller
+
+import (
+	"strings"
+
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// Bounds of the stages that users' requests pass. What is beyond them is refused at
+// once, so that the waiting happens with the users.
+const (
+	maxWaiting   = 128           // submissions waiting for their commit
+	maxLookups   = 64            // reads under way for users
+	acceptWithin = micros.Second // a submission is given up after this
+	finalCache   = 2048          // final states kept in memory
+	limitedPause = 100 * micros.Millisecond
+)
+
+// users is the stage that accepts, answers and cancels.
+type users struct {
+	waiting    []*acceptance
+	byID       map[string]*acceptance
+	committing bool
+	pause      micros.Micros
+	lookups    int
+	finals     map[string]string
+	order      []string // of finals, the oldest first
+}
+
+// acceptance is a submission that waits for its commit.
+type acceptance struct {
+	job   *sched.Job
+	reqs  []uint64
+	since micros.Micros
+}
+
+func (u *users) init() {
+	u.byID = map[string]*acceptance{}
+	u.finals = map[string]string{}
+}
+
+func (u *users) remember(id, status string) {
+	if _, ok := u.finals[id]; ok {
+		return
+	}
+	if len(u.order) >= finalCache {
+		delete(u.finals, u.order[0])
+		u.order = u.order[1:]
+	}
+	u.finals[id] = status
+	u.order = append(u.order, id)
+}
+
+const (
+	pathJobs   = "/api/jobs"
+	pathReport = "/hello"
+	pathUp     = "/up"
+	cancelEnd  = "/cancel"
+)
+
+func (c *Core) request(r Request) {
+	if r.Peer {
+		c.peerRequest(r)
+		return
+	}
+	method := func(want string, handle func()) {
+		if r.Method != want {
+			c.respond(r.ID, 405, wire.Problem{Error: "method not allowed"})
+			return
+		}
+		handle()
+	}
+	rest, under := strings.CutPrefix(r.Path, pathJobs+"/")
+	id, cancel := strings.CutSuffix(rest, cancelEnd)
+	switch {
+	case r.Path == pathUp:
+		method("GET", func() { c.respond(r.ID, 200, nil) })
+	case r.Path == pathReport:
+		method("POST", func() { c.report(r) })
+	case r.Path == pathJobs:
+		method("POST", func() { c.submit(r) })
+	case under && !strings.Contains(id, "/") && cancel:
+		method("POST", func() { c.cancel(r.ID, id) })
+	case under && !strings.Contains(id, "/"):
+		method("GET", func() { c.query(r.ID, id) })
+	default:
+		c.respond(r.ID, 404, wire.Problem{Error: "no such path"})
+	}
+}
+
+func (c *Core) submit(r Request) {
+	j, err := wire.DecodeJob(r.Body)
+	if err != nil {
+		c.respond(r.ID, 400, wire.Problem{Error: err.Error()})
+		return
+	}
+	if len(c.types.list) == 0 {
+		c.refuse(r.ID, 503, "machine types are not known yet")
+		return
+	}
+	if state.Size(jobRecord{Job: wire.FromJob(j)}) > c.cfg.ValueBytes {
+		c.respond(r.ID, 400, wire.Problem{Error: "description too long"})
+		return
+	}
+	if why := c.neverRuns(j); why != "" {
+		// The types on offer may have changed since the job was accepted.
+		c.lookup(j.ID, func(st lookupState, status string, _ uint64) {
+			switch st {
+			case lookupFound:
+				c.respond(r.ID, 200, wire.JobState{Ref: j.ID, Status: status})
+			case lookupNone:
+				c.respond(r.ID, 422, wire.Problem{Error: why})
+			default:
+				c.refuse(r.ID, 503, "state service does not answer")
+			}
+		})
+		return
+	}
+	u := &c.users
+	if a := u.byID[j.ID]; a != nil {
+		a.reqs = append(a.reqs, r.ID)
+		return
+	}
+	if len(u.waiting) >= maxWaiting {
+		c.refuse(r.ID, 429, "too many submissions wait")
+		return
+	}
+	a := &acceptance{job: j, reqs: []uint64{r.ID}, since: c.now}
+	u.byID[j.ID] = a
+	u.waiting = append(u.waiting, a)
+}
+
+// neverRuns tells why a job can never run, or "".
+func (c *Core) neverRuns(j *sched.Job) string {
+	team, ok := c.cfg.Team(j.Team)
+	if !ok {
+		return "unknown team"
+	}
+	if !j.FitsAny(c.types.list) {
+		return "a task fits no allowed machine type"
+	}
+	need := j.Need
+	if j.Gang {
+		need = need.Times(j.Tasks)
+	}
+	if !withinLimit(need, team.Limit) {
+		return "more than the team's limit"
+	}
+	return ""
+}
+
+func withinLimit(used, limit sched.Resources) bool {
+	return (limit.CPU == 0 || used.CPU <= limit.CPU) && (limit.GPU == 0 || used.GPU <= limit.GPU)
+}
+
+// flush commits waiting submissions, as many as one commit takes.
+func (u *users) flush(c *Core) {
+	if u.committing || len(u.waiting) == 0 {
+		return
+	}
+	kept := u.waiting[:0]
+	for _, a := range u.waiting {
+		if c.now-a.since > acceptWithin {
+			u.finish(c, a, func(id uint64) { c.refuse(id, 503, "state service does not answer") })
+			continue
+		}
+		kept = append(kept, a)
+	}
+	u.waiting = kept
+	room := min(c.budget.room(forUsers, c.now), c.cfg.TxnOps, len(u.waiting))
+	if c.now < u.pause || room == 0 {
+		return
+	}
+	batch := append([]*acceptance(nil), u.waiting[:room]...)
+	u.waiting = u.waiting[room:]
+	u.commit(c, batch)
+}
+
+func (u *users) commit(c *Core, batch []*acceptance) {
+	var guards []state.Guard
+	var writes []state.Write
+	size := 0
+	for i, a := range batch {
+		rec := jobRecord{Job: wire.FromJob(a.job), Accepted: int64(c.day)}
+		if size += state.Size(rec); i > 0 && size > wire.MaxBody/2 {
+			u.waiting = append(batch[i:len(batch):len(batch)], u.waiting...)
+			batch = batch[:i]
+			break
+		}
+		guards = append(guards, state.Guard{Key: activeKey(a.job.ID)}, state.Guard{Key: finalKey(a.job.ID)})
+		writes = append(writes, state.Write{Put: activeKey(a.job.ID), Value: rec})
+	}
+	u.committing = true
+	c.store(forUsers, state.Commit(guards, writes), func(r storeReply) {
+		u.committing = false
+		u.committed(c, batch, r)
+	})
+}
+
+func (u *users) committed(c *Core, batch []*acceptance, r storeReply) {
+	switch r.outcome {
+	case outOK:
+		for _, a := range batch {
+			c.log.Debug("job accepted", "job", a.job.ID)
+			u.finish(c, a, func(id uint64) {
+				c.respond(id, 201, wire.JobState{Ref: a.job.ID, Status: wire.JobQueued})
+			})
+		}
+	case outConflict:
+		// Some job is known already: those are looked up, the rest is tried again.
+		var res state.Committed
+		r.decode(&res)
+		failed := map[string]bool{}
+		for _, k := range res.Failed {
+			failed[k] = true
+		}
+		for _, a := range batch {
+			if failed[activeKey(a.job.ID)] || failed[finalKey(a.job.ID)] || len(failed) == 0 {
+				u.known(c, a)
+			} else {
+				u.waiting = append(u.waiting, a)
+			}
+		}
+	case outLimited:
+		u.waiting = append(batch, u.waiting...)
+		u.pause = c.now + limitedPause
+	case outUnknown:
+		// It may have been executed: the same commit again tells by its guards.
+		u.waiting = append(batch, u.waiting...)
+	default:
+		for _, a := range batch {
+			u.finish(c, a, func(id uint64) { c.refuse(id, 503, "state service refuses") })
+		}
+	}
+}
+
+func (u *users) known(c *Core, a *acceptance) {
+	c.lookup(a.job.ID, func(st lookupState, status string, _ uint64) {
+		u.finish(c, a, func(id uint64) {
+			if st == lookupFound {
+				c.respond(id, 200, wire.JobState{Ref: a.job.ID, Status: status})
+				return
+			}
+			c.refuse(id, 503, "state service does not answer")
+		})
+	})
+}
+
+func (u *users) finish(c *Core, a *acceptance, answer func(uint64)) {
+	delete(u.byID, a.job.ID)
+	for _, id := range a.reqs {
+		answer(id)
+	}
+}
+
+type lookupState int
+
+const (
+	lookupFailed lookupState = iota
+	lookupNone
+	lookupFound
+)
+
+// lookup reads a job's state from the records, which alone are never outdated. For a
+// job that is not over it hands over the version of its record.
+func (c *Core) lookup(id string, done func(st lookupState, status string, version uint64)) {
+	u := &c.users
+	if status, ok := u.finals[id]; ok {
+		done(lookupFound, status, 0)
+		return
+	}
+	if u.lookups >= maxLookups {
+		done(lookupFailed, "", 0)
+		return
+	}
+	u.lookups++
+	finish := func(st lookupState, status string, version uint64) {
+		u.lookups--
+		done(st, status, version)
+	}
+	c.get(forUsers, activeKey(id), func(out outcome, e state.Entry) {
+		switch out {
+		case outOK:
+			finish(lookupFound, wire.JobQueued, e.Version)
+		case outMissing:
+			c.get(forUsers, finalKey(id), func(out outcome, e state.Entry) {
+				var rec finalRecord
+				switch {
+				case out == outMissing:
+					finish(lookupNone, "", 0)
+				case out == outOK && wire.Decode(e.Value, &rec) == nil:
+					u.remember(id, rec.Status)
+					finish(lookupFound, rec.Status, 0)
+				default:
+					finish(lookupFailed, "", 0)
+				}
+			})
+		default:
+			finish(lookupFailed, "", 0)
+		}
+	})
+}
+
+func (c *Core) query(req uint64, id string) {
+	if !wire.ValidRef(id) {
+		c.respond(req, 404, wire.Problem{Error: "no such job"})
+		return
+	}
+	c.lookup(id, func(st lookupState, status string, _ uint64) {
+		switch st {
+		case lookupNone:
+			c.respond(req, 404, wire.Problem{Error: "no such job"})
+		case lookupFound:
+			ans := wire.JobStatus{Ref: id, Status: status}
+			if status == wire.JobQueued {
+				ans.Done, ans.Running = c.countsOf(id)
+				if ans.Running > 0 {
+					ans.Status = wire.JobRunning
+				}
+			}
+			c.respond(req, 200, ans)
+		default:
+			c.refuse(req, 503, "state service does not answer")
+		}
+	})
+}
+
+// countsOf tells how many tasks of a job are done and run, for display.
+func (c *Core) countsOf(id string) (done, running int) {
+	if c.owner != nil {
+		return c.owner.countsOf(id)
+	}
+	if s := c.peers[c.lead.node]; s != nil && s.jobs[id] != nil {
+		return int(s.jobs[id].Done), int(s.jobs[id].Running)
+	}
+	return 0, 0
+}
+
+func (c *Core) cancel(req uint64, id string) {
+	if !wire.ValidRef(id) {
+		c.respond(req, 404, wire.Problem{Error: "no such job"})
+		return
+	}
+	c.tryCancel(req, id, c.now+acceptWithin)
+}
+
+func (c *Core) tryCancel(req uint64, id string, until micros.Micros) {
+	fail := func() { c.refuse(req, 503, "state service does not answer") }
+	c.get(forUsers, activeKey(id), func(out outcome, e state.Entry) {
+		var rec jobRecord
+		switch {
+		case out == outOK && wire.Decode(e.Value, &rec) == nil:
+			j, err := rec.Job.Job()
+			if err != nil {
+				fail()
+				return
+			}
+			c.commitCancel(req, j, e.Version, until)
+		case out == outMissing:
+			c.lookup(id, func(st lookupState, status string, version uint64) {
+				switch {
+				case st == lookupNone:
+					c.respond(req, 404, wire.Problem{Error: "no such job"})
+				case st == lookupFound && version == 0:
+					c.respond(req, 200, wire.JobState{Ref: id, Status: status})
+				default:
+					fail()
+				}
+			})
+		default:
+			fail()
+		}
+	})
+}
+
+func (c *Core) commitCancel(req uint64, j *sched.Job, version uint64, until micros.Micros) {
+	guards := []state.Guard{{Key: activeKey(j.ID), Version: version}}
+	writes := []state.Write{
+		{Put: finalKey(j.ID), Value: finalOf(j, wire.JobCancelled)},
+		{Delete: activeKey(j.ID)},
+	}
+	c.store(forUsers, state.Commit(guards, writes), func(r storeReply) {
+		switch {
+		case r.outcome == outOK:
+			c.users.remember(j.ID, wire.JobCancelled)
+			c.respond(req, 200, wire.JobState{Ref: j.ID, Status: wire.JobCancelled})
+			c.tellLeader(j.ID)
+		case (r.outcome == outConflict || r.outcome == outUnknown) && c.now < until:
+			c.tryCancel(req, j.ID, until) // over meanwhile, or perhaps executed
+		default:
+			c.refuse(req, 503, "state service does not answer")
+		}
+	})
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,150 @@
+// Package daemon runs a controller node: it feeds requests, results and the time to
+// the core, and carries out the effects that the core returns.
+package daemon
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"log/slog"
+	"runtime/debug"
+	"time"
+
+	"tamarindlead/config"
+	"tamarindlead/controller"
+	"tamarindlead/internal/httpwire"
+	"tamarindlead/internal/reactor"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// Sizes of the stages before and after the core.
+const (
+	inboxSize    = 256 // requests that wait for the core; more are refused at once
+	resultsSize  = 256
+	spareSockets = 96                      // kept free for outbound connections
+	maxPeerBody  = 1 << 20                 // bodies from siblings
+	tickEvery    = 50 * micros.Millisecond // how exactly the core sees time pass
+	idleLimit    = 90 * micros.Second
+	partialLimit = 10 * micros.Second
+	keepIdle     = 6 // outbound connections kept for each address
+)
+
+// memoryShare is the part of the node's memory that the heap may use before the
+// collector works harder; the rest is for stacks, code and the system.
+const memoryShare = 0.6
+
+type node struct {
+	cfg     *config.Settings
+	log     *slog.Logger
+	core    *controller.Core
+	client  *reactor.Client
+	start   time.Time
+	inbox   chan *reactor.Exchange
+	results chan controller.CallDone
+	open    map[uint64]*reactor.Exchange
+	nextID  uint64
+}
+
+// Run serves until ctx ends.
+func Run(ctx context.Context, cfg *config.Settings, log *slog.Logger) error {
+	debug.SetMemoryLimit(int64(float64(cfg.MemoryBytes) * memoryShare))
+	var seed [8]byte
+	if _, err := crand.Read(seed[:]); err != nil {
+		return err
+	}
+	n := &node{
+		cfg: cfg, log: log, start: time.Now(),
+		client:  reactor.NewClient(wire.ContentType, keepIdle),
+		inbox:   make(chan *reactor.Exchange, inboxSize),
+		results: make(chan controller.CallDone, resultsSize),
+		open:    map[uint64]*reactor.Exchange{},
+	}
+	n.core = controller.New(cfg, binary.LittleEndian.Uint64(seed[:]), log, n.now(), n.day())
+	served := make(chan error, 1)
+	go func() {
+		served <- reactor.Serve(ctx, reactor.Options{
+			Addrs:    []string{cfg.Listen, cfg.PeerListen},
+			MaxConns: cfg.Sockets - min(spareSockets, cfg.Sockets/2),
+			MaxBody:  n.maxBody,
+			Idle:     idleLimit, Partial: partialLimit,
+			Handle: n.take, Log: log,
+		})
+	}()
+	log.Info("started", "node", cfg.Node, "zone", cfg.Zone, "listen", cfg.Listen)
+	n.loop(ctx)
+	return <-served
+}
+
+// now is the steady clock. Its start is a day before this process, so that zero
+// always means never.
+func (n *node) now() micros.Micros {
+	return 24*micros.Hour + micros.FromDuration(time.Since(n.start))
+}
+
+func (n *node) day() micros.Micros { return micros.Micros(time.Now().UnixMicro()) }
+
+func (n *node) maxBody(listener string) int {
+	if listener == n.cfg.PeerListen {
+		return maxPeerBody
+	}
+	return wire.MaxBody
+}
+
+// take is called on the event loop and never waits: what the core cannot take soon
+// is refused at once.
+func (n *node) take(x *reactor.Exchange) {
+	select {
+	case n.inbox <- x:
+	default:
+		x.Reply(503, wire.ContentType, wire.Encode(wire.Problem{Error: "too busy"}), 1)
+	}
+}
+
+func (n *node) loop(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery.Duration())
+	defer ticker.Stop()
+	sweep := time.NewTicker(10 * time.Second)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case x := <-n.inbox:
+			n.nextID++
+			n.open[n.nextID] = x
+			n.handle(controller.Request{
+				ID: n.nextID, Peer: x.Listener == n.cfg.PeerListen,
+				Method: x.Request.Method, Path: x.Request.Path, Body: x.Request.Body,
+			})
+		case r := <-n.results:
+			n.handle(r)
+		case <-ticker.C:
+			n.handle(controller.Tick{})
+		case <-sweep.C:
+			n.client.Sweep()
+		}
+	}
+}
+
+func (n *node) handle(ev controller.Event) {
+	for _, e := range n.core.Handle(n.now(), n.day(), ev) {
+		switch e := e.(type) {
+		case controller.Call:
+			go n.do(e)
+		case controller.Respond:
+			if x := n.open[e.ID]; x != nil {
+				delete(n.open, e.ID)
+				x.Reply(e.Status, wire.ContentType, e.Body, e.RetryAfter)
+			}
+		}
+	}
+}
+
+func (n *node) do(call controller.Call) {
+	res := n.client.Do(reactor.Call{
+		Addr: call.Addr, Method: call.Method, Target: call.Target, Body: call.Body,
+		Timeout: call.Timeout, MaxBody: call.MaxBody + httpwire.MaxHead,
+	})
+	n.results <- controller.CallDone{ID: call.ID, Status: res.Status, Body: res.Body, Sent: res.Sent}
+}
--- /dev/null
+++ b/internal/reactor/server.go
@@ -0,0 +1,192 @@
+// Package reactor moves bytes: it serves HTTP connections on an event loop and
+// makes outbound calls with deadlines. It knows nothing of what is said on them.
+//
+// The house library evio ends its whole loop on any failed accept (a connection
+// reset before it was accepted, no free descriptor), so its nearest kin gnet is
+// used, which retries the former; the latter is kept away by MaxConns.
+package reactor
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+
+	"tamarindlead/internal/httpwire"
+	"tamarindlead/micros"
+)
+
+// Exchange is one request that waits for its response.
+type Exchange struct {
+	Listener string // address of the listener that took it
+	Request  httpwire.Request
+	conn     gnet.Conn
+	state    *connState
+}
+
+// Options of a server.
+type Options struct {
+	Addrs       []string
+	MaxConns    int
+	MaxBody     func(listener string) int
+	Idle        micros.Micros // a connection without a request for this long is closed
+	Partial     micros.Micros // a request must be whole after this long
+	ContentType string
+	// Handle takes a request; it must not block, and Reply must follow once.
+	Handle func(*Exchange)
+	// Refuse answers a request that the parser cannot take.
+	Log *slog.Logger
+}
+
+type connState struct {
+	listener string
+	busy     bool // a request waits for its response
+	closing  bool // no more requests are taken
+	since    time.Time
+	partial  bool
+}
+
+type server struct {
+	gnet.BuiltinEventEngine
+	opts  Options
+	conns map[gnet.Conn]*connState
+	eng   gnet.Engine
+}
+
+// Serve runs until ctx ends. Should the event loop fail, it is started again: a
+// controller does not end because of one bad descriptor.
+func Serve(ctx context.Context, opts Options) error {
+	for {
+		s := &server{opts: opts, conns: map[gnet.Conn]*connState{}}
+		stop := context.AfterFunc(ctx, func() { s.eng.Stop(context.Background()) })
+		addrs := make([]string, len(opts.Addrs))
+		for i, a := range opts.Addrs {
+			addrs[i] = "tcp4://" + a
+		}
+		err := gnet.Rotate(s, addrs,
+			gnet.WithNumEventLoop(1),
+			gnet.WithReuseAddr(true),
+			gnet.WithTicker(true),
+			gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+			gnet.WithReadBufferCap(16<<10),
+			gnet.WithWriteBufferCap(16<<10),
+			gnet.WithLogger(quiet{opts.Log}),
+			gnet.WithLogLevel(logging.ErrorLevel))
+		stop()
+		if ctx.Err() != nil {
+			return nil
+		}
+		opts.Log.Error("serving failed, starting again", "error", err)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+func (s *server) OnBoot(eng gnet.Engine) gnet.Action {
+	s.eng = eng
+	return gnet.None
+}
+
+func (s *server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if len(s.conns) >= s.opts.MaxConns {
+		return httpwire.AppendResponse(nil, 503, "", nil, 1, true), gnet.Close
+	}
+	st := &connState{listener: c.LocalAddr().String(), since: time.Now()}
+	s.conns[c] = st
+	c.SetContext(st)
+	return nil, gnet.None
+}
+
+func (s *server) OnClose(c gnet.Conn, _ error) gnet.Action {
+	delete(s.conns, c)
+	return gnet.None
+}
+
+func (s *server) OnTraffic(c gnet.Conn) gnet.Action {
+	st, ok := c.Context().(*connState)
+	if !ok || st.closing {
+		c.Discard(-1)
+		return gnet.None
+	}
+	if st.busy {
+		if c.InboundBuffered() > 2*httpwire.MaxHead+s.opts.MaxBody(st.listener) {
+			return gnet.Close // pipelining does not occur; this peer floods
+		}
+		return gnet.None
+	}
+	buf, _ := c.Peek(-1)
+	if len(buf) == 0 {
+		return gnet.None
+	}
+	req, n, err := httpwire.ParseRequest(buf, s.opts.MaxBody(st.listener))
+	switch {
+	case errors.Is(err, httpwire.ErrIncomplete):
+		if !st.partial {
+			st.partial, st.since = true, time.Now()
+		}
+		return gnet.None
+	case err != nil:
+		status := 400
+		if errors.Is(err, httpwire.ErrTooLarge) {
+			status = 413
+		}
+		c.Discard(-1)
+		st.closing = true
+		c.Write(httpwire.AppendResponse(nil, status, "", nil, 0, true))
+		return gnet.Close
+	}
+	c.Discard(n)
+	st.busy, st.partial, st.since = true, false, time.Now()
+	s.opts.Handle(&Exchange{Listener: st.listener, Request: req, conn: c, state: st})
+	return gnet.None
+}
+
+func (s *server) OnTick() (time.Duration, gnet.Action) {
+	now := time.Now()
+	for c, st := range s.conns {
+		limit := s.opts.Idle
+		if st.partial {
+			limit = s.opts.Partial
+		}
+		if now.Sub(st.since) > limit.Duration() {
+			c.Close()
+		}
+	}
+	return time.Second, gnet.None
+}
+
+// Reply answers an exchange; it may be called from any goroutine, once.
+func (e *Exchange) Reply(status int, contentType string, body []byte, retryAfter int) {
+	closing := e.Request.Close
+	data := httpwire.AppendResponse(nil, status, contentType, body, retryAfter, closing)
+	e.conn.AsyncWrite(data, func(c gnet.Conn, err error) error {
+		e.state.busy, e.state.since = false, time.Now()
+		if closing || err != nil {
+			e.state.closing = true
+			return c.Close()
+		}
+		if c.InboundBuffered() > 0 {
+			return c.Wake(nil)
+		}
+		return nil
+	})
+}
+
+// quiet passes the library's errors to our log and drops the rest.
+type quiet struct{ log *slog.Logger }
+
+func (q quiet) Debugf(string, ...any) {}
+func (q quiet) Infof(string, ...any)  {}
+func (q quiet) Warnf(string, ...any)  {}
+func (q quiet) Errorf(format string, args ...any) {
+	q.log.Debug("event loop", "message", format, "args", args)
+}
+func (q quiet) Fatalf(format string, args ...any) {
+	q.log.Error("event loop", "message", format, "args", args)
+}
--- /dev/null
+++ b/sched/place.go
@@ -0,0 +1,121 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Machine is what placement knows of a machine.
+type Machine struct {
+	Name  string
+	Type  string
+	Zone  string
+	Spot  bool
+	Free  Resources
+	Slots int  // how many more tasks its record can hold
+	Idle  bool // nothing runs on it
+	// Scarce: some jobs fit only this type, so others take it last.
+	Scarce bool
+	Images []string
+}
+
+// Assignment gives Count tasks to a machine.
+type Assignment struct {
+	Machine *Machine
+	Count   int
+}
+
+// Place spreads up to want tasks of the job over the machines. inZone counts the
+// tasks of the job that are in each zone already. A gang is placed whole or not at
+// all. The machines are not changed.
+func Place(j *Job, machines []*Machine, want int, inZone map[string]int) []Assignment {
+	if want <= 0 {
+		return nil
+	}
+	fits := make([]*Machine, 0, len(machines))
+	for _, m := range machines {
+		if m.Slots > 0 && j.Allows(m.Type, m.Zone, m.Spot) && j.Need.Fits(m.Free) {
+			fits = append(fits, m)
+		}
+	}
+	order(j, fits)
+	if !j.OneZone {
+		got, n := fill(j, fits, want, inZone, "")
+		if j.Gang && n < want {
+			return nil
+		}
+		return got
+	}
+	// All in one zone: the one where tasks of the job are, or else the one that
+	// takes the most.
+	var zones []string
+	for z, n := range inZone {
+		if n > 0 {
+			zones = append(zones, z)
+		}
+	}
+	if len(zones) > 1 {
+		return nil
+	}
+	if len(zones) == 0 {
+		for _, m := range fits {
+			if !slices.Contains(zones, m.Zone) {
+				zones = append(zones, m.Zone)
+			}
+		}
+		slices.Sort(zones)
+	}
+	var best []Assignment
+	most := 0
+	for _, z := range zones {
+		if got, n := fill(j, fits, want, inZone, z); n > most {
+			best, most = got, n
+		}
+	}
+	if j.Gang && most < want {
+		return nil
+	}
+	return best
+}
+
+// order sorts by preference: not scarce, image present, busy before idle (so that
+// idle machines can be returned), then the tightest.
+func order(j *Job, machines []*Machine) {
+	rank := func(b bool) int {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(machines, func(a, b *Machine) int {
+		return cmp.Or(
+			cmp.Compare(rank(a.Scarce), rank(b.Scarce)),
+			cmp.Compare(rank(a.Idle), rank(b.Idle)),
+			-cmp.Compare(rank(slices.Contains(a.Images, j.Image)), rank(slices.Contains(b.Images, j.Image))),
+			cmp.Compare(a.Free.CPU, b.Free.CPU),
+			cmp.Compare(a.Name, b.Name),
+		)
+	})
+}
+
+func fill(j *Job, machines []*Machine, want int, inZone map[string]int, zone string) ([]Assignment, int) {
+	var got []Assignment
+	total := 0
+	used := map[string]int{}
+	for _, m := range machines {
+		if zone != "" && m.Zone != zone {
+			continue
+		}
+		room := j.ZoneCap() - inZone[m.Zone] - used[m.Zone]
+		n := j.Need.Count(m.Free, min(want-total, room, m.Slots))
+		if n <= 0 {
+			continue
+		}
+		got = append(got, Assignment{m, n})
+		used[m.Zone] += n
+		if total += n; total == want {
+			break
+		}
+	}
+	return got, total
+}
