--- a/controller/users.go
+++ b/controller/users.go
@@ -94,6 +94,7 @@
 func (c *Core) submit(r Request) {
 	j, err := wire.DecodeJob(r.Body)
 	if err != nil {
+		c.log.Info("submission refused as malformed", "error", err)
 		c.respond(r.ID, 400, wire.Problem{Error: err.Error()})
 		return
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -165,6 +165,8 @@
 	switch shape := c.text("shape", s.Shape); shape {
 	case "group":
 		j.Gang = true
+	case "service": // see docs/questions.md
+		j.Service = true
 	case "array", "":
 	default:
 		c.fail("shape", "unknown")
@@ -208,6 +210,8 @@
 	shape := "array"
 	if j.Gang {
 		shape = "group"
+	} else if j.Service {
+		shape = "service"
 	}
 	urgency := ""
 	for name, p := range priorities {
--- a/sched/types.go
+++ b/sched/types.go
@@ -82,6 +82,7 @@
 	Class    string
 	Team     string
 	Gang     bool
+	Service  bool // independent tasks that run until they are cancelled
 	Priority Priority
 	Tasks    int
 	Need     Resources // of each task
