--- /dev/null
+++ b/controller/scenario_test.go
@@ -0,0 +1,288 @@
+package controller
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"tamarindlead/config"
+	"tamarindlead/internal/standin"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// TestScenarios plays the files of testdata, each of which tells what it guards
+// against. After every command the rules must have held.
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var w *world
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "world" {
+				w = scenarioWorld(t, d)
+				return ""
+			}
+			out := scenarioCommand(t, w, d)
+			if len(w.broken) > 0 {
+				t.Fatalf("%s: rules broken:\n%s", filepath.Base(d.Pos), strings.Join(w.broken, "\n"))
+			}
+			return out
+		})
+	})
+}
+
+func arg[T any](t *testing.T, d *datadriven.TestData, key string, def T) T {
+	if d.HasArg(key) {
+		d.ScanArgs(t, key, &def)
+	}
+	return def
+}
+
+func argSeconds(t *testing.T, d *datadriven.TestData, key string, def float64) micros.Micros {
+	text := arg(t, d, key, fmt.Sprint(def))
+	var v float64
+	if _, err := fmt.Sscan(text, &v); err != nil {
+		d.Fatalf(t, "%s: %v", key, err)
+	}
+	return micros.FromSeconds(v)
+}
+
+func argNumber(t *testing.T, d *datadriven.TestData, key string, def float64) float64 {
+	return argSeconds(t, d, key, def).Seconds()
+}
+
+// scenarioWorld makes two zones, two machine types and a few machines.
+func scenarioWorld(t *testing.T, d *datadriven.TestData) *world {
+	team := func(name string) config.Team {
+		return config.Team{
+			Name:      name,
+			Guarantee: sched.NewResources(argNumber(t, d, "guarantee", 0), 0, 0),
+			Limit:     sched.NewResources(argNumber(t, d, "limit", 0), 0, 0),
+		}
+	}
+	cfg := &config.Settings{
+		Zone: "a", StateAddr: "state", CloudAddr: "cloud", Zones: []string{"a", "b"},
+		Siblings:    make([]config.Sibling, arg(t, d, "nodes", 3)-1),
+		Teams:       []config.Team{team("red"), team("blue")},
+		ReportEvery: 3 * micros.Second, Lease: 15 * micros.Second, GangWait: 30 * micros.Second,
+		GangPeer: 5 * micros.Second, CancelIn: 45 * micros.Second,
+		StateRPS: 150, WriteRPS: 40, ValueBytes: 8 << 10, TxnOps: 12, CloudRPS: 5, ListLag: 6 * micros.Second,
+		Tuning: config.DefaultTuning(),
+	}
+	cfg.Tuning.MaxMachines = arg(t, d, "most", 0)
+	w := newWorld(uint64(arg(t, d, "seed", 1)), cfg)
+	w.cloud.Now = w.now
+	zones := []string{"a", "b"}
+	w.cloud.Types = []wire.MachineType{
+		{Name: "small", CPUs: 8, MemGB: 32, LocalGB: 50, FetchGBPerS: 1, Hourly: 1, MarketPrice: 0.3, BootS: 10, Halls: zones},
+		{Name: "big", CPUs: 32, MemGB: 128, LocalGB: 50, FetchGBPerS: 1, Hourly: 4, MarketPrice: 1.2, BootS: 15, Halls: zones},
+	}
+	for _, typ := range []string{"small", "big"} {
+		for _, z := range zones {
+			w.cloud.Capacity[typ+" "+z+" false"] = arg(t, d, "capacity", 10)
+			w.cloud.Capacity[typ+" "+z+" true"] = arg(t, d, "spots", 0)
+		}
+	}
+	for i := range arg(t, d, "machines", 4) {
+		w.cloud.Add(arg(t, d, "type", "small"), zones[i%2], false, 0)
+	}
+	w.loss, w.late, w.dup = argNumber(t, d, "loss", 0), argNumber(t, d, "late", 0), argNumber(t, d, "dup", 0)
+	return w
+}
+
+func scenarioCommand(t *testing.T, w *world, d *datadriven.TestData) string {
+	node := func() *simNode {
+		text := arg(t, d, "node", "leader")
+		if text == "leader" {
+			i := w.leader()
+			if i < 0 {
+				d.Fatalf(t, "nobody leads")
+			}
+			return w.nodes[i]
+		}
+		if text == "other" {
+			return w.nodes[(w.leader()+1)%len(w.nodes)]
+		}
+		var i int
+		fmt.Sscan(text, &i)
+		return w.nodes[i]
+	}
+	// during undoes a fault after the time given by "for".
+	during := func(undo func()) {
+		if d.HasArg("for") {
+			w.after(argSeconds(t, d, "for", 0), undo)
+		}
+	}
+	id := arg(t, d, "job", "req-000001")
+	switch d.Cmd {
+	case "submit":
+		return submitCommand(t, w, d, id)
+	case "again":
+		w.submit(id, arg(t, d, "to", 0))
+	case "cancel":
+		w.cancel(id, arg(t, d, "to", 0))
+	case "run":
+		w.run(argSeconds(t, d, "s", 1))
+	case "until-done":
+		limit := w.now + argSeconds(t, d, "s", 300)
+		for w.now < limit && len(unfinished(w)) > 0 {
+			w.run(micros.Second)
+		}
+		if left := unfinished(w); len(left) > 0 {
+			return "not done: " + strings.Join(left, " ")
+		}
+		return "done"
+	case "crash":
+		w.crash(node(), argSeconds(t, d, "for", worldLife.Seconds()))
+	case "crash-all":
+		for _, n := range w.nodes {
+			w.crash(n, argSeconds(t, d, "for", worldLife.Seconds()))
+		}
+	case "cut-node":
+		n := node()
+		n.cut = true
+		during(func() { n.cut = false })
+	case "deafen-node":
+		n := node()
+		n.deaf = true
+		during(func() { n.deaf = false })
+	case "refuse-node":
+		n := nodeName(node().index)
+		w.state.Refused[n] = true
+		during(func() { delete(w.state.Refused, n) })
+	case "state-down":
+		w.state.Down = true
+		during(func() { w.state.Down = false })
+	case "state-compact":
+		w.state.Compact = true
+	case "cloud-down":
+		w.cloud.Down = true
+		during(func() { w.cloud.Down = false })
+	case "faults":
+		w.loss, w.late, w.dup = argNumber(t, d, "loss", 0), argNumber(t, d, "late", 0), argNumber(t, d, "dup", 0)
+	case "never-up":
+		w.cloud.NeverUp = arg(t, d, "count", 1)
+	case "machine":
+		machineCommand(t, w, d, during)
+	case "status":
+		if s, ok := w.told[id]; ok {
+			return s
+		}
+		return "open"
+	case "count":
+		return countCommand(t, w, d)
+	case "leader":
+		return fmt.Sprint(w.leader() >= 0)
+	default:
+		d.Fatalf(t, "unknown command %s", d.Cmd)
+	}
+	return ""
+}
+
+func submitCommand(t *testing.T, w *world, d *datadriven.TestData, id string) string {
+	run := argSeconds(t, d, "run", 10)
+	j := &sched.Job{
+		ID: id, Class: arg(t, d, "class", "work"), Team: arg(t, d, "team", "red"),
+		Gang: d.HasArg("gang"), Priority: sched.Priority(arg(t, d, "priority", 1)),
+		Tasks: arg(t, d, "tasks", 1),
+		Need:  sched.NewResources(argNumber(t, d, "cpus", 2), 0, argNumber(t, d, "mem", 2)),
+		Image: "img", ImageGB: 1, OneZone: d.HasArg("one-zone"), Spread: d.HasArg("spread"), Spot: d.HasArg("spot"),
+		Estimate: argSeconds(t, d, "estimate", run.Seconds()), Checkpoint: argSeconds(t, d, "checkpoint", 0), Save: argSeconds(t, d, "save", 0),
+		Zone: arg(t, d, "zone", ""),
+	}
+	w.submitted[id] = j
+	w.bodies[id] = wire.Encode(wire.FromJob(j))
+	w.infos[id] = standin.TaskInfo{
+		CPU: j.Need.CPUs(), Mem: argNumber(t, d, "mem", 2), Run: run, Fetch: micros.Second, Save: j.Save,
+		Saves: j.Checkpoint > 0, Gang: j.Gang, Tasks: j.Tasks, Fails: d.HasArg("fails"),
+	}
+	if d.HasArg("check") {
+		status := -1
+		w.user(arg(t, d, "to", 0), "POST", "/api/jobs", w.bodies[id], func(r Respond) {
+			w.noteAnswer(id, r)
+			status = r.Status
+		})
+		for end := w.now + 6*micros.Second; status < 0 && w.now < end; {
+			w.run(worldStep)
+		}
+		return fmt.Sprint(status)
+	}
+	w.submit(id, arg(t, d, "to", 0))
+	w.after(2*micros.Second, func() { w.poll(id, 0) })
+	return ""
+}
+
+func machineCommand(t *testing.T, w *world, d *datadriven.TestData, during func(func())) {
+	names := w.workerNames()
+	which := arg(t, d, "name", names[0])
+	if which == "busiest" {
+		for _, n := range names {
+			if !w.workers[n].Machine.Gone && (which == "busiest" || len(w.workers[n].Tasks) > len(w.workers[which].Tasks)) {
+				which = n
+			}
+		}
+	}
+	k := w.workers[which]
+	switch {
+	case d.HasArg("die"):
+		k.Hung = true
+		w.after(40*micros.Second, func() { k.Machine.Gone = true; w.noteGone() })
+	case d.HasArg("hang"):
+		k.Hung = true
+		during(func() { k.Hung = false })
+	case d.HasArg("cut"):
+		k.Cut = true
+		during(func() { k.Cut = false })
+	case d.HasArg("sick"):
+		k.Sick = true
+		during(func() { k.Sick = false })
+	case d.HasArg("taken"):
+		w.cloud.Take(which)
+		w.noteGone()
+	case d.HasArg("notice"):
+		left := argNumber(t, d, "notice", 20)
+		k.Notice, k.Changed = &left, true
+		w.after(micros.FromSeconds(left), func() { w.cloud.Take(which); w.noteGone() })
+	default:
+		d.Fatalf(t, "what happens to the machine?")
+	}
+}
+
+// countCommand prints a figure of the world.
+func countCommand(t *testing.T, w *world, d *datadriven.TestData) string {
+	switch what := arg(t, d, "what", "running"); what {
+	case "running":
+		return fmt.Sprint(len(w.running))
+	case "starts":
+		return fmt.Sprint(w.starts)
+	case "stopped", "error":
+		return fmt.Sprint(w.stops[what])
+	case "machines":
+		n := 0
+		for _, m := range w.cloud.Machines {
+			if !m.Gone {
+				n++
+			}
+		}
+		return fmt.Sprint(n)
+	case "records":
+		return fmt.Sprint(len(w.state.Keys(arg(t, d, "prefix", ""))))
+	default:
+		d.Fatalf(t, "unknown figure %s", what)
+	}
+	return ""
+}
+
+// unfinished lists accepted or submitted jobs whose users were told no final state.
+func unfinished(w *world) []string {
+	var left []string
+	for _, id := range sortedKeys(w.submitted) {
+		if w.told[id] == "" {
+			left = append(left, id)
+		}
+	}
+	return left
+}
--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,160 @@
+package standin
+
+import (
+	"fmt"
+	"net/url"
+	"sort"
+
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// Cloud rents machines.
+type Cloud struct {
+	Now      micros.Micros
+	Down     bool
+	Lag      micros.Micros
+	Types    []wire.MachineType
+	Capacity map[string]int // "type zone spot" -> how many more
+	NeverUp  int            // so many of the next machines never come up
+	Machines map[string]*CloudMachine
+	grants   map[string][]string
+	next     int
+}
+
+// CloudMachine is a machine as the cloud sees it.
+type CloudMachine struct {
+	Name    string
+	Type    string
+	Zone    string
+	Spot    bool
+	Rented  micros.Micros
+	UpAt    micros.Micros // 0: never
+	Gone    bool
+	GoneAt  micros.Micros
+	Started bool
+}
+
+// NewCloud returns a cloud without machines.
+func NewCloud() *Cloud {
+	return &Cloud{Capacity: map[string]int{}, Machines: map[string]*CloudMachine{}, grants: map[string][]string{}}
+}
+
+func offerKey(kind, zone string, spot bool) string { return fmt.Sprintf("%s %s %t", kind, zone, spot) }
+
+// Add creates a machine outside of any rental.
+func (c *Cloud) Add(kind, zone string, spot bool, boot micros.Micros) *CloudMachine {
+	m := &CloudMachine{Name: fmt.Sprintf("m-%06d", c.next), Type: kind, Zone: zone, Spot: spot, Rented: c.Now}
+	c.next++
+	m.UpAt = c.Now + boot
+	if c.NeverUp > 0 {
+		c.NeverUp--
+		m.UpAt = 0
+	}
+	c.Machines[m.Name] = m
+	return m
+}
+
+// Names returns the machines' names in order.
+func (c *Cloud) Names() []string {
+	var names []string
+	for n := range c.Machines {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (c *Cloud) typeOf(name string) *wire.MachineType {
+	for i := range c.Types {
+		if c.Types[i].Name == name {
+			return &c.Types[i]
+		}
+	}
+	return nil
+}
+
+// Handle executes a request.
+func (c *Cloud) Handle(method, target string, body []byte) Reply {
+	if c.Down {
+		return reply(503, wire.Problem{Error: "trouble"})
+	}
+	u, err := url.ParseRequestURI(target)
+	if err != nil {
+		return reply(400, wire.Problem{Error: "target"})
+	}
+	switch {
+	case method == "GET" && u.Path == "/machine_types":
+		return reply(200, wire.MachineTypes{Builds: c.Types})
+	case method == "POST" && u.Path == "/rentals":
+		return c.rent(body)
+	case method == "POST" && u.Path == "/rentals/release":
+		var req wire.MachineNames
+		if wire.Decode(body, &req) != nil {
+			return reply(400, wire.Problem{Error: "release"})
+		}
+		for _, n := range req.Machines {
+			if m := c.Machines[n]; m != nil && !m.Gone {
+				c.take(m)
+			}
+		}
+		return reply(200, map[string]any{})
+	case method == "GET" && u.Path == "/rentals":
+		return c.list(u.Query().Get("after"))
+	}
+	return reply(400, wire.Problem{Error: "unknown"})
+}
+
+func (c *Cloud) take(m *CloudMachine) {
+	m.Gone, m.GoneAt = true, c.Now
+	c.Capacity[offerKey(m.Type, m.Zone, m.Spot)]++
+}
+
+// Take makes a machine vanish, as the cloud does with spot machines.
+func (c *Cloud) Take(name string) { c.take(c.Machines[name]) }
+
+func (c *Cloud) rent(body []byte) Reply {
+	var req wire.RentalRequest
+	if wire.Decode(body, &req) != nil || req.Number < 1 || req.Number > 50 {
+		return reply(400, wire.Problem{Error: "rental"})
+	}
+	if names, ok := c.grants[req.Hire]; ok {
+		return reply(200, wire.MachineNames{Machines: names})
+	}
+	key := offerKey(req.Type, req.Zone, req.Spot)
+	n := min(req.Number, c.Capacity[key])
+	t := c.typeOf(req.Type)
+	if n == 0 || t == nil {
+		return reply(503, wire.Problem{Error: "no capacity"})
+	}
+	c.Capacity[key] -= n
+	var names []string
+	for range n {
+		names = append(names, c.Add(req.Type, req.Zone, req.Spot, micros.FromSeconds(t.BootS)).Name)
+	}
+	c.grants[req.Hire] = names
+	return reply(200, wire.MachineNames{Machines: names})
+}
+
+func (c *Cloud) list(after string) Reply {
+	at := c.Now - c.Lag
+	list := wire.MachineList{Machines: []wire.ListedMachine{}}
+	for _, n := range c.Names() {
+		m := c.Machines[n]
+		if n <= after || m.Rented > at || m.Gone && m.GoneAt <= at {
+			continue
+		}
+		status := wire.ListBooting
+		if m.UpAt != 0 && m.UpAt <= at {
+			status = wire.ListRunning
+		}
+		list.Machines = append(list.Machines, wire.ListedMachine{
+			Name: n, Endpoint: Endpoint(n), Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+			Status: status, AgeS: (at - m.Rented).Seconds(),
+		})
+	}
+	return reply(200, list)
+}
+
+// Endpoint is a machine's address.
+func Endpoint(name string) string { return "worker:" + name }
