--- a/controller/core.go
+++ b/controller/core.go
@@ -152,6 +152,8 @@
 	next    micros.Micros
 	fromAPI bool
 	raw     wire.MachineTypes
+	// recordedIn is the term in which this node has recorded them.
+	recordedIn uint64
 }
 
 func (t *typeTable) find(name string) *sched.MachineType {
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -24,8 +24,7 @@
 // Times of elections.
 const (
 	campaignJitter = 150 * micros.Millisecond
-	deafDelay      = 2 * micros.Second  // a node that workers cannot reach waits for others
-	resignPause    = 20 * micros.Second // and one that has resigned for that reason, longer
+	resignPause    = 20 * micros.Second // a node that workers cannot reach leaves it to others
 	deafAfter      = 6 * micros.Second
 )
 
@@ -63,9 +62,6 @@
 	}
 	if s == leadVacant {
 		l.node, l.at = "", c.now+micros.Micros(c.rng.Int64N(int64(campaignJitter)))
-		if c.isDeaf() {
-			l.at += deafDelay
-		}
 		l.at = max(l.at, l.pauseTo)
 	}
 }
@@ -308,11 +304,23 @@
 		if status != 200 || wire.Decode(body, &m) != nil || len(m.Types()) == 0 {
 			return
 		}
-		known := t.raw
 		t.list, t.raw, t.fromAPI = m.Types(), m, true
 		t.next = c.now + typesEvery
-		if c.owner != nil && len(known.Builds) == 0 && state.Size(m) <= c.cfg.ValueBytes {
-			c.store(forTidying, state.Commit(nil, []state.Write{{Put: keyTypes, Value: m}}), func(storeReply) {})
+		c.recordTypes()
+	})
+}
+
+// recordTypes keeps the types in the state service, once for each time of leading.
+func (c *Core) recordTypes() {
+	t := &c.types
+	if c.owner == nil || t.recordedIn == c.lead.term || state.Size(t.raw) > c.cfg.ValueBytes {
+		return
+	}
+	term := c.lead.term
+	write := []state.Write{{Put: keyTypes, Value: t.raw}}
+	c.store(forWork, state.Commit(c.owner.guards(nil), write), func(r storeReply) {
+		if r.outcome == outOK {
+			t.recordedIn = term
 		}
 	})
 }
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -396,6 +396,9 @@
 				if j.Gang {
 					j.gang, j.gangTry = gangStarting, a.number
 				}
+				if j.state == jobEnded {
+					o.stop(a, 0, "job is over")
+				}
 			}
 		}
 	}
