--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,122 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"tamarindlead/micros"
+)
+
+const platform = `
+node = "n0"
+zone = "a"
+listen = "127.0.0.1:8080"
+cluster_listen = "127.0.0.1:8081"
+unknown = 3
+
+[[siblings]]
+node = "n1"
+zone = "b"
+endpoint = "127.0.0.1:8082"
+
+[services]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+
+[params]
+count = 2
+zones = ["a", "b"]
+time_bound_ms = 100.0
+
+[[params.teams]]
+name = "red"
+cpus = 8.0
+cpus_max = 16.0
+gpus = 0.0
+gpus_max = 0.0
+
+[params.workers]
+report_s = 3.0
+lease_s = 17.0
+gang_wait_s = 50.0
+gang_peer_s = 8.0
+cancel_s = 47.0
+
+[params.state]
+rps = 150.0
+write_rps = 20.0
+value_kb = 8.0
+txn_ops = 16
+
+[params.cloud]
+rps = 2.0
+list_lag_s = 8.0
+
+[params.quota]
+cores = 0.18
+ram_mb = 125.0
+sockets = 1200
+`
+
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(platform))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Lease != 17*micros.Second || s.ValueBytes != 8192 || s.MemoryBytes != 125e6 || s.Teams[0].Limit.CPUs() != 16 {
+		t.Fatalf("read as %+v", s)
+	}
+}
+
+func TestParseNamesTheKey(t *testing.T) {
+	cases := []struct{ from, to, key string }{
+		{`node = "n0"`, ``, "node"},
+		{`listen = "127.0.0.1:8080"`, `listen = "here"`, "listen"},
+		{`cloud = "127.0.0.1:1"`, ``, "services.cloud"},
+		{`lease_s = 17.0`, `lease_s = -1.0`, "params.workers.lease_s"},
+		{`lease_s = 17.0`, `lease_s = "long"`, "params.workers.lease_s"},
+		{`txn_ops = 16`, `txn_ops = 0`, "params.state.txn_ops"},
+		{`count = 2`, `count = 3`, "params.count"},
+		{`cpus_max = 16.0`, `cpus_max = -16.0`, "params.teams[0].cpus_max"},
+		{`endpoint = "127.0.0.1:8082"`, ``, "siblings[0].endpoint"},
+		{`node = "n1"`, `node = "n0"`, "siblings[0].node"},
+		{`sockets = 1200`, `sockets = 1`, "params.quota.sockets"},
+	}
+	for _, c := range cases {
+		t.Run(c.to, func(t *testing.T) {
+			_, err := Parse([]byte(strings.Replace(platform, c.from, c.to, 1)))
+			if err == nil || !strings.Contains(err.Error(), c.key) {
+				t.Fatalf("error %v does not name %s", err, c.key)
+			}
+		})
+	}
+}
+
+func TestParseTuning(t *testing.T) {
+	tu, err := ParseTuning([]byte("# ours\nmachine.idle_s = 45\npreempt.domains: 2\n"))
+	if err != nil || tu.IdleReturn != 45*micros.Second || tu.DomainList != 2 || tu.HoldWait != DefaultTuning().HoldWait {
+		t.Fatalf("read as %+v, %v", tu, err)
+	}
+	for text, key := range map[string]string{
+		"machine.idel_s = 45": "machine.idel_s", "machine.idle_s = soon": "machine.idle_s", "leader.ttl_s = 0.01": "leader.ttl_s",
+	} {
+		if _, err := ParseTuning([]byte(text)); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: error %v", text, err)
+		}
+	}
+}
+
+// TestOperatingListsAll keeps the operators' page complete.
+func TestOperatingListsAll(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "docs", "operating.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for key, k := range knobs {
+		if !strings.Contains(string(page), "`"+key+"`") || !strings.Contains(string(page), k.about) {
+			t.Errorf("docs/operating.md lacks %s (%s)", key, k.about)
+		}
+	}
+}
