--- a/controller/job.go
+++ b/controller/job.go
@@ -40,13 +40,15 @@
 	chunks   map[int]bool // chunks that have a record
 	attempts map[int]*attempt
 
-	gang     gangState
-	gangTry  uint64
-	notUntil micros.Micros // backing off
-	failures int           // in a row, without any success
-	failedOn map[string]bool
-	unsure   bool // its record did not match: nothing is placed until that is cleared up
-	placedAt micros.Micros
+	gang      gangState
+	gangTry   uint64
+	notUntil  micros.Micros // backing off
+	failures  int           // in a row, without any success
+	failedOn  map[string]bool
+	unsure    bool // its record did not match: nothing is placed until that is cleared up
+	placedAt  micros.Micros
+	evictAt   micros.Micros // room may be made for it again from then on
+	evictions int           // in vain, in a row
 }
 
 // gangState is the state machine of a gang's attempt.
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"tamarindlead/config"
 	"tamarindlead/internal/peer"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
@@ -36,6 +37,7 @@
 	jobs      map[string]*job
 	queue     []*job // active jobs in the order in which they are placed
 	rentals   map[string]*rental
+	holds     map[string]*hold         // by job
 	tombs     map[string]micros.Micros // machines that were returned
 	garbage   []string                 // keys that nobody reads any more
 	watchRev  uint64
@@ -60,7 +62,7 @@
 type team struct {
 	version uint64
 	used    sched.Resources
-	limit   sched.Resources
+	config.Team
 }
 
 func newOwner(c *Core) *owner {
@@ -70,6 +72,7 @@
 		machines:   map[string]*machine{},
 		jobs:       map[string]*job{},
 		rentals:    map[string]*rental{},
+		holds:      map[string]*hold{},
 		tombs:      map[string]micros.Micros{},
 		noCapacity: map[offer]micros.Micros{},
 		classes:    map[string]*classNeed{},
@@ -142,6 +145,7 @@
 		o.watchJobs(o.watchRev)
 	}
 	o.findSilent()
+	o.tickHolds()
 	o.tickList()
 	o.tickScale()
 	for name, until := range o.tombs {
@@ -182,7 +186,7 @@
 				o.busy, o.retryAt = false, c.now+loadRetry
 			default:
 				for _, t := range c.cfg.Teams[from:to] {
-					o.teams[t.Name] = &team{version: done.Revision, limit: t.Limit}
+					o.teams[t.Name] = &team{version: done.Revision, Team: t}
 				}
 				if to < len(writes) {
 					commit(to)
@@ -231,6 +235,7 @@
 	clear(o.jobs)
 	clear(o.machines)
 	clear(o.rentals)
+	clear(o.holds)
 	for _, t := range o.teams {
 		t.used = sched.Resources{}
 	}
@@ -259,9 +264,13 @@
 			o.activate()
 		})
 	}
+	holds := step(prefixHold, func(entries []state.Entry, _ uint64) {
+		o.loadHolds(entries)
+		final()
+	})
 	rentals := step(prefixRental, func(entries []state.Entry, _ uint64) {
 		o.loadRentals(entries)
-		final()
+		holds()
 	})
 	listMachines := step(prefixMachine, func(entries []state.Entry, _ uint64) {
 		machines = entries
--- a/controller/records.go
+++ b/controller/records.go
@@ -20,11 +20,13 @@
 	prefixFinal   = "f/" // final states, kept forever
 	prefixDone    = "p/" // completed tasks of active jobs
 	prefixRental  = "r/"
+	prefixHold    = "h/"
 )
 
 func teamKey(team string) string { return prefixTeam + url.PathEscape(team) }
 func activeKey(id string) string { return prefixActive + id }
 func finalKey(id string) string  { return prefixFinal + id }
+func holdKey(id string) string   { return prefixHold + id }
 func doneKey(id string, chunk int) string {
 	return fmt.Sprintf("%s%s/%03d", prefixDone, id, chunk)
 }
@@ -91,6 +93,11 @@
 	Number int    `cbor:"n"`
 }
 
+// holdRecord keeps freed machines for a gang: how many of its tasks go where.
+type holdRecord struct {
+	Machines map[string]int `cbor:"m"`
+}
+
 // chunkTasks is how many tasks' completion one record holds: small enough to write
 // often, large enough that a job of 100,000 tasks needs few.
 const chunkTasks = 4096
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -454,7 +454,7 @@
 func (o *owner) returnIdle() {
 	for _, name := range sortedKeys(o.machines) {
 		m := o.machines[name]
-		if m.state != machineUp || len(m.attempts) > 0 || m.token == 0 {
+		if m.state != machineUp || len(m.attempts) > 0 || m.token == 0 || o.reserved(name) {
 			continue
 		}
 		if o.c.now-m.idleSince > o.c.cfg.Tuning.IdleReturn && o.c.day-m.rented > leastCharged-5*micros.Second {
--- a/controller/work.go
+++ b/controller/work.go
@@ -41,9 +41,19 @@
 		if j.Gang && want < j.Tasks {
 			continue
 		}
+		if h := o.holds[j.ID]; h != nil {
+			if h.state == holdWaiting {
+				o.propose(j, sched.Place(j.Job, o.heldView(h, view), want, nil))
+			}
+			continue
+		}
 		got := sched.Place(j.Job, view, want, j.zones())
 		if len(got) == 0 {
-			view = o.reserve(j, view)
+			if o.makeRoom(j) {
+				view = o.view() // without what is held now
+			} else {
+				view = o.reserve(j, view)
+			}
 			continue
 		}
 		o.propose(j, got)
@@ -72,7 +82,7 @@
 		}
 		view = append(view, &sched.Machine{
 			Name: m.name, Type: m.kind, Zone: m.zone, Spot: m.spot,
-			Free: o.machineSize(m).Sub(m.used), Slots: recordSlots - len(m.attempts),
+			Free: o.machineSize(m).Sub(m.used).Sub(o.held(m.name)), Slots: recordSlots - len(m.attempts),
 			Idle: len(m.attempts) == 0, Scarce: o.scarce(m.kind), Images: m.images,
 		})
 	}
@@ -85,11 +95,11 @@
 	if t == nil {
 		return 0
 	}
-	free := t.limit.Sub(t.used)
-	if t.limit.CPU == 0 {
+	free := t.Limit.Sub(t.used)
+	if t.Limit.CPU == 0 {
 		free.CPU = 1 << 60
 	}
-	if t.limit.GPU == 0 {
+	if t.Limit.GPU == 0 {
 		free.GPU = 1 << 60
 	}
 	free.Mem = 1 << 60
@@ -132,6 +142,9 @@
 }
 
 func (o *owner) propose(j *job, got []sched.Assignment) {
+	if len(got) == 0 {
+		return
+	}
 	next := 0
 	number := o.nextNumber()
 	if j.Gang {
@@ -197,6 +210,7 @@
 		o.flushMachines(t, full, func(m *machine) bool { return m.token == 0 })
 		o.flushFinals(t, func() bool { return len(t.writes)+2 > room || full() })
 		o.flushRentals(t, func() bool { return len(t.writes)+2 > room || full() })
+		o.flushHolds(t, full)
 		o.flushMachines(t, full, func(*machine) bool { return true })
 		o.flushDone(t, full)
 	}
