--- a/controller/owner.go
+++ b/controller/owner.go
@@ -50,6 +50,7 @@
 	flushing     bool
 	flushAt      micros.Micros
 	nextScale    micros.Micros
+	nextShed     micros.Micros
 	nextSilent   micros.Micros
 	list         cloudList
 	noCapacity   map[offer]micros.Micros
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -332,9 +332,98 @@
 	}
 	o.nextScale = o.c.now + scaleEvery
 	o.growth()
+	o.replace()
+	o.shed()
 	o.returnIdle()
 }
 
+// Bounds of replacing and shedding.
+const (
+	muchCheaper = 0.6 // of the price: worth a move
+	shedAbove   = 0.8 // of what is left may be in use when a machine is shed
+	shedEvery   = 5 * micros.Second
+)
+
+// pricePerCPU is what a processor of a machine costs an hour.
+func (o *owner) pricePerCPU(kind string, spot bool) float64 {
+	t := o.c.types.find(kind)
+	if t == nil || t.Size.CPU == 0 {
+		return 0
+	}
+	price := t.Price
+	if spot && t.SpotPrice > 0 {
+		price = t.SpotPrice
+	}
+	return price / t.Size.CPUs()
+}
+
+// replace rents cheaper machines for work that runs on dear ones, which then empty and
+// are returned.
+func (o *owner) replace() {
+	if len(o.rentals) > 0 {
+		return
+	}
+	for _, id := range sortedKeys(o.jobs) {
+		j := o.jobs[id]
+		if j.state != jobActive || len(j.attempts) == 0 {
+			continue
+		}
+		best := o.cheapest(j)
+		if best == nil {
+			continue
+		}
+		// What is on dearer machines, less what is rented and empty already.
+		cpus := 0.0
+		for _, m := range o.machines {
+			price := o.pricePerCPU(m.kind, m.spot)
+			switch {
+			case o.usable(j, m.kind, m.zone, m.spot) == 0:
+			case price*muchCheaper >= best.price:
+				cpus += m.used.CPUs()
+			case m.state == machineBooting || m.state == machineUp:
+				cpus -= max(0, o.machineSize(m).Sub(m.used).CPUs())
+			}
+		}
+		if cpus >= best.cpus/2 {
+			o.rent(j, best, cpus-best.cpus/2)
+			return
+		}
+	}
+}
+
+// shed stops using the dearest machine once the others can carry the work.
+func (o *owner) shed() {
+	if o.c.now < o.nextShed {
+		return
+	}
+	o.nextShed = o.c.now + shedEvery
+	for _, j := range o.queue {
+		if j.state == jobActive && j.pending > 0 && o.c.now >= j.notUntil {
+			return
+		}
+	}
+	var dearest *machine
+	used, size := 0.0, 0.0
+	for _, name := range sortedKeys(o.machines) {
+		m := o.machines[name]
+		if m.state != machineUp || o.scarce(m.kind) {
+			continue
+		}
+		used += m.used.CPUs()
+		size += o.machineSize(m).CPUs()
+		if m.spot || o.reserved(name) || o.c.day-m.rented < leastCharged-20*micros.Second {
+			continue
+		}
+		if dearest == nil || o.pricePerCPU(m.kind, m.spot) > o.pricePerCPU(dearest.kind, dearest.spot) ||
+			o.pricePerCPU(m.kind, m.spot) == o.pricePerCPU(dearest.kind, dearest.spot) && m.used.CPU < dearest.used.CPU {
+			dearest = m
+		}
+	}
+	if dearest != nil && used < shedAbove*(size-dearest.size.CPUs()) {
+		o.setMachine(dearest, machineDraining, "the others suffice")
+	}
+}
+
 // demand is waiting work that fits the same machine types.
 type demand struct {
 	first *job
@@ -377,8 +466,11 @@
 		if g.first.Gang && capacity == 0 {
 			short = max(short, g.first.Need.CPUs()*float64(g.first.Tasks))
 		}
-		if short > 0 {
-			o.rent(g.first, short)
+		if short <= 0 {
+			continue
+		}
+		if best := o.cheapest(g.first); best != nil {
+			o.rent(g.first, best, short)
 			return
 		}
 	}
@@ -393,13 +485,16 @@
 	return float64(j.Need.Count(t.Size, recordSlots)) * max(j.Need.CPUs(), 0.01)
 }
 
-// rent asks for the cheapest machines that suit a job, for the processors it is short of.
-func (o *owner) rent(j *job, short float64) {
-	type choice struct {
-		offer
-		cpus, price float64
-	}
-	var choices []choice
+// choice is an offer that suits a job.
+type choice struct {
+	offer
+	cpus  float64 // of a machine that the job can use
+	price float64 // for each of them and hour
+}
+
+// cheapest finds the best offer for a job among those that were not refused lately.
+func (o *owner) cheapest(j *job) *choice {
+	var best *choice
 	for _, t := range o.c.types.list {
 		if len(o.classes[j.Class].types) > 1 && o.scarce(t.Name) {
 			continue
@@ -412,20 +507,21 @@
 				if spot {
 					price = t.SpotPrice
 				}
-				if cpus == 0 || spot && price <= 0 || o.c.now < o.noCapacity[of] {
+				if cpus == 0 || price <= 0 || o.c.now < o.noCapacity[of] {
 					continue
 				}
-				choices = append(choices, choice{of, cpus, price / cpus})
+				c := &choice{of, cpus, price / cpus}
+				if best == nil || cmp.Or(cmp.Compare(c.price, best.price), cmp.Compare(o.inZone(z), o.inZone(best.zone))) < 0 {
+					best = c
+				}
 			}
 		}
 	}
-	if len(choices) == 0 {
-		return
-	}
-	slices.SortStableFunc(choices, func(a, b choice) int {
-		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(o.inZone(a.zone), o.inZone(b.zone)))
-	})
-	best := choices[0]
+	return best
+}
+
+// rent asks for machines for the processors that a job is short of.
+func (o *owner) rent(j *job, best *choice, short float64) {
 	n := min(int(short/best.cpus)+1, mostAtOnce)
 	if most := o.c.cfg.Tuning.MaxMachines; most > 0 {
 		n = min(n, most-len(o.machines))
--- a/controller/work.go
+++ b/controller/work.go
@@ -83,7 +83,7 @@
 		view = append(view, &sched.Machine{
 			Name: m.name, Type: m.kind, Zone: m.zone, Spot: m.spot,
 			Free: o.machineSize(m).Sub(m.used).Sub(o.held(m.name)), Slots: recordSlots - len(m.attempts),
-			Idle: len(m.attempts) == 0, Scarce: o.scarce(m.kind), Images: m.images,
+			Idle: len(m.attempts) == 0, Scarce: o.scarce(m.kind), Price: o.pricePerCPU(m.kind, m.spot), Images: m.images,
 		})
 	}
 	return view
--- a/sched/place.go
+++ b/sched/place.go
@@ -16,6 +16,7 @@
 	Idle  bool // nothing runs on it
 	// Scarce: some jobs fit only this type, so others take it last.
 	Scarce bool
+	Price  float64 // per processor and hour
 	Images []string
 }
 
@@ -78,8 +79,9 @@
 	return best
 }
 
-// order sorts by preference: not scarce, image present, busy before idle (so that
-// idle machines can be returned), then the tightest.
+// order sorts by preference: not scarce, cheap (so that the dear ones become idle and
+// can be returned), busy before idle for the same reason, image present, then the
+// tightest.
 func order(j *Job, machines []*Machine) {
 	rank := func(b bool) int {
 		if b {
@@ -90,6 +92,7 @@
 	slices.SortStableFunc(machines, func(a, b *Machine) int {
 		return cmp.Or(
 			cmp.Compare(rank(a.Scarce), rank(b.Scarce)),
+			cmp.Compare(a.Price, b.Price),
 			cmp.Compare(rank(a.Idle), rank(b.Idle)),
 			-cmp.Compare(rank(slices.Contains(a.Images, j.Image)), rank(slices.Contains(b.Images, j.Image))),
 			cmp.Compare(a.Free.CPU, b.Free.CPU),
