--- a/controller/machine.go
+++ b/controller/machine.go
@@ -282,6 +282,7 @@
 		}
 		j.failures = 0
 		clear(j.failedOn)
+		o.noteRun(a)
 		if !j.Gang {
 			o.setAttempt(a, attemptFinished)
 		} else {
@@ -365,10 +366,12 @@
 
 // remaining estimates how long an attempt still takes.
 func (o *owner) remaining(a *attempt) micros.Micros {
+	total := o.estimate(a.job)
 	if a.running == 0 {
-		return a.job.Estimate
+		return total
 	}
-	return max(a.job.Estimate-(o.c.now-a.running), micros.Second)
+	ran := o.c.now - a.running
+	return max(total-ran, ran/4, micros.Second)
 }
 
 func (m *machine) sorted() []*attempt {
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -295,10 +295,12 @@
 	}
 }
 
-// classNeed remembers which machine types a class of jobs fits.
+// classNeed remembers which machine types a class of jobs fits, and how good its
+// estimates are.
 type classNeed struct {
-	types []string
-	seen  micros.Micros
+	types  []string
+	seen   micros.Micros
+	factor float64 // real run time by estimate
 }
 
 func (o *owner) noteClass(j *job) {
@@ -308,7 +310,29 @@
 			types = append(types, t.Name)
 		}
 	}
-	o.classes[j.Class] = &classNeed{types, o.c.now}
+	c := o.classes[j.Class]
+	if c == nil {
+		c = &classNeed{factor: 1}
+		o.classes[j.Class] = c
+	}
+	c.types, c.seen = types, o.c.now
+}
+
+// Learning how far estimates are off: the weight of one task, and bounds.
+const (
+	factorWeight = 0.03
+	factorLeast  = 0.3
+	factorMost   = 3.0
+)
+
+// noteRun learns from a task that completed.
+func (o *owner) noteRun(a *attempt) {
+	c := o.classes[a.job.Class]
+	if c == nil || a.running == 0 || a.job.Estimate <= 0 {
+		return
+	}
+	ratio := (o.c.now - a.running).Seconds() / a.job.Estimate.Seconds()
+	c.factor += factorWeight * (min(max(ratio, factorLeast), factorMost) - c.factor)
 }
 
 // scarce tells that some recent class of jobs fits no other machine type.
@@ -340,7 +364,7 @@
 // Bounds of replacing and shedding.
 const (
 	muchCheaper = 0.6 // of the price: worth a move
-	shedAbove   = 0.8 // of what is left may be in use when a machine is shed
+	shedBelow   = 0.8 // of what is left may be in use when a machine is shed
 	shedEvery   = 5 * micros.Second
 )
 
@@ -368,7 +392,7 @@
 		if j.state != jobActive || len(j.attempts) == 0 {
 			continue
 		}
-		best := o.cheapest(j)
+		best := o.cheapestOf(j, false)
 		if best == nil {
 			continue
 		}
@@ -397,74 +421,134 @@
 		return
 	}
 	o.nextShed = o.c.now + shedEvery
-	for _, j := range o.queue {
-		if j.state == jobActive && j.pending > 0 && o.c.now >= j.notUntil {
+	for _, g := range o.demands() {
+		if g.first.Gang || g.waiting > 0 {
+			continue
+		}
+		var dearest *machine
+		for _, name := range sortedKeys(o.machines) {
+			m := o.machines[name]
+			if m.state != machineUp || m.spot || o.reserved(name) || o.avoids(g.first, m.kind) ||
+				o.usable(g.first, m.kind, m.zone, m.spot) == 0 || o.c.day-m.rented < leastCharged-20*micros.Second {
+				continue
+			}
+			if dearest == nil || cmp.Or(
+				-cmp.Compare(o.pricePerCPU(m.kind, m.spot), o.pricePerCPU(dearest.kind, dearest.spot)),
+				cmp.Compare(m.used.CPU, dearest.used.CPU)) < 0 {
+				dearest = m
+			}
+		}
+		if dearest == nil {
+			continue
+		}
+		rest := g.capacity - o.usable(g.first, dearest.kind, dearest.zone, dearest.spot)
+		if g.used < shedBelow*rest {
+			o.setMachine(dearest, machineDraining, "the others suffice")
 			return
 		}
 	}
-	var dearest *machine
-	used, size := 0.0, 0.0
-	for _, name := range sortedKeys(o.machines) {
-		m := o.machines[name]
-		if m.state != machineUp || o.scarce(m.kind) {
+}
+
+// demand is work that fits the same machine types, and what could carry it.
+type demand struct {
+	first    *job
+	horizon  micros.Micros // within which a gang should start
+	waiting  float64       // work that is not placed, in processor seconds
+	capacity float64       // processors of machines that are up or boot
+	used     float64       // those in use
+	gangs    []*job        // gangs that wait
+}
+
+// horizonShare is the part of a class's slack that waiting may use up: the rest is for
+// estimates that are off and for machines that boot slowly.
+const horizonShare = 0.45
+
+// horizon tells how long a class of jobs may wait by its objectives.
+func (o *owner) horizon(j *job) micros.Micros {
+	h := micros.Micros(0)
+	for _, obj := range o.c.cfg.Objectives {
+		if obj.Class != j.Class {
 			continue
 		}
-		used += m.used.CPUs()
-		size += o.machineSize(m).CPUs()
-		if m.spot || o.reserved(name) || o.c.day-m.rented < leastCharged-20*micros.Second {
+		slack := obj.Within
+		if obj.Kind == "finished" {
+			slack -= o.estimate(j)
+		} else if obj.Kind != "wait" {
 			continue
 		}
-		if dearest == nil || o.pricePerCPU(m.kind, m.spot) > o.pricePerCPU(dearest.kind, dearest.spot) ||
-			o.pricePerCPU(m.kind, m.spot) == o.pricePerCPU(dearest.kind, dearest.spot) && m.used.CPU < dearest.used.CPU {
-			dearest = m
+		if slack = max(slack, micros.Second); h == 0 || slack < h {
+			h = slack
 		}
 	}
-	if dearest != nil && used < shedAbove*(size-dearest.size.CPUs()) {
-		o.setMachine(dearest, machineDraining, "the others suffice")
+	if h == 0 {
+		return o.c.cfg.Tuning.QueueTarget
 	}
+	return micros.Micros(float64(h) * horizonShare)
 }
 
-// demand is waiting work that fits the same machine types.
-type demand struct {
-	first *job
-	work  float64 // in processor seconds
+// estimate is the owner's estimate of a task's run time, corrected by what tasks of
+// its class really took.
+func (o *owner) estimate(j *job) micros.Micros {
+	if c := o.classes[j.Class]; c != nil {
+		return micros.Micros(float64(j.Estimate) * c.factor)
+	}
+	return j.Estimate
 }
 
-// growth rents machines for work that would wait too long for those there are.
-func (o *owner) growth() {
-	if len(o.rentals) > 0 {
-		return // one decision at a time
-	}
+// demands groups the jobs by the machine types that they fit.
+func (o *owner) demands() []*demand {
 	groups := map[string]*demand{}
-	var names []string
-	for i, j := range o.queue {
-		if i >= jobsPerPass {
-			break
-		}
-		n := min(j.pending, o.withinTeam(j))
-		if j.state != jobActive || n == 0 || o.c.now+5*micros.Second < j.notUntil {
+	var list []*demand
+	for _, j := range o.queue {
+		if j.state != jobActive {
 			continue
 		}
-		key := fmt.Sprint(j.Gang, j.Spot, j.Zone, o.classes[j.Class].types)
+		key := fmt.Sprint(j.Gang, j.Spot, j.Zone, j.Types, o.classes[j.Class].types)
 		g := groups[key]
 		if g == nil {
-			g = &demand{first: j}
+			g = &demand{first: j, horizon: o.horizon(j)}
 			groups[key] = g
-			names = append(names, key)
+			list = append(list, g)
+		}
+		g.horizon = min(g.horizon, o.horizon(j))
+		n := min(j.pending, o.withinTeam(j))
+		if n > 0 && o.c.now+5*micros.Second >= j.notUntil {
+			g.waiting += float64(n) * max(j.Need.CPUs(), 0.01) * max(o.estimate(j).Seconds(), 1)
+			if j.Gang {
+				g.gangs = append(g.gangs, j)
+			}
 		}
-		g.work += float64(n) * max(j.Need.CPUs(), 0.01) * max(j.Estimate.Seconds(), 1)
 	}
-	for _, key := range names {
-		g := groups[key]
-		capacity := 0.0
+	for _, g := range list {
 		for _, m := range o.machines {
-			if m.state == machineBooting || m.state == machineUp {
-				capacity += o.usable(g.first, m.kind, m.zone, m.spot)
+			if m.state != machineBooting && m.state != machineUp || o.avoids(g.first, m.kind) {
+				continue
+			}
+			usable := o.usable(g.first, m.kind, m.zone, m.spot)
+			if g.capacity += usable; usable > 0 {
+				g.used += m.used.CPUs()
 			}
 		}
-		short := g.work/max(o.c.cfg.Tuning.QueueTarget.Seconds(), 1) - capacity
-		if g.first.Gang && capacity == 0 {
-			short = max(short, g.first.Need.CPUs()*float64(g.first.Tasks))
+	}
+	return list
+}
+
+// avoids tells that a job takes a machine type only if nothing else is free.
+func (o *owner) avoids(j *job, kind string) bool {
+	return len(o.classes[j.Class].types) > 1 && o.scarce(kind)
+}
+
+// growth rents machines for work that would take too long on those there are.
+func (o *owner) growth() {
+	if len(o.rentals) > 0 {
+		return // one decision at a time
+	}
+	for _, g := range o.demands() {
+		short := 0.0
+		if g.first.Gang {
+			short = o.shortOfGangs(g)
+		} else if g.waiting > 0 {
+			short = g.waiting/max(o.c.cfg.Tuning.QueueTarget.Seconds(), 1) - g.capacity
 		}
 		if short <= 0 {
 			continue
@@ -476,6 +560,36 @@
 	}
 }
 
+// shortOfGangs counts the processors of waiting gangs that no machine will take in
+// time: none that boots, none whose work ends soon.
+func (o *owner) shortOfGangs(g *demand) float64 {
+	waiting := 0.0
+	for _, j := range g.gangs {
+		if o.holds[j.ID] == nil {
+			waiting += max(j.Need.CPUs(), 0.01) * float64(j.Tasks)
+		}
+	}
+	for _, m := range o.machines {
+		usable := o.usable(g.first, m.kind, m.zone, m.spot)
+		if usable == 0 {
+			continue
+		}
+		switch m.state {
+		case machineBooting:
+			waiting -= usable
+		case machineUp:
+			end := micros.Micros(0)
+			for _, a := range m.attempts {
+				end = max(end, o.remaining(a))
+			}
+			if end <= g.horizon {
+				waiting -= usable
+			}
+		}
+	}
+	return waiting
+}
+
 // usable tells how many processors of a machine a job could use.
 func (o *owner) usable(j *job, kind, zone string, spot bool) float64 {
 	t := o.c.types.find(kind)
@@ -493,10 +607,18 @@
 }
 
 // cheapest finds the best offer for a job among those that were not refused lately.
+// Types that other jobs depend on are taken only if no other is left.
 func (o *owner) cheapest(j *job) *choice {
+	if best := o.cheapestOf(j, false); best != nil {
+		return best
+	}
+	return o.cheapestOf(j, true)
+}
+
+func (o *owner) cheapestOf(j *job, avoided bool) *choice {
 	var best *choice
 	for _, t := range o.c.types.list {
-		if len(o.classes[j.Class].types) > 1 && o.scarce(t.Name) {
+		if o.avoids(j, t.Name) != avoided {
 			continue
 		}
 		for _, z := range t.Zones {
