--- a/controller/machine.go
+++ b/controller/machine.go
@@ -357,8 +357,13 @@
 	}
 	for _, a := range m.sorted() {
 		// What would not complete in time is stopped now: it saves if it can, and
-		// starts elsewhere the sooner.
-		if o.remaining(a) > left-micros.Second {
+		// starts elsewhere the sooner. What cannot save and has run for long may
+		// still complete; it has nothing to lose.
+		ran := micros.Micros(0)
+		if a.running != 0 && a.job.Checkpoint == 0 {
+			ran = o.c.now - a.running
+		}
+		if o.remaining(a) > left-micros.Second && ran < left {
 			o.evict(a, "machine is taken back")
 		}
 	}
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -364,8 +364,8 @@
 // Bounds of replacing and shedding.
 const (
 	muchCheaper = 0.6 // of the price: worth a move
-	shedBelow   = 0.8 // of what is left may be in use when a machine is shed
-	shedEvery   = 5 * micros.Second
+	shedBelow   = 0.85 // of what is left may be in use when a machine is shed
+	shedEvery   = 2 * micros.Second
 )
 
 // pricePerCPU is what a processor of a machine costs an hour.
