--- a/controller/scale.go
+++ b/controller/scale.go
@@ -363,7 +363,7 @@
 
 // Bounds of replacing and shedding.
 const (
-	muchCheaper = 0.6 // of the price: worth a move
+	muchCheaper = 0.6  // of the price: worth a move
 	shedBelow   = 0.85 // of what is left may be in use when a machine is shed
 	shedEvery   = 2 * micros.Second
 )
@@ -461,11 +461,17 @@
 
 // horizonShare is the part of a class's slack that waiting may use up: the rest is for
 // estimates that are off and for machines that boot slowly.
-const horizonShare = 0.45
+const (
+	horizonShare = 0.45
+	gangShare    = 0.7
+)
 
 // horizon tells how long a class of jobs may wait by its objectives.
 func (o *owner) horizon(j *job) micros.Micros {
-	h := micros.Micros(0)
+	h, share := micros.Micros(0), horizonShare
+	if j.Gang {
+		share = gangShare
+	}
 	for _, obj := range o.c.cfg.Objectives {
 		if obj.Class != j.Class {
 			continue
@@ -483,7 +489,7 @@
 	if h == 0 {
 		return o.c.cfg.Tuning.QueueTarget
 	}
-	return micros.Micros(float64(h) * horizonShare)
+	return micros.Micros(float64(h) * share)
 }
 
 // estimate is the owner's estimate of a task's run time, corrected by what tasks of
@@ -538,6 +544,10 @@
 	return len(o.classes[j.Class].types) > 1 && o.scarce(kind)
 }
 
+// dearPatience is how much longer work waits before an ordinary machine is rented for it
+// than before a spot machine is.
+const dearPatience = 1.75
+
 // growth rents machines for work that would take too long on those there are.
 func (o *owner) growth() {
 	if len(o.rentals) > 0 {
@@ -553,7 +563,12 @@
 		if short <= 0 {
 			continue
 		}
-		if best := o.cheapest(g.first); best != nil {
+		best := o.cheapest(g.first)
+		if best != nil && !best.spot && !g.first.Gang {
+			// A dear machine must be worth it: it comes late and costs a minute.
+			short = g.waiting/(dearPatience*max(o.c.cfg.Tuning.QueueTarget.Seconds(), 1)) - g.capacity
+		}
+		if best != nil && short > 0 {
 			o.rent(g.first, best, short)
 			return
 		}
@@ -583,7 +598,9 @@
 				end = max(end, o.remaining(a))
 			}
 			if end <= g.horizon {
-				waiting -= usable
+				// It takes one gang then, and more if they are short.
+				turns := 1 + (g.horizon-end)/max(o.estimate(g.first), micros.Second)
+				waiting -= usable * float64(turns)
 			}
 		}
 	}
@@ -675,7 +692,11 @@
 		if m.state != machineUp || len(m.attempts) > 0 || m.token == 0 || o.reserved(name) {
 			continue
 		}
-		if o.c.now-m.idleSince > o.c.cfg.Tuning.IdleReturn && o.c.day-m.rented > leastCharged-5*micros.Second {
+		idle := o.c.cfg.Tuning.IdleReturn
+		if !m.spot {
+			idle /= 2
+		}
+		if o.c.now-m.idleSince > idle && o.c.day-m.rented > leastCharged-5*micros.Second {
 			o.setMachine(m, machineDraining, "idle")
 		}
 	}
