Record a deletion before asking the cloud for it

Ruled out: spot waves (the log names the cut node). The decision now needs a commit, which a node without the state service cannot make.

--- a/controller/machine.go
+++ b/controller/machine.go
@@ -17,12 +17,13 @@
 	machineBooting   machineState = iota
 	machineUp                     // reports
 	machineDraining               // takes nothing new and is returned once empty
-	machineReleasing              // the cloud is asked to delete it
+	machineCondemned              // it is to be deleted, which must be recorded first
+	machineReleasing              // recorded; the cloud is asked to delete it
 	machineDeleted                // the cloud has deleted it; its record must go
 )
 
 func (s machineState) String() string {
-	return [...]string{"booting", "up", "draining", "releasing", "deleted"}[s]
+	return [...]string{"booting", "up", "draining", "condemned", "releasing", "deleted"}[s]
 }
 
 // fenceState is the state machine of doubt about a command: one that was sent
@@ -102,7 +103,7 @@
 		o.wantSchedule = true
 	case machineReleasing:
 		o.wantRelease = true
-	case machineDeleted:
+	case machineCondemned, machineDeleted:
 		m.dirty = true
 	}
 }
@@ -143,7 +144,7 @@
 		}
 		m = o.adopt(rep.Machine, rep.Type, rep.Zone, rep.Spot, rep.Endpoint)
 	}
-	if m.state == machineReleasing || m.state == machineDeleted {
+	if m.state >= machineCondemned {
 		c.refuse(req, 503, "machine is being returned")
 		return
 	}
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -395,6 +395,9 @@
 		}
 		m := o.newMachine(strings.TrimPrefix(e.Key, prefixMachine), rec.Type, rec.Zone, rec.Spot, rec.Endpoint)
 		m.version, m.rented = e.Version, micros.Micros(rec.Rented)
+		if rec.Condemned {
+			o.setMachine(m, machineReleasing, "condemned by an earlier owner")
+		}
 		for _, id := range sortedKeys(rec.Tasks) {
 			j, list := o.jobs[id], rec.Tasks[id]
 			for i := 0; i+1 < len(list); i += 2 {
--- a/controller/records.go
+++ b/controller/records.go
@@ -70,14 +70,15 @@
 // machineRecord is the one record of a machine. Token 0 means that the token is the
 // record's own revision.
 type machineRecord struct {
-	Owner    string              `cbor:"o"`
-	Token    uint64              `cbor:"t"`
-	Endpoint string              `cbor:"e"`
-	Type     string              `cbor:"b"`
-	Zone     string              `cbor:"h"`
-	Spot     bool                `cbor:"s"`
-	Rented   int64               `cbor:"a"` // time of day, in microseconds
-	Tasks    map[string][]uint64 `cbor:"w"` // job -> task, attempt, task, attempt, ...
+	Owner     string              `cbor:"o"`
+	Token     uint64              `cbor:"t"`
+	Endpoint  string              `cbor:"e"`
+	Type      string              `cbor:"b"`
+	Zone      string              `cbor:"h"`
+	Spot      bool                `cbor:"s"`
+	Rented    int64               `cbor:"a"`           // time of day, in microseconds
+	Condemned bool                `cbor:"x,omitempty"` // to be deleted
+	Tasks     map[string][]uint64 `cbor:"w"`           // job -> task, attempt, task, attempt, ...
 }
 
 // doneRecord holds the completed tasks of one chunk of a job.
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -194,7 +194,10 @@
 }
 
 // findSilent gives up machines that do not report, and returns empty ones that are to
-// go. If no worker at all is heard, the fault is likely on this side.
+// go. If no worker at all is heard, the fault is likely on this side. The decision is
+// recorded before the cloud is asked: a controller that was cut off, and so hears no
+// worker, cannot record it, while its requests to the cloud could be held back and
+// executed after another has taken over.
 func (o *owner) findSilent() {
 	t := &o.c.cfg.Tuning
 	alone := o.c.now-max(o.lastHeard, o.since) > 2*o.c.cfg.ReportEvery
@@ -208,7 +211,7 @@
 				boot = k.Boot
 			}
 			if m.failed || silent > micros.Micros(t.BootPatience*float64(boot))+t.SilentAfter {
-				o.setMachine(m, machineReleasing, "never came up")
+				o.setMachine(m, machineCondemned, "never came up")
 			}
 		case machineUp, machineDraining:
 			limit := t.SilentAfter
@@ -217,13 +220,13 @@
 			}
 			switch {
 			case m.failed:
-				o.setMachine(m, machineReleasing, "has failed")
+				o.setMachine(m, machineCondemned, "has failed")
 			case m.unlisted >= 2 && silent > 2*o.c.cfg.ReportEvery:
-				o.setMachine(m, machineReleasing, "is not listed any more")
+				o.setMachine(m, machineCondemned, "is not listed any more")
 			case silent > limit && (!alone || silent > 3*limit):
-				o.setMachine(m, machineReleasing, "is silent")
+				o.setMachine(m, machineCondemned, "is silent")
 			case m.state == machineDraining && len(m.attempts) == 0 && m.token != 0:
-				o.setMachine(m, machineReleasing, "is empty")
+				o.setMachine(m, machineCondemned, "is empty")
 			}
 		}
 	}
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -143,7 +143,7 @@
 		}
 	case "cut-node":
 		n := node()
-		n.cut = true
+		n.cut, n.hold = true, d.HasArg("hold")
 		during(func() { n.cut = false })
 	case "deafen-node":
 		n := node()
--- a/controller/work.go
+++ b/controller/work.go
@@ -365,7 +365,8 @@
 	}
 	rec := machineRecord{
 		Owner: o.c.cfg.Node, Token: m.token, Endpoint: m.endpoint, Type: m.kind, Zone: m.zone, Spot: m.spot,
-		Rented: int64(m.rented), Tasks: map[string][]uint64{},
+		Rented: int64(m.rented), Condemned: m.state == machineCondemned || m.state == machineReleasing,
+		Tasks: map[string][]uint64{},
 	}
 	claim := m.token == 0 || m.fence == fenceWanted
 	if claim {
@@ -392,6 +393,9 @@
 			return
 		}
 		m.version = rev
+		if rec.Condemned && m.state == machineCondemned {
+			o.setMachine(m, machineReleasing, "recorded")
+		}
 		if claim {
 			m.token, m.synced = rev, false
 			if m.fence == fenceWanted {
@@ -419,7 +423,7 @@
 			return true
 		}
 	}
-	return m.fence == fenceWanted || m.state == machineDeleted
+	return m.fence == fenceWanted || m.state == machineCondemned || m.state == machineDeleted
 }
 
 func (o *owner) recorded(a *attempt) {
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -58,6 +58,7 @@
 	downTo  micros.Micros
 	up      bool
 	cut     bool // no network at all
+	hold    bool // and what it sends meanwhile is delivered afterwards
 	deaf    bool // workers and node do not reach each other
 	next    micros.Micros
 	pending map[uint64]func(Respond)
@@ -216,6 +217,8 @@
 	w.after(w.latency(), func() {
 		p := w.rng.Float64()
 		switch {
+		case n.cut && n.hold:
+			w.whenWhole(n, func() { execute(func(standin.Reply) {}) })
 		case n.cut || p < w.loss:
 		case p < w.loss+w.late && !watch:
 			delay := 2*micros.Second + micros.Micros(w.rng.Int64N(int64(20*micros.Second)))
@@ -230,6 +233,15 @@
 	})
 }
 
+// whenWhole does something once a node has its network back.
+func (w *world) whenWhole(n *simNode, do func()) {
+	if n.cut {
+		w.after(worldStep, func() { w.whenWhole(n, do) })
+		return
+	}
+	do()
+}
+
 func (w *world) execute(n *simNode, c Call, answer func(standin.Reply)) {
 	switch {
 	case c.Addr == w.cfg.StateAddr:
