--- a/controller/hold.go
+++ b/controller/hold.go
@@ -58,11 +58,9 @@
 		return false
 	}
 	machines := o.evictView()
-	size := func(m *sched.Machine) sched.Resources { return o.machines[m.Name].size }
-	domains := sched.Domains(j.Job, machines, size, o.c.cfg.Tuning.DomainList)
-	plan := o.evictPlan(j, domains, sched.Preempt)
+	plan := o.evictPlan(j, machines, sched.Preempt)
 	if plan == nil && o.withinGuarantee(j) {
-		plan = o.evictPlan(j, domains, sched.Reclaim)
+		plan = o.evictPlan(j, machines, sched.Reclaim)
 	}
 	if plan == nil {
 		j.evictAt = o.c.now + micros.Second
@@ -83,7 +81,7 @@
 	return true
 }
 
-func (o *owner) evictPlan(j *job, domains []sched.Domain, mode sched.Mode) *sched.Plan {
+func (o *owner) evictPlan(j *job, machines []*sched.Machine, mode sched.Mode) *sched.Plan {
 	victims := o.victims(j, mode)
 	if len(victims) == 0 {
 		return nil
@@ -92,6 +90,7 @@
 	for name, t := range o.teams {
 		rules.Teams[name] = sched.TeamUse{Used: t.used, Guarantee: t.Guarantee}
 	}
+	domains := sched.Domains(j.Job, machines, victims, o.c.cfg.Tuning.DomainList)
 	return sched.Evict(j.Job, domains, victims, rules)
 }
 
@@ -177,7 +176,7 @@
 			victim.Whole = victim.Whole.Add(v.Need)
 			victim.Since = max(victim.Since, a.since)
 			victim.Tasks = append(victim.Tasks, sched.VictimTask{
-				Index: a.index, Machine: a.machine.name, Res: v.Need, Since: a.since,
+				Index: a.index, Machine: a.machine.name, Res: v.Need, Since: a.since, Lost: o.lostWork(a),
 			})
 		}
 		if victim.Ready > 0 {
@@ -187,6 +186,16 @@
 	return list
 }
 
+// lostWork is what a stop of an attempt undoes: all of its progress, or the time for
+// saving.
+func (o *owner) lostWork(a *attempt) float64 {
+	lost := a.job.Save
+	if a.job.Checkpoint == 0 && a.running != 0 {
+		lost = o.c.now - a.running
+	}
+	return a.job.Need.CPUs() * lost.Seconds()
+}
+
 // stopVictims begins the stops of a hold that is recorded.
 func (o *owner) stopVictims(h *hold) {
 	for _, b := range h.stop {
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -184,14 +184,15 @@
 func (c *Core) campaign() {
 	l := &c.lead
 	c.setLead(leadCampaigning)
+	term := l.term // what is seen of a rival meanwhile must make the commit fail
 	c.store(forOwnership, state.Grant(c.cfg.Tuning.LeaderTTL), func(r storeReply) {
 		var g state.Granted
-		if r.outcome != outOK || !r.decode(&g) {
+		if r.outcome != outOK || !r.decode(&g) || l.state != leadCampaigning {
 			c.campaignFailed()
 			return
 		}
 		l.lease = g.Lease
-		guards := []state.Guard{{Key: keyLeader, Version: l.term}}
+		guards := []state.Guard{{Key: keyLeader, Version: term}}
 		writes := []state.Write{{
 			Put: keyLeader, Lease: g.Lease, Value: leaderRecord{c.cfg.Node, c.life},
 		}}
--- a/sched/evict.go
+++ b/sched/evict.go
@@ -18,6 +18,7 @@
 	Role    string
 	Res     Resources
 	Since   micros.Micros
+	Lost    float64 // work that a stop undoes, in processor seconds
 }
 
 // Role is a part of a gang with a minimum of its own.
@@ -296,7 +297,19 @@
 // (ours): just the machines that could take the gang's tasks with the least to stop,
 // because room that is freed here and there adds up to a domain's need without a
 // place for a single task.
-func Domains(j *Job, machines []*Machine, size func(*Machine) Resources, most int) []Domain {
+func Domains(j *Job, machines []*Machine, victims []*Victim, most int) []Domain {
+	onMachine := map[string][]VictimTask{}
+	for _, v := range victims {
+		for _, t := range v.Tasks {
+			if v.Min > 0 { // the rest of its gang is stopped with it
+				t.Lost = lostBy(v)
+			}
+			onMachine[t.Machine] = append(onMachine[t.Machine], t)
+		}
+	}
+	for _, tasks := range onMachine {
+		slices.SortStableFunc(tasks, func(a, b VictimTask) int { return cmp.Compare(a.Lost, b.Lost) })
+	}
 	byName := map[string][]*Machine{}
 	for _, m := range machines {
 		if !j.Allows(m.Type, m.Zone, m.Spot) {
@@ -325,7 +338,7 @@
 	var out []Domain
 	for _, d := range wide {
 		out = append(out, d)
-		if n := narrow(j, d, size); len(n.Machines) > 0 {
+		if n := narrow(j, d, onMachine); len(n.Machines) > 0 {
 			out = append(out, n)
 		}
 	}
@@ -336,23 +349,40 @@
 	return Resources{max(r.CPU, 0), max(r.GPU, 0), max(r.Mem, 0)}
 }
 
-func narrow(j *Job, d Domain, size func(*Machine) Resources) Domain {
+func lostBy(v *Victim) float64 {
+	sum := 0.0
+	for _, t := range v.Tasks {
+		sum += t.Lost
+	}
+	return sum
+}
+
+// narrow takes the machines on which the least work is undone for each task of the gang.
+func narrow(j *Job, d Domain, onMachine map[string][]VictimTask) Domain {
 	type option struct {
 		m     *Machine
 		slots int
-		load  float64
+		lost  float64 // for each slot
 	}
 	var options []option
 	for _, m := range d.Machines {
-		slots := j.Need.Count(size(m), min(j.Tasks, m.Slots))
-		if slots == 0 {
-			continue
+		free, lost, best := m.Free, 0.0, option{m: m}
+		note := func() {
+			if n := j.Need.Count(free, min(j.Tasks, m.Slots)); n > best.slots {
+				best.slots, best.lost = n, lost/float64(n)
+			}
+		}
+		note()
+		for _, t := range onMachine[m.Name] {
+			free, lost = free.Add(t.Res), lost+t.Lost
+			note()
+		}
+		if best.slots > 0 {
+			options = append(options, best)
 		}
-		busy := positive(j.Need.Times(slots).Sub(m.Free))
-		options = append(options, option{m, slots, Cost(busy, j.Need) / float64(slots)})
 	}
 	slices.SortStableFunc(options, func(a, b option) int {
-		return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.m.Name, b.m.Name))
+		return cmp.Or(cmp.Compare(a.lost, b.lost), cmp.Compare(a.m.Name, b.m.Name))
 	})
 	out := Domain{Name: d.Name + " narrow"}
 	for slots, i := 0, 0; i < len(options) && slots < j.Tasks; i++ {
--- a/sched/evict_test.go
+++ b/sched/evict_test.go
@@ -126,8 +126,7 @@
 			}
 			list = append(list, v)
 		}
-		size := func(*Machine) Resources { return NewResources(8, 0, 32) }
-		p := Evict(j, Domains(j, machines, size, 8), list, Rules{mode, 0.05, teams})
+		p := Evict(j, Domains(j, machines, list, 8), list, Rules{mode, 0.05, teams})
 		if p == nil {
 			continue
 		}
