--- a/controller/scale.go
+++ b/controller/scale.go
@@ -460,12 +460,13 @@
 	capacity float64       // processors of machines that are up or boot
 	used     float64       // those in use
 	gangs    []*job        // gangs that wait
+	late     bool          // some job has used up most of its horizon
 }
 
 // horizonShare is the part of a class's slack that waiting may use up: the rest is for
 // estimates that are off and for machines that boot slowly.
 const (
-	horizonShare = 0.45
+	horizonShare = 0.6
 	gangShare    = 0.7
 )
 
@@ -522,7 +523,9 @@
 		g.horizon = min(g.horizon, o.horizon(j))
 		n := min(j.pending, o.withinTeam(j))
 		if n > 0 && o.c.now+5*micros.Second >= j.notUntil {
-			g.waiting += float64(n) * max(j.Need.CPUs(), 0.01) * max(o.estimate(j).Seconds(), 1)
+			w := float64(n) * max(j.Need.CPUs(), 0.01) * max(o.estimate(j).Seconds(), 1)
+			g.late = g.late || o.c.day-j.accepted > o.horizon(j)*2/3
+			g.waiting += w
 			if j.Gang {
 				g.gangs = append(g.gangs, j)
 			}
@@ -547,9 +550,29 @@
 	return len(o.classes[j.Class].types) > 1 && o.scarce(kind)
 }
 
-// dearPatience is how much longer work waits before an ordinary machine is rented for it
-// than before a spot machine is.
-const dearPatience = 1.75
+// How much longer work waits before an ordinary machine is rented for it than before a
+// spot machine is: much longer as long as no job is about to be late.
+const (
+	dearPatience = 0.55 // for each time that it costs what a spot machine costs
+	dearMost     = 5    // times the price beyond which nothing changes any more
+	latePatience = 0.75
+)
+
+// spotPrice is what a processor of the cheapest spot machine for a job costs an hour,
+// whether there is one now or not.
+func (o *owner) spotPrice(j *job) float64 {
+	least := 0.0
+	for _, t := range o.c.types.list {
+		for _, z := range t.Zones {
+			if cpus := o.usable(j, t.Name, z, true); cpus > 0 && t.SpotPrice > 0 {
+				if p := t.SpotPrice / cpus; least == 0 || p < least {
+					least = p
+				}
+			}
+		}
+	}
+	return least
+}
 
 // growth rents machines for work that would take too long on those there are.
 func (o *owner) growth() {
@@ -569,7 +592,11 @@
 		best := o.cheapest(g.first)
 		if best != nil && !best.spot && !g.first.Gang {
 			// A dear machine must be worth it: it comes late and costs a minute.
-			short = g.waiting/(dearPatience*max(o.c.cfg.Tuning.QueueTarget.Seconds(), 1)) - g.capacity
+			patience := dearPatience * best.price / max(o.spotPrice(g.first), best.price/dearMost)
+			if g.late {
+				patience = latePatience
+			}
+			short = g.waiting/(patience*max(o.c.cfg.Tuning.QueueTarget.Seconds(), 1)) - g.capacity
 		}
 		if best != nil && short > 0 {
 			o.rent(g.first, best, short)
