--- a/controller/core.go
+++ b/controller/core.go
@@ -20,9 +20,10 @@
 	now micros.Micros // steady
 	day micros.Micros // time of day
 
-	out    []Effect
-	nextID uint64
-	calls  map[uint64]func(CallDone)
+	out     []Effect
+	nextID  uint64
+	numbers uint64 // of attempts and rentals, see nextNumber
+	calls   map[uint64]func(CallDone)
 
 	life   uint64 // tells this life of the node from earlier ones
 	budget budget
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -43,7 +43,6 @@
 	watchRev  uint64
 	watchDown bool
 
-	numbers      uint64 // attempts given out
 	lastHeard    micros.Micros
 	wantSchedule bool
 	wantRelease  bool
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -698,8 +698,7 @@
 	if n <= 0 {
 		return
 	}
-	o.numbers++
-	r := &rental{name: fmt.Sprintf("h-%d-%d", o.c.lead.term, o.numbers), offer: best.offer, number: n}
+	r := &rental{name: fmt.Sprintf("h-%d", o.nextNumber()), offer: best.offer, number: n}
 	o.rentals[r.name] = r
 	o.c.log.Info("rental wanted", "name", r.name, "type", r.offer.kind, "zone", r.offer.zone,
 		"spot", r.offer.spot, "number", n, "class", j.Class, "short_cpus", short)
--- a/controller/work.go
+++ b/controller/work.go
@@ -170,11 +170,12 @@
 	}
 }
 
-// nextNumber gives out attempt numbers that no earlier owner can have given out: the
-// revision of this leadership comes first.
+// nextNumber gives out numbers for attempts and rentals that nobody has given out
+// before: the revision of this leadership comes first, and the count goes on when all
+// records are read again within it.
 func (o *owner) nextNumber() uint64 {
-	o.numbers++
-	return o.c.lead.term<<20 | o.numbers
+	o.c.numbers++
+	return o.c.lead.term<<20 | o.c.numbers
 }
 
 // txn collects what one commit writes, and what holds once it has.
