--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -199,6 +199,7 @@
 func (s *State) changes(q url.Values, last bool) (Reply, bool) {
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 	if s.Compact {
+		s.revision++ // so that every open watch is behind
 		s.Compact, s.events, s.oldest = false, nil, s.revision
 	}
 	if after < s.oldest {
