Teams and machines have owners apart from leadership; the leader assigns teams

Membership records on leases, one watch of the cluster's records, heirs that take over the machines of lost owners, machines that tell by beats whose they are. teams.spread parts the teams among all controllers; gathered by default.

--- a/config/tuning.go
+++ b/config/tuning.go
@@ -24,6 +24,7 @@
 	DomainList    int           // domains tried for one gang at a time
 	ROIThreshold  float64       // ROIs that differ by less count as equal
 	MaxMachines   int           // never rent above this many; 0: no bound of ours
+	SpreadTeams   bool          // part teams among all controllers
 	WarmShare     float64       // share of the guarantees kept rented when idle
 }
 
@@ -42,6 +43,7 @@
 		DomainList:    4,
 		ROIThreshold:  0.05,
 		MaxMachines:   0,
+		SpreadTeams:   false,
 		WarmShare:     0,
 	}
 }
@@ -73,6 +75,17 @@
 	}
 }
 
+func yesNo(field func(*Tuning) *bool) func(*Tuning, string) error {
+	return func(t *Tuning, text string) error {
+		v, err := strconv.ParseBool(text)
+		if err != nil {
+			return fmt.Errorf("must be true or false")
+		}
+		*field(t) = v
+		return nil
+	}
+}
+
 func count(field func(*Tuning) *int, least, most int) func(*Tuning, string) error {
 	return func(t *Tuning, text string) error {
 		v, err := strconv.Atoi(text)
@@ -95,6 +108,7 @@
 	"rental.queue_target_s": {"waiting work that justifies no further machine", seconds(func(t *Tuning) *micros.Micros { return &t.QueueTarget }, 0, 3600)},
 	"rental.retry_s":        {"pause after a refusal for want of capacity", seconds(func(t *Tuning) *micros.Micros { return &t.RentalRetry }, 1, 600)},
 	"rental.warm_share":     {"share of the guarantees kept rented when idle", number(func(t *Tuning) *float64 { return &t.WarmShare }, 0, 1)},
+	"teams.spread":          {"part the teams among all controllers instead of gathering them", yesNo(func(t *Tuning) *bool { return &t.SpreadTeams })},
 	"preempt.hold_s":        {"how long freed machines are held after the last stop", seconds(func(t *Tuning) *micros.Micros { return &t.HoldWait }, 1, 600)},
 	"preempt.domains":       {"domains tried for one gang at a time", count(func(t *Tuning) *int { return &t.DomainList }, 1, 100)},
 	"preempt.roi_threshold": {"ROIs that differ by less count as equal", number(func(t *Tuning) *float64 { return &t.ROIThreshold }, 0, 1)},
--- a/controller/budget.go
+++ b/controller/budget.go
@@ -20,9 +20,9 @@
 // reserve is the part of a limit that a purpose must leave to more urgent ones.
 var reserve = map[purpose]float64{forOwnership: 0, forUsers: 0, forWork: 0.2, forTidying: 0.6}
 
-// leaderWrites is the leader's part of the write limit: it records placements and
-// completions, the others only accept and cancel.
-const leaderWrites = 0.64
+// userWrites is the part of the write limit that all nodes share for accepting and
+// cancelling; the rest is for owners, who record placements and completions.
+const userWrites = 0.54
 
 // budget keeps this node within its part of the state service's limits.
 type budget struct {
@@ -35,16 +35,12 @@
 	b.writes = rate.NewLimiter(rate.Limit(cfg.WriteRPS), 1)
 }
 
-// setRole parts the limits anew when this node starts or stops leading.
-func (b *budget) setRole(cfg *config.Settings, leads bool, now micros.Micros) {
+// setRole parts the limits anew when this node starts or stops owning teams.
+func (b *budget) setRole(cfg *config.Settings, owns bool, owners int, now micros.Micros) {
 	n := float64(len(cfg.Siblings) + 1)
-	requests, writes := cfg.StateRPS/n, cfg.WriteRPS
-	if n > 1 {
-		if leads {
-			writes *= leaderWrites
-		} else {
-			writes *= (1 - leaderWrites) / (n - 1)
-		}
+	requests, writes := cfg.StateRPS/n, cfg.WriteRPS*userWrites/n
+	if owns {
+		writes += cfg.WriteRPS * (1 - userWrites) / float64(owners)
 	}
 	set := func(l *rate.Limiter, v float64) {
 		l.SetLimitAt(now.Time(), rate.Limit(v))
--- a/controller/core.go
+++ b/controller/core.go
@@ -25,14 +25,16 @@
 	numbers uint64 // of attempts and rentals, see nextNumber
 	calls   map[uint64]func(CallDone)
 
-	life   uint64 // tells this life of the node from earlier ones
-	budget budget
-	route  route
-	peers  map[string]*sibling
-	types  typeTable
-	users  users
-	lead   leadership
-	owner  *owner // set while this node leads
+	life    uint64 // tells this life of the node from earlier ones
+	budget  budget
+	route   route
+	peers   map[string]*sibling
+	types   typeTable
+	users   users
+	member  membership
+	cluster cluster
+	lead    leadership
+	owner   *owner // set while this node owns teams
 
 	timers    []timer
 	cloudRate *rate.Limiter
@@ -55,7 +57,8 @@
 		c.peers[s.Node] = &sibling{Sibling: s}
 	}
 	c.budget.init(cfg)
-	c.budget.setRole(cfg, false, now)
+	c.budget.setRole(cfg, false, 1, now)
+	c.cluster.members, c.cluster.teams = map[string]member{}, map[string]teamView{}
 	c.route.lastOK = now
 	c.users.init()
 	return c
@@ -111,6 +114,7 @@
 		c.tickRoute()
 		c.tickPeers()
 		c.tickTypes()
+		c.tickMembership()
 		c.tickLeadership()
 		if c.owner != nil {
 			c.owner.slowTick()
@@ -148,13 +152,12 @@
 
 // typeTable is what the node knows of machine types.
 type typeTable struct {
-	list    []sched.MachineType
-	asking  bool
-	next    micros.Micros
-	fromAPI bool
-	raw     wire.MachineTypes
-	// recordedIn is the term in which this node has recorded them.
-	recordedIn uint64
+	list     []sched.MachineType
+	asking   bool
+	next     micros.Micros
+	fromAPI  bool
+	raw      wire.MachineTypes
+	recorded bool // in the state service, by this life of the node
 }
 
 func (t *typeTable) find(name string) *sched.MachineType {
--- a/controller/job.go
+++ b/controller/job.go
@@ -36,8 +36,8 @@
 	pending  int
 	done     bitmap
 	doneN    int
-	dirty    map[int]bool // chunks with completions that are not recorded
-	chunks   map[int]bool // chunks that have a record
+	dirty    map[int]bool   // chunks with completions that are not recorded
+	chunks   map[int]uint64 // versions of the records of chunks
 	attempts map[int]*attempt
 
 	gang      gangState
@@ -67,7 +67,7 @@
 		tasks: make([]taskState, j.Tasks), pending: j.Tasks,
 		done:     make(bitmap, (j.Tasks+7)/8),
 		dirty:    map[int]bool{},
-		chunks:   map[int]bool{},
+		chunks:   map[int]uint64{},
 		attempts: map[int]*attempt{},
 		failedOn: map[string]bool{},
 	}
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -24,23 +24,22 @@
 // Times of elections.
 const (
 	campaignJitter = 150 * micros.Millisecond
-	resignPause    = 20 * micros.Second // a node that workers cannot reach leaves it to others
+	leavePause     = 20 * micros.Second // a node that workers cannot reach stays out for so long
 	deafAfter      = 6 * micros.Second
 )
 
 // leadership is what a node knows of the leader, and its own part in it.
 type leadership struct {
-	state    leadState
-	node     string // the leader
-	life     uint64
-	term     uint64 // revision of the leader's record
-	lease    uint64
-	renewing bool
-	renewAt  micros.Micros
-	watching bool
-	watchRev uint64
-	at       micros.Micros // when to campaign
-	pauseTo  micros.Micros
+	state   leadState
+	node    string // the leader
+	life    uint64
+	term    uint64        // revision of the leader's record
+	since   micros.Micros // leading
+	at      micros.Micros // when to campaign
+	pauseTo micros.Micros
+	// assigning: a commit that gives teams to owners is under way.
+	assigning bool
+	assignAt  micros.Micros
 }
 
 func (c *Core) setLead(s leadState) {
@@ -49,18 +48,11 @@
 		return
 	}
 	c.log.Info("leadership", "from", l.state.String(), "to", s.String(), "leader", l.node, "term", l.term)
-	was := l.state
 	l.state = s
-	switch {
-	case s == leadLeading:
-		c.budget.setRole(c.cfg, true, c.now)
-		c.owner = newOwner(c)
-	case was == leadLeading:
-		c.owner.dropAll()
-		c.owner = nil
-		c.budget.setRole(c.cfg, false, c.now)
-	}
-	if s == leadVacant {
+	switch s {
+	case leadLeading:
+		l.since = c.now
+	case leadVacant:
 		l.node, l.at = "", c.now+micros.Micros(c.rng.Int64N(int64(campaignJitter)))
 		l.at = max(l.at, l.pauseTo)
 	}
@@ -81,67 +73,16 @@
 
 func (c *Core) tickLeadership() {
 	l := &c.lead
-	if !l.watching {
-		c.readLeader()
-		return
-	}
-	switch l.state {
-	case leadVacant:
-		if c.now >= l.at {
-			c.campaign()
-		}
-	case leadLeading:
-		c.renew()
-		if c.owner.deaf() && c.isDeaf() {
-			c.resign()
-		}
+	switch {
+	case !c.cluster.watching:
+		c.readCluster()
+	case l.state == leadVacant && c.now >= l.at && c.member.state == memberIn:
+		c.campaign()
+	case l.state == leadLeading:
+		c.assign()
 	}
 }
 
-// readLeader reads the leader's record and then watches it.
-func (c *Core) readLeader() {
-	l := &c.lead
-	l.watching = true
-	c.store(forOwnership, state.List(keyLeader, ""), func(r storeReply) {
-		var p state.Page
-		if r.outcome != outOK || !r.decode(&p) {
-			l.watching = false
-			return
-		}
-		found := false
-		for _, e := range p.Entries {
-			if e.Key == keyLeader {
-				c.leaderIs(e.Value, e.Version)
-				found = true
-			}
-		}
-		if !found {
-			c.leaderGone(p.Revision)
-		}
-		c.watchLeader(p.Revision)
-	})
-}
-
-func (c *Core) watchLeader(after uint64) {
-	l := &c.lead
-	c.storeWithin(forOwnership, state.Watch(keyLeader, after, watchWait), watchTimeout, func(r storeReply) {
-		var ch state.Changes
-		if r.outcome != outOK || !r.decode(&ch) {
-			l.watching = false // read again with the next tick
-			return
-		}
-		for _, e := range ch.Events {
-			switch {
-			case e.Put == keyLeader:
-				c.leaderIs(e.Value, e.Version)
-			case e.Delete == keyLeader:
-				c.leaderGone(e.Version)
-			}
-		}
-		c.watchLeader(max(after, ch.Revision))
-	})
-}
-
 func (c *Core) leaderIs(value []byte, version uint64) {
 	l := &c.lead
 	var rec leaderRecord
@@ -184,28 +125,19 @@
 func (c *Core) campaign() {
 	l := &c.lead
 	c.setLead(leadCampaigning)
-	term := l.term // what is seen of a rival meanwhile must make the commit fail
-	c.store(forOwnership, state.Grant(c.cfg.Tuning.LeaderTTL), func(r storeReply) {
-		var g state.Granted
-		if r.outcome != outOK || !r.decode(&g) || l.state != leadCampaigning {
+	guards := []state.Guard{
+		// What is seen of a rival meanwhile must make the commit fail.
+		{Key: keyLeader, Version: l.term}, {Key: memberKey(c.cfg.Node), Version: c.member.version},
+	}
+	writes := []state.Write{{Put: keyLeader, Lease: c.member.lease, Value: leaderRecord{c.cfg.Node, c.life}}}
+	c.store(forOwnership, state.Commit(guards, writes), func(r storeReply) {
+		var done state.Committed
+		if r.outcome != outOK || !r.decode(&done) || l.state != leadCampaigning {
 			c.campaignFailed()
 			return
 		}
-		l.lease = g.Lease
-		guards := []state.Guard{{Key: keyLeader, Version: term}}
-		writes := []state.Write{{
-			Put: keyLeader, Lease: g.Lease, Value: leaderRecord{c.cfg.Node, c.life},
-		}}
-		c.store(forOwnership, state.Commit(guards, writes), func(r storeReply) {
-			var done state.Committed
-			if r.outcome != outOK || !r.decode(&done) {
-				c.campaignFailed()
-				return
-			}
-			l.node, l.life, l.term = c.cfg.Node, c.life, done.Revision
-			l.renewAt = c.now + c.cfg.Tuning.LeaderTTL/3
-			c.setLead(leadLeading)
-		})
+		l.node, l.life, l.term = c.cfg.Node, c.life, done.Revision
+		c.setLead(leadLeading)
 	})
 }
 
@@ -229,43 +161,6 @@
 	})
 }
 
-func (c *Core) renew() {
-	l := &c.lead
-	if l.renewing || c.now < l.renewAt {
-		return
-	}
-	l.renewing = true
-	term := l.term
-	c.store(forOwnership, state.Renew(l.lease), func(r storeReply) {
-		l.renewing = false
-		if l.term != term || l.state != leadLeading {
-			return
-		}
-		switch r.outcome {
-		case outOK:
-			l.renewAt = c.now + c.cfg.Tuning.LeaderTTL/3
-		case outMissing:
-			c.log.Warn("leadership lost: its lease has ended")
-			l.term = 0
-			c.setLead(leadVacant)
-		default:
-			// An outage, or this node alone is refused: it cannot tell. It goes on;
-			// if somebody else leads, the tokens and guards are theirs.
-			l.renewAt = c.now + slowTick
-		}
-	})
-}
-
-// resign gives up leading, so that a node that workers can reach takes over.
-func (c *Core) resign() {
-	l := &c.lead
-	c.log.Warn("resigning: workers reach a sibling but not this node")
-	l.pauseTo = c.now + resignPause
-	c.store(forOwnership, state.Revoke(l.lease), func(storeReply) {})
-	l.term = 0
-	c.setLead(leadVacant)
-}
-
 // tickTypes keeps the table of machine types. It is kept in the state service too: a
 // node that starts while the cloud does not answer must still be able to accept.
 func (c *Core) tickTypes() {
@@ -311,18 +206,15 @@
 	})
 }
 
-// recordTypes keeps the types in the state service, once for each time of leading.
+// recordTypes keeps the types in the state service, once in a life.
 func (c *Core) recordTypes() {
 	t := &c.types
-	if c.owner == nil || t.recordedIn == c.lead.term || state.Size(t.raw) > c.cfg.ValueBytes {
+	if c.owner == nil || t.recorded || state.Size(t.raw) > c.cfg.ValueBytes {
 		return
 	}
-	term := c.lead.term
 	write := []state.Write{{Put: keyTypes, Value: t.raw}}
 	c.store(forWork, state.Commit(c.owner.guards(nil), write), func(r storeReply) {
-		if r.outcome == outOK {
-			t.recordedIn = term
-		}
+		t.recorded = t.recorded || r.outcome == outOK
 	})
 }
 
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -119,11 +119,7 @@
 		c.heard = append(c.heard, c.now)
 	}
 	if c.owner == nil {
-		to := c.lead.node
-		if to == c.cfg.Node {
-			to = ""
-		}
-		c.respond(r.ID, 421, wire.Redirect{ReportTo: to})
+		c.respond(r.ID, 421, wire.Redirect{ReportTo: c.reportTo(rep.Machine)})
 		return
 	}
 	c.owner.report(r.ID, rep)
@@ -138,7 +134,11 @@
 	}
 	m := o.machines[rep.Machine]
 	if m == nil {
-		if until, ok := o.tombs[rep.Machine]; ok && c.now < until {
+		if to := c.claimant(rep.Machine); to != "" || o.foreign[rep.Machine] != 0 {
+			c.respond(req, 421, wire.Redirect{ReportTo: to})
+			return
+		}
+		if o.tombs[rep.Machine] != 0 {
 			c.refuse(req, 503, "machine was returned")
 			return
 		}
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -18,12 +18,11 @@
 type ownerState int
 
 const (
-	ownerClaiming ownerState = iota // the teams' records are being claimed
-	ownerLoading                    // all other records are being read
+	ownerLoading ownerState = iota // the records are being read
 	ownerActive
 )
 
-func (s ownerState) String() string { return [...]string{"claiming", "loading", "active"}[s] }
+func (s ownerState) String() string { return [...]string{"loading", "active"}[s] }
 
 // owner is the part of a node that places jobs and gives commands.
 type owner struct {
@@ -39,6 +38,7 @@
 	rentals   map[string]*rental
 	holds     map[string]*hold         // by job
 	tombs     map[string]micros.Micros // machines that were returned
+	foreign   map[string]micros.Micros // machines that another owns, though no sibling says so yet
 	garbage   []string                 // keys that nobody reads any more
 	watchRev  uint64
 	watchDown bool
@@ -60,13 +60,13 @@
 
 // team is a team that this node owns.
 type team struct {
-	version uint64
-	used    sched.Resources
+	view teamView
+	used sched.Resources
 	config.Team
 }
 
-func newOwner(c *Core) *owner {
-	return &owner{
+func newOwner(c *Core, teams map[string]teamView) *owner {
+	o := &owner{
 		c: c, since: c.now, lastHeard: c.now,
 		teams:      map[string]*team{},
 		machines:   map[string]*machine{},
@@ -76,6 +76,31 @@
 		tombs:      map[string]micros.Micros{},
 		noCapacity: map[offer]micros.Micros{},
 		classes:    map[string]*classNeed{},
+		foreign:    map[string]micros.Micros{},
+	}
+	for _, t := range c.cfg.Teams {
+		if v, ok := teams[t.Name]; ok {
+			o.teams[t.Name] = &team{view: v, Team: t}
+		}
+	}
+	return o
+}
+
+// teamsAre takes the records of this node's teams. Should they be others than before,
+// all is read again.
+func (o *owner) teamsAre(mine map[string]teamView) {
+	same := len(mine) == len(o.teams)
+	for name, v := range mine {
+		t := o.teams[name]
+		if t == nil || len(t.view.Heir) != len(v.Heir) {
+			same = false
+			continue
+		}
+		t.view = v
+	}
+	if !same {
+		o.c.log.Info("teams have changed", "teams", len(mine))
+		o.c.setOwner(newOwner(o.c, mine))
 	}
 }
 
@@ -105,8 +130,11 @@
 		return
 	}
 	o.c.log.Warn("reading all records again", "why", why)
-	o.dropAll()
-	o.c.owner = newOwner(o.c)
+	views := map[string]teamView{}
+	for name, t := range o.teams {
+		views[name] = t.view
+	}
+	o.c.setOwner(newOwner(o.c, views))
 	o.c.owner.retryAt = o.c.now + 200*micros.Millisecond
 	o.c.owner.lastHeard = o.lastHeard
 }
@@ -116,10 +144,6 @@
 // advance does what can be done now; it is called after every event.
 func (o *owner) advance() {
 	switch o.state {
-	case ownerClaiming:
-		if !o.busy && o.c.now >= o.retryAt {
-			o.claimTeams()
-		}
 	case ownerLoading:
 		if !o.busy && o.c.now >= o.retryAt {
 			o.load()
@@ -148,10 +172,8 @@
 	o.tickHolds()
 	o.tickList()
 	o.tickScale()
-	for name, until := range o.tombs {
-		if o.c.now > until {
-			delete(o.tombs, name)
-		}
+	for _, list := range []map[string]micros.Micros{o.tombs, o.foreign} {
+		maps.DeleteFunc(list, func(_ string, until micros.Micros) bool { return o.c.now > until })
 	}
 }
 
@@ -161,69 +183,36 @@
 		o.c.now-max(o.lastHeard, o.since) > deafAfter
 }
 
-// claimTeams records this node as the owner of the teams. From then on placements of
-// an earlier owner fail, since they are guarded on these records.
-func (o *owner) claimTeams() {
-	c := o.c
-	var writes []state.Write
-	for _, t := range c.cfg.Teams {
-		writes = append(writes, state.Write{Put: teamKey(t.Name), Value: teamRecord{c.cfg.Node, c.lead.term}})
-	}
-	o.busy = true
-	most := max(1, min(c.cfg.TxnOps, c.budget.writes.Burst()))
-	var commit func(from int)
-	commit = func(from int) {
-		to := min(from+most, len(writes))
-		c.store(forOwnership, state.Commit(o.guards(nil), writes[from:to]), func(r storeReply) {
-			if o.over() {
-				return
-			}
-			var done state.Committed
-			switch {
-			case r.outcome == outConflict:
-				o.leaderConflict()
-			case r.outcome != outOK || !r.decode(&done):
-				o.busy, o.retryAt = false, c.now+loadRetry
-			default:
-				for _, t := range c.cfg.Teams[from:to] {
-					o.teams[t.Name] = &team{version: done.Revision, Team: t}
-				}
-				if to < len(writes) {
-					commit(to)
-					return
-				}
-				o.busy = false
-				o.setState(ownerLoading)
-			}
-		})
-	}
-	commit(0)
-}
-
-// guards builds a list of guards that always holds the leader's record: whoever has
-// lost it can change nothing.
+// guards builds a list of guards that always holds this node's own record: an owner
+// that has lost it can change nothing.
 func (o *owner) guards(more map[string]uint64) []state.Guard {
-	list := []state.Guard{{Key: keyLeader, Version: o.c.lead.term}}
-	for _, k := range sortedKeys(more) {
-		list = append(list, state.Guard{Key: k, Version: more[k]})
+	all := map[string]uint64{memberKey(o.c.cfg.Node): o.c.member.version}
+	for k, v := range more {
+		all[k] = v
 	}
-	return list
-}
-
-func (o *owner) leaderConflict() {
-	o.c.lead.term = 0
-	o.c.setLead(leadVacant)
-	o.c.campaignPause()
+	return guardList(all)
 }
 
-// campaignPause leaves time to read who leads.
-func (c *Core) campaignPause() {
-	c.lead.at = max(c.lead.at, c.now+500*micros.Millisecond)
-	c.get(forOwnership, keyLeader, func(out outcome, e state.Entry) {
-		if out == outOK {
-			c.leaderIs(e.Value, e.Version)
+// mine tells whether what an owner had is this node's to take: its own, that of owners
+// whose heir it is, and what nobody else takes.
+func (o *owner) mine(id string) bool {
+	if id == o.c.ownID() {
+		return true
+	}
+	for _, t := range o.teams {
+		if slices.Contains(t.view.Heir, id) {
+			return true
 		}
-	})
+	}
+	if o.c.lives(id) || o.c.firstOwner() != o.c.cfg.Node {
+		return false
+	}
+	for _, t := range o.c.cluster.teams {
+		if slices.Contains(t.Heir, id) || ownerID(t.Owner, t.Life) == id {
+			return false
+		}
+	}
+	return true
 }
 
 // load reads all records. They do not change meanwhile, but for the jobs, which the
@@ -305,6 +294,9 @@
 		o.c.log.Error("record cannot be read", "key", key, "error", err)
 		return
 	}
+	if o.teams[spec.Team] == nil {
+		return // another owner's
+	}
 	j := newJob(spec, version, micros.Micros(rec.Accepted))
 	o.jobs[id] = j
 	i, _ := slices.BinarySearchFunc(o.queue, j, queueOrder)
@@ -323,7 +315,9 @@
 		id, chunk, ok := splitDoneKey(e.Key)
 		j := o.jobs[id]
 		if !ok || j == nil {
-			o.garbage = append(o.garbage, e.Key)
+			if len(o.teams) == len(o.c.cfg.Teams) { // no other owner's, then
+				o.garbage = append(o.garbage, e.Key)
+			}
 			continue
 		}
 		var rec doneRecord
@@ -331,7 +325,7 @@
 			o.c.log.Error("record cannot be read", "key", e.Key)
 			continue
 		}
-		j.chunks[chunk] = true
+		j.chunks[chunk] = e.Version
 		for i := chunk * chunkTasks; i < min((chunk+1)*chunkTasks, j.Tasks); i++ {
 			if j.done.has(i) {
 				j.setTask(i, taskDone)
@@ -354,6 +348,9 @@
 			o.c.log.Error("record cannot be read", "key", e.Key)
 			continue
 		}
+		if !o.mine(rec.Owner) {
+			continue
+		}
 		for id := range rec.Tasks {
 			if o.jobs[id] == nil {
 				missing[id] = true
@@ -389,7 +386,7 @@
 func (o *owner) buildMachines(entries []state.Entry) {
 	for _, e := range entries {
 		var rec machineRecord
-		if wire.Decode(e.Value, &rec) != nil {
+		if wire.Decode(e.Value, &rec) != nil || !o.mine(rec.Owner) {
 			continue
 		}
 		m := o.newMachine(strings.TrimPrefix(e.Key, prefixMachine), rec.Type, rec.Zone, rec.Spot, rec.Endpoint)
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -23,12 +23,13 @@
 // sibling is what this node knows of another controller.
 type sibling struct {
 	config.Sibling
-	asking  bool
-	next    micros.Micros
-	lastAt  micros.Micros
-	heard   int // workers that reported to it lately
-	storeOK bool
-	jobs    map[string]*peer.JobCount // set if it leads
+	asking   bool
+	next     micros.Micros
+	lastAt   micros.Micros
+	heard    int // workers that reported to it lately
+	storeOK  bool
+	jobs     map[string]*peer.JobCount // of its teams
+	machines map[string]bool           // those it owns
 }
 
 func (s *sibling) fresh(now micros.Micros) bool { return s.lastAt > 0 && now-s.lastAt < beatFresh }
@@ -58,19 +59,20 @@
 		WorkersHeard: uint32(len(c.heard)), StoreOk: c.storeOK(),
 	}
 	if c.owner != nil {
-		b.Jobs = c.owner.counts()
+		b.Jobs, b.Machines = c.owner.counts(), sortedKeys(c.owner.machines)
 	}
 	return &peer.Message{Body: &peer.Message_Beat{Beat: b}}
 }
 
 func (c *Core) takeBeat(s *sibling, b *peer.Beat) {
 	s.lastAt, s.heard, s.storeOK = c.now, int(b.WorkersHeard), b.StoreOk
-	s.jobs = nil
-	if b.Leader == s.Node {
-		s.jobs = make(map[string]*peer.JobCount, len(b.Jobs))
-		for _, j := range b.Jobs {
-			s.jobs[j.Id] = j
-		}
+	s.jobs = make(map[string]*peer.JobCount, len(b.Jobs))
+	for _, j := range b.Jobs {
+		s.jobs[j.Id] = j
+	}
+	s.machines = make(map[string]bool, len(b.Machines))
+	for _, name := range b.Machines {
+		s.machines[name] = true
 	}
 	c.heardOfTerm(b.Term, b.Leader)
 }
@@ -149,15 +151,14 @@
 	c.out = append(c.out, Respond{ID: id, Status: 200, Body: data})
 }
 
-// tellLeader passes on at once that a job is over, so that its tasks are stopped even
-// while the leader's watch hangs.
-func (c *Core) tellLeader(job string) {
+// tellOwner passes on at once that a job is over, so that its tasks are stopped even
+// while its owner's watch hangs. All are told: the owner may be changing.
+func (c *Core) tellOwner(job string) {
 	if c.owner != nil {
 		c.owner.jobGone(job)
-		return
 	}
-	if s := c.peers[c.lead.node]; s != nil {
+	for _, cfg := range c.cfg.Siblings {
 		m := &peer.Message{Body: &peer.Message_JobEnded{JobEnded: &peer.JobEnded{Id: job}}}
-		c.callPeer(s, m, beatTimeout, maxPeerBody, func(*peer.Message, bool) {})
+		c.callPeer(c.peers[cfg.Node], m, beatTimeout, maxPeerBody, func(*peer.Message, bool) {})
 	}
 }
--- a/controller/records.go
+++ b/controller/records.go
@@ -12,9 +12,11 @@
 
 // Keys in the state service. What each record says is told in docs/design.md.
 const (
-	keyLeader     = "leader"
+	prefixCluster = "c/" // what every node watches
+	keyLeader     = prefixCluster + "leader"
+	prefixMember  = prefixCluster + "n/"
+	prefixTeam    = prefixCluster + "t/"
 	keyTypes      = "types"
-	prefixTeam    = "t/"
 	prefixMachine = "m/"
 	prefixActive  = "a/" // accepted jobs that are not over
 	prefixFinal   = "f/" // final states, kept forever
@@ -23,23 +25,32 @@
 	prefixHold    = "h/"
 )
 
-func teamKey(team string) string { return prefixTeam + url.PathEscape(team) }
-func activeKey(id string) string { return prefixActive + id }
-func finalKey(id string) string  { return prefixFinal + id }
-func holdKey(id string) string   { return prefixHold + id }
+func teamKey(team string) string   { return prefixTeam + url.PathEscape(team) }
+func memberKey(node string) string { return prefixMember + node }
+func activeKey(id string) string   { return prefixActive + id }
+func finalKey(id string) string    { return prefixFinal + id }
+func holdKey(id string) string     { return prefixHold + id }
 func doneKey(id string, chunk int) string {
 	return fmt.Sprintf("%s%s/%03d", prefixDone, id, chunk)
 }
 
+// memberRecord is attached to the node's lease. Its life tells lives of one node apart.
+type memberRecord struct {
+	Life uint64 `cbor:"i"`
+}
+
 // leaderRecord is attached to the leader's lease.
 type leaderRecord struct {
 	Node string `cbor:"n"`
-	Life uint64 `cbor:"i"` // tells lives of one node apart
+	Life uint64 `cbor:"i"`
 }
 
+// teamRecord names a team's owner, and the earlier owners whose machines it takes over.
 type teamRecord struct {
-	Owner string `cbor:"o"`
-	Term  uint64 `cbor:"e"`
+	Owner string   `cbor:"o"`
+	Life  uint64   `cbor:"i"`
+	Term  uint64   `cbor:"e"`
+	Heir  []string `cbor:"h"`
 }
 
 // jobRecord is an accepted job.
@@ -88,6 +99,7 @@
 
 // rentalRecord names a rental before it is asked for.
 type rentalRecord struct {
+	Owner  string `cbor:"o"`
 	Type   string `cbor:"b"`
 	Zone   string `cbor:"h"`
 	Spot   bool   `cbor:"s"`
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -69,6 +69,9 @@
 			o.c.log.Error("record cannot be read", "key", e.Key)
 			continue
 		}
+		if !o.mine(rec.Owner) {
+			continue
+		}
 		name := strings.TrimPrefix(e.Key, prefixRental)
 		o.rentals[name] = &rental{
 			name: name, offer: offer{rec.Type, rec.Zone, rec.Spot}, number: rec.Number, state: rentalAsking,
@@ -95,7 +98,7 @@
 		if r.state == rentalOver {
 			t.writes = append(t.writes, state.Write{Delete: key})
 		} else {
-			t.put(key, rentalRecord{r.offer.kind, r.offer.zone, r.offer.spot, r.number})
+			t.put(key, rentalRecord{o.c.ownID(), r.offer.kind, r.offer.zone, r.offer.spot, r.number})
 		}
 		t.results = append(t.results, func(ok bool, _ uint64) {
 			r.writing = false
@@ -281,7 +284,7 @@
 		e := found[name]
 		m := o.machines[name]
 		if m == nil {
-			if until, ok := o.tombs[name]; ok && o.c.now < until {
+			if o.tombs[name] != 0 || o.foreign[name] != 0 || o.c.claimant(name) != "" || o.c.firstOwner() != o.c.cfg.Node {
 				continue
 			}
 			m = o.adopt(e.Name, e.Type, e.Zone, e.Spot, e.Endpoint)
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -73,6 +73,7 @@
 		Tuning: config.DefaultTuning(),
 	}
 	cfg.Tuning.MaxMachines = arg(t, d, "most", 0)
+	cfg.Tuning.SpreadTeams = d.HasArg("spread")
 	w := newWorld(uint64(arg(t, d, "seed", 1)), cfg)
 	w.cloud.Now = w.now
 	zones := []string{"a", "b"}
--- a/controller/users.go
+++ b/controller/users.go
@@ -331,11 +331,13 @@
 
 // countsOf tells how many tasks of a job are done and run, for display.
 func (c *Core) countsOf(id string) (done, running int) {
-	if c.owner != nil {
+	if c.owner != nil && c.owner.jobs[id] != nil {
 		return c.owner.countsOf(id)
 	}
-	if s := c.peers[c.lead.node]; s != nil && s.jobs[id] != nil {
-		return int(s.jobs[id].Done), int(s.jobs[id].Running)
+	for _, s := range c.peers {
+		if n := s.jobs[id]; n != nil {
+			return int(n.Done), int(n.Running)
+		}
 	}
 	return 0, 0
 }
@@ -388,7 +390,7 @@
 		case r.outcome == outOK:
 			c.users.remember(j.ID, wire.JobCancelled)
 			c.respond(req, 200, wire.JobState{Ref: j.ID, Status: wire.JobCancelled})
-			c.tellLeader(j.ID)
+			c.tellOwner(j.ID)
 		case (r.outcome == outConflict || r.outcome == outUnknown) && c.now < until:
 			c.tryCancel(req, j.ID, until) // over meanwhile, or perhaps executed
 		default:
--- a/controller/work.go
+++ b/controller/work.go
@@ -17,6 +17,7 @@
 	jobsPerPass   = 200 // jobs looked at in one pass
 	recordSlots   = 128 // tasks in one machine's record, so that it fits a value
 	commitBytes   = 56 << 10
+	foreignLife   = 10 * micros.Second
 )
 
 // schedule proposes places for waiting tasks. A proposal takes effect only when the
@@ -171,11 +172,11 @@
 }
 
 // nextNumber gives out numbers for attempts and rentals that nobody has given out
-// before: the revision of this leadership comes first, and the count goes on when all
-// records are read again within it.
+// before: the revision of this node's record comes first, and the count goes on when all
+// records are read again.
 func (o *owner) nextNumber() uint64 {
 	o.c.numbers++
-	return o.c.lead.term<<20 | o.c.numbers
+	return o.c.member.version<<20 | o.c.numbers
 }
 
 // txn collects what one commit writes, and what holds once it has.
@@ -301,10 +302,16 @@
 func (o *owner) conflict(failed []string) {
 	for _, key := range failed {
 		id, isJob := strings.CutPrefix(key, prefixActive)
-		if key == keyLeader {
-			o.leaderConflict()
+		if key == memberKey(o.c.cfg.Node) {
+			o.c.memberLost()
 			return
 		}
+		if name, ok := strings.CutPrefix(key, prefixMachine); ok {
+			if m := o.machines[name]; m != nil && m.version == 0 {
+				o.notOurs(m)
+				continue
+			}
+		}
 		if !isJob {
 			o.resync("a record of ours was changed: " + key)
 			return
@@ -336,6 +343,12 @@
 	o.flushAt = max(o.flushAt, o.c.now+flushGap)
 }
 
+// notOurs drops a machine that was taken for unexpected, while another owner has it.
+func (o *owner) notOurs(m *machine) {
+	o.foreign[m.name] = o.c.now + foreignLife
+	o.forget(m)
+}
+
 // flushMachines writes machines' records: claims, placements, and what has left.
 func (o *owner) flushMachines(t *txn, full func() bool, which func(*machine) bool) {
 	for _, name := range sortedKeys(o.machines) {
@@ -365,7 +378,7 @@
 		return
 	}
 	rec := machineRecord{
-		Owner: o.c.cfg.Node, Token: m.token, Endpoint: m.endpoint, Type: m.kind, Zone: m.zone, Spot: m.spot,
+		Owner: o.c.ownID(), Token: m.token, Endpoint: m.endpoint, Type: m.kind, Zone: m.zone, Spot: m.spot,
 		Rented: int64(m.rented), Condemned: m.state == machineCondemned || m.state == machineReleasing,
 		Tasks: map[string][]uint64{},
 	}
@@ -382,7 +395,7 @@
 		case attemptProposed:
 			proposed = append(proposed, a)
 			t.guards[activeKey(a.job.ID)] = a.job.version
-			t.guards[teamKey(a.job.Team)] = o.teams[a.job.Team].version
+			t.guards[teamKey(a.job.Team)] = o.teams[a.job.Team].view.version
 		}
 		rec.Tasks[a.job.ID] = append(rec.Tasks[a.job.ID], uint64(a.index), a.number)
 	}
@@ -533,6 +546,7 @@
 
 func (o *owner) writeDone(t *txn, j *job, chunk int) {
 	t.guards[activeKey(j.ID)] = j.version
+	t.guards[doneKey(j.ID, chunk)] = j.chunks[chunk]
 	t.put(doneKey(j.ID, chunk), doneRecord{j.done.chunk(chunk)})
 	delete(j.dirty, chunk)
 	var finished []*attempt
@@ -541,12 +555,12 @@
 			finished = append(finished, a)
 		}
 	}
-	t.results = append(t.results, func(ok bool, _ uint64) {
+	t.results = append(t.results, func(ok bool, rev uint64) {
 		if !ok {
 			j.dirty[chunk] = true
 			return
 		}
-		j.chunks[chunk] = true
+		j.chunks[chunk] = rev
 		for _, a := range finished {
 			o.finishedRecorded(a)
 		}
