--- a/controller/cluster.go
+++ b/controller/cluster.go
@@ -30,11 +30,16 @@
 // ownerID names one life of a node.
 func ownerID(node string, life uint64) string { return fmt.Sprintf("%s/%d", node, life) }
 
+func nodeOf(id string) string {
+	node, _, _ := strings.Cut(id, "/")
+	return node
+}
+
 func (c *Core) ownID() string { return ownerID(c.cfg.Node, c.life) }
 
 // lives tells whether a life of a node is a member.
 func (c *Core) lives(id string) bool {
-	node, _, _ := strings.Cut(id, "/")
+	node := nodeOf(id)
 	m, ok := c.cluster.members[node]
 	return ok && ownerID(node, m.life) == id
 }
--- a/controller/hold.go
+++ b/controller/hold.go
@@ -58,12 +58,13 @@
 		return false
 	}
 	machines := o.evictView()
-	plan := o.evictPlan(j, machines, sched.Preempt)
+	plan := o.evictPlan(j.Job, machines, sched.Preempt)
 	if plan == nil && o.withinGuarantee(j) {
-		plan = o.evictPlan(j, machines, sched.Reclaim)
+		plan = o.evictPlan(j.Job, machines, sched.Reclaim)
 	}
 	if plan == nil {
 		j.evictAt = o.c.now + micros.Second
+		o.want(j.Job, j.Tasks, o.withinGuarantee(j))
 		return false
 	}
 	h := &hold{job: j.ID, machines: map[string]int{}, need: j.Need, stop: plan.Stop}
@@ -81,7 +82,7 @@
 	return true
 }
 
-func (o *owner) evictPlan(j *job, machines []*sched.Machine, mode sched.Mode) *sched.Plan {
+func (o *owner) evictPlan(j *sched.Job, machines []*sched.Machine, mode sched.Mode) *sched.Plan {
 	victims := o.victims(j, mode)
 	if len(victims) == 0 {
 		return nil
@@ -90,8 +91,8 @@
 	for name, t := range o.teams {
 		rules.Teams[name] = sched.TeamUse{Used: t.used, Guarantee: t.Guarantee}
 	}
-	domains := sched.Domains(j.Job, machines, victims, o.c.cfg.Tuning.DomainList)
-	return sched.Evict(j.Job, domains, victims, rules)
+	domains := sched.Domains(j, machines, victims, o.c.cfg.Tuning.DomainList)
+	return sched.Evict(j, domains, victims, rules)
 }
 
 // withinGuarantee tells whether the gang fits into what is guaranteed to its team.
@@ -153,11 +154,11 @@
 }
 
 // victims lists jobs that may be stopped for j.
-func (o *owner) victims(j *job, mode sched.Mode) []*sched.Victim {
+func (o *owner) victims(j *sched.Job, mode sched.Mode) []*sched.Victim {
 	var list []*sched.Victim
 	for _, id := range sortedKeys(o.jobs) {
 		v := o.jobs[id]
-		if v == j || v.state != jobActive || v.gang == gangStopping || v.gang == gangPlacing || o.holds[id] != nil {
+		if v.Job == j || v.state != jobActive || v.gang == gangStopping || v.gang == gangPlacing || o.holds[id] != nil {
 			continue
 		}
 		same := v.Team == j.Team
@@ -198,18 +199,22 @@
 
 // stopVictims begins the stops of a hold that is recorded.
 func (o *owner) stopVictims(h *hold) {
-	for _, b := range h.stop {
+	o.stopBundles(h.stop, "room for "+h.job)
+	h.stop = nil
+}
+
+func (o *owner) stopBundles(bundles []sched.Bundle, why string) {
+	for _, b := range bundles {
 		v := o.jobs[b.Victim.Job]
 		if v == nil || v.state != jobActive {
 			continue
 		}
 		for _, t := range b.Tasks {
 			if a := v.attempts[t.Index]; a != nil && a.machine.name == t.Machine {
-				o.evict(a, "room for "+h.job)
+				o.evict(a, why)
 			}
 		}
 	}
-	h.stop = nil
 }
 
 // held is what is kept on a machine for gangs that are not placed yet.
--- a/controller/job.go
+++ b/controller/job.go
@@ -170,6 +170,7 @@
 	m.used = m.used.Sub(j.Need)
 	if len(m.attempts) == 0 {
 		m.idleSince = o.c.now
+		m.dirty = m.dirty || m.state == machineMoving
 	}
 	if t := o.teams[j.Team]; t != nil {
 		t.used = t.used.Sub(j.Need)
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -17,13 +17,14 @@
 	machineBooting   machineState = iota
 	machineUp                     // reports
 	machineDraining               // takes nothing new and is returned once empty
+	machineMoving                 // goes to another owner once it is empty
 	machineCondemned              // it is to be deleted, which must be recorded first
 	machineReleasing              // recorded; the cloud is asked to delete it
 	machineDeleted                // the cloud has deleted it; its record must go
 )
 
 func (s machineState) String() string {
-	return [...]string{"booting", "up", "draining", "condemned", "releasing", "deleted"}[s]
+	return [...]string{"booting", "up", "draining", "moving", "condemned", "releasing", "deleted"}[s]
 }
 
 // fenceState is the state machine of doubt about a command: one that was sent
@@ -72,6 +73,7 @@
 	idleSince micros.Micros
 	errors    int // in a row
 	pausedTo  micros.Micros
+	moveTo    string // the owner that gets it, while moving
 }
 
 // maxImages is how many images a machine is believed to keep.
@@ -103,7 +105,7 @@
 		o.wantSchedule = true
 	case machineReleasing:
 		o.wantRelease = true
-	case machineCondemned, machineDeleted:
+	case machineMoving, machineCondemned, machineDeleted:
 		m.dirty = true
 	}
 }
@@ -350,7 +352,7 @@
 func (o *owner) noticed(m *machine, left micros.Micros) {
 	first := m.notice == 0
 	m.notice = o.c.now + left
-	if m.state == machineUp {
+	if m.state == machineUp || m.state == machineMoving {
 		o.setMachine(m, machineDraining, "taken back by the cloud")
 	}
 	if !first {
@@ -445,7 +447,7 @@
 // push sends commands directly, instead of waiting for the next report.
 func (o *owner) push(m *machine) {
 	if m.sending || !m.synced || m.fence != fenceNone || m.endpoint == "" ||
-		m.state != machineUp && m.state != machineDraining {
+		m.state < machineUp || m.state > machineMoving {
 		return
 	}
 	m.wantPush = false
--- /dev/null
+++ b/controller/moves.go
@@ -0,0 +1,208 @@
+package controller
+
+import (
+	"tamarindlead/internal/peer"
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// This file moves machines between the owners' shares. An owner whose share cannot hold
+// a job asks the leader; the leader chooses who gives: whoever has a suitable machine
+// idle, or else, if the job's team is below its guarantee, the owner of the team that is
+// most above its own. The giver empties the machine and writes the new owner into its
+// record; that commit's revision is the machine's token from then on.
+
+// wantEvery is the least time between two requests of an owner for machines.
+const wantEvery = 2 * micros.Second
+
+// want asks the leader for machines.
+func (o *owner) want(j *sched.Job, tasks int, reclaim bool) {
+	if o.c.owners() < 2 || o.c.now < o.wantAt {
+		return
+	}
+	o.wantAt = o.c.now + wantEvery
+	w := &peer.Want{
+		Job: j.ID, Team: j.Team, Owner: o.c.ownID(), Tasks: int32(tasks), Priority: int32(j.Priority),
+		Cpu: j.Need.CPU, Gpu: j.Need.GPU, Mem: j.Need.Mem,
+		OneZone: j.OneZone && j.Gang, Spread: j.Spread && j.Gang, Spot: j.Spot, Zone: j.Zone,
+		AnyType: j.Types == nil, Types: j.Types, Reclaim: reclaim,
+	}
+	if o.c.lead.state == leadLeading {
+		o.c.wanted(w)
+	} else if s := o.c.peers[o.c.lead.node]; s != nil {
+		o.c.send(s, &peer.Message{Body: &peer.Message_Want{Want: w}})
+	}
+}
+
+// wantedJob is the job as far as a giver must know it.
+func wantedJob(w *peer.Want) *sched.Job {
+	j := &sched.Job{
+		ID: w.Job, Team: w.Team, Gang: true, Priority: sched.Priority(w.Priority), Tasks: max(1, int(w.Tasks)),
+		Need:    sched.Resources{CPU: w.Cpu, GPU: w.Gpu, Mem: w.Mem},
+		OneZone: w.OneZone, Spread: w.Spread, Spot: w.Spot, Zone: w.Zone,
+	}
+	if !w.AnyType {
+		j.Types = append([]string{}, w.Types...)
+	}
+	return j
+}
+
+// wanted handles a request for machines: as the leader by choosing who gives, as the
+// one chosen by giving.
+func (c *Core) wanted(w *peer.Want) {
+	if w.Give {
+		if c.owner != nil && c.owner.state == ownerActive && w.Owner != c.ownID() {
+			c.owner.give(w)
+		}
+		return
+	}
+	if c.lead.state != leadLeading || !c.lives(w.Owner) {
+		return
+	}
+	giver := c.giver(w)
+	if giver == "" {
+		return
+	}
+	c.log.Info("machines wanted", "job", w.Job, "owner", w.Owner, "from", giver, "reclaim", w.Reclaim)
+	w.Give = true
+	if giver == c.cfg.Node {
+		c.wanted(w)
+		return
+	}
+	c.send(c.peers[giver], &peer.Message{Body: &peer.Message_Want{Want: w}})
+}
+
+// giver chooses the owner that gives machines.
+func (c *Core) giver(w *peer.Want) string {
+	j := wantedJob(w)
+	best, most := "", 0.0
+	for _, node := range sortedKeys(c.cluster.members) {
+		beat := &peer.Beat{}
+		if node == c.cfg.Node && c.owner != nil {
+			c.owner.tell(beat)
+		} else if s := c.peers[node]; s != nil && s.fresh(c.now) {
+			beat.Idle, beat.Teams = s.idle, s.teams
+		}
+		if ownerID(node, c.cluster.members[node].life) == w.Owner {
+			continue
+		}
+		for _, m := range beat.Idle {
+			if t := c.types.find(m.Type); t != nil && j.Allows(m.Type, m.Zone, m.Spot) && j.Need.Fits(t.Size) {
+				return node
+			}
+		}
+		for _, u := range beat.Teams {
+			t, ok := c.cfg.Team(u.Team)
+			use := sched.TeamUse{Used: sched.Resources{CPU: u.Cpu, GPU: u.Gpu}, Guarantee: t.Guarantee}
+			if over := use.Over(); w.Reclaim && ok && u.Team != w.Team && over > most {
+				best, most = node, over
+			}
+		}
+	}
+	return best
+}
+
+// give empties machines for another owner's job, idle ones first.
+func (o *owner) give(w *peer.Want) {
+	j := wantedJob(w)
+	slots := 0
+	for _, name := range sortedKeys(o.machines) {
+		m := o.machines[name]
+		if slots >= j.Tasks {
+			return
+		}
+		if o.isIdle(m) && j.Allows(m.kind, m.zone, m.spot) {
+			if n := j.Need.Count(o.machineSize(m), j.Tasks); n > 0 {
+				slots += n
+				o.move(m, w.Owner)
+			}
+		}
+	}
+	if slots > 0 || !w.Reclaim {
+		return
+	}
+	plan := o.evictPlan(j, o.evictView(), sched.Reclaim)
+	if plan == nil {
+		return
+	}
+	o.c.log.Info("making room", "job", j.ID, "ground", plan.Mode.String(), "domain", plan.Domain,
+		"machines", len(plan.Place), "owner", w.Owner)
+	for _, a := range plan.Place {
+		o.move(o.machines[a.Machine.Name], w.Owner)
+	}
+	o.stopBundles(plan.Stop, "room for "+j.ID)
+}
+
+// idleToGive is how long a machine has had nothing to do before it counts as idle.
+const idleToGive = 2 * micros.Second
+
+func (o *owner) isIdle(m *machine) bool {
+	return m.state == machineUp && len(m.attempts) == 0 && m.token != 0 && !o.reserved(m.name) &&
+		o.c.now-m.idleSince > idleToGive
+}
+
+func (o *owner) move(m *machine, to string) {
+	m.moveTo = to
+	o.setMachine(m, machineMoving, "for "+to)
+}
+
+// writeMove gives an empty machine away.
+func (o *owner) writeMove(t *txn, m *machine) {
+	node := nodeOf(m.moveTo)
+	if !o.c.lives(m.moveTo) {
+		m.writing, m.dirty = false, false
+		o.setMachine(m, machineUp, "its new owner is gone")
+		return
+	}
+	t.guards[memberKey(node)] = o.c.cluster.members[node].version
+	t.put(prefixMachine+m.name, machineRecord{
+		Owner: m.moveTo, Endpoint: m.endpoint, Type: m.kind, Zone: m.zone, Spot: m.spot, Rented: int64(m.rented),
+	})
+	t.results = append(t.results, func(ok bool, _ uint64) {
+		m.writing = false
+		if !ok {
+			m.dirty = true
+			return
+		}
+		o.foreign[m.name] = o.c.now + foreignLife
+		o.forget(m)
+		if s := o.c.peers[node]; s != nil {
+			o.c.send(s, &peer.Message{Body: &peer.Message_Given{Given: &peer.Given{Machine: m.name}}})
+		}
+	})
+}
+
+// takeGiven takes a machine whose record names this node as its owner.
+func (o *owner) takeGiven(name string) {
+	if o.state != ownerActive || o.machines[name] != nil {
+		return
+	}
+	o.c.get(forOwnership, prefixMachine+name, func(out outcome, e state.Entry) {
+		var rec machineRecord
+		if o.over() || out != outOK || wire.Decode(e.Value, &rec) != nil ||
+			rec.Owner != o.c.ownID() || rec.Token != 0 || o.machines[name] != nil {
+			return
+		}
+		delete(o.foreign, name)
+		m := o.newMachine(name, rec.Type, rec.Zone, rec.Spot, rec.Endpoint)
+		m.version, m.token, m.dirty = e.Version, e.Version, false
+		m.rented = micros.Micros(rec.Rented)
+		o.c.log.Info("machine received", "machine", name, "type", rec.Type, "zone", rec.Zone)
+	})
+}
+
+// tell adds to a beat what siblings must know of this owner.
+func (o *owner) tell(b *peer.Beat) {
+	b.Jobs, b.Machines = o.counts(), sortedKeys(o.machines)
+	for _, name := range b.Machines {
+		if m := o.machines[name]; o.isIdle(m) {
+			b.Idle = append(b.Idle, &peer.IdleMachine{Type: m.kind, Zone: m.zone, Spot: m.spot})
+		}
+	}
+	for _, name := range sortedKeys(o.teams) {
+		used := o.teams[name].used
+		b.Teams = append(b.Teams, &peer.TeamUse{Team: name, Cpu: used.CPU, Gpu: used.GPU})
+	}
+}
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -44,6 +44,7 @@
 	watchDown bool
 
 	lastHeard    micros.Micros
+	wantAt       micros.Micros // machines may be asked for again
 	wantSchedule bool
 	wantRelease  bool
 	flushing     bool
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -30,6 +30,8 @@
 	storeOK  bool
 	jobs     map[string]*peer.JobCount // of its teams
 	machines map[string]bool           // those it owns
+	idle     []*peer.IdleMachine
+	teams    []*peer.TeamUse
 }
 
 func (s *sibling) fresh(now micros.Micros) bool { return s.lastAt > 0 && now-s.lastAt < beatFresh }
@@ -59,7 +61,7 @@
 		WorkersHeard: uint32(len(c.heard)), StoreOk: c.storeOK(),
 	}
 	if c.owner != nil {
-		b.Jobs, b.Machines = c.owner.counts(), sortedKeys(c.owner.machines)
+		c.owner.tell(b)
 	}
 	return &peer.Message{Body: &peer.Message_Beat{Beat: b}}
 }
@@ -70,6 +72,7 @@
 	for _, j := range b.Jobs {
 		s.jobs[j.Id] = j
 	}
+	s.idle, s.teams = b.Idle, b.Teams
 	s.machines = make(map[string]bool, len(b.Machines))
 	for _, name := range b.Machines {
 		s.machines[name] = true
@@ -77,6 +80,11 @@
 	c.heardOfTerm(b.Term, b.Leader)
 }
 
+// send sends a message that needs no answer.
+func (c *Core) send(s *sibling, m *peer.Message) {
+	c.callPeer(s, m, beatTimeout, maxPeerBody, func(*peer.Message, bool) {})
+}
+
 // callPeer sends a message to a sibling; done gets nil if no valid answer came.
 func (c *Core) callPeer(s *sibling, m *peer.Message, timeout micros.Micros, maxBody int, done func(m *peer.Message, sent bool)) {
 	m.From = c.cfg.Node
@@ -120,6 +128,14 @@
 			c.owner.jobGone(b.JobEnded.Id)
 		}
 		c.answerPeer(r.ID, &peer.Message{})
+	case *peer.Message_Want:
+		c.wanted(b.Want)
+		c.answerPeer(r.ID, &peer.Message{})
+	case *peer.Message_Given:
+		if c.owner != nil {
+			c.owner.takeGiven(b.Given.Machine)
+		}
+		c.answerPeer(r.ID, &peer.Message{})
 	default:
 		c.respond(r.ID, 400, nil)
 	}
@@ -159,6 +175,6 @@
 	}
 	for _, cfg := range c.cfg.Siblings {
 		m := &peer.Message{Body: &peer.Message_JobEnded{JobEnded: &peer.JobEnded{Id: job}}}
-		c.callPeer(c.peers[cfg.Node], m, beatTimeout, maxPeerBody, func(*peer.Message, bool) {})
+		c.send(c.peers[cfg.Node], m)
 	}
 }
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -216,7 +216,7 @@
 			if m.failed || silent > micros.Micros(t.BootPatience*float64(boot))+t.SilentAfter {
 				o.setMachine(m, machineCondemned, "never came up")
 			}
-		case machineUp, machineDraining:
+		case machineUp, machineDraining, machineMoving:
 			limit := t.SilentAfter
 			if m.notice != 0 && o.c.now > m.notice {
 				limit = o.c.cfg.ReportEvery * 3 / 2
@@ -593,7 +593,11 @@
 			continue
 		}
 		best := o.cheapest(g.first)
-		if best != nil && !best.spot && !g.first.Gang {
+		if best == nil {
+			o.want(g.first.Job, int(short/max(g.first.Need.CPUs(), 0.01))+1, false)
+			continue
+		}
+		if !best.spot && !g.first.Gang {
 			// A dear machine must be worth it: it comes late and costs a minute.
 			patience := dearPatience * best.price / max(o.spotPrice(g.first), best.price/dearMost)
 			if g.late {
@@ -601,7 +605,7 @@
 			}
 			short = g.waiting/(patience*max(o.c.cfg.Tuning.QueueTarget.Seconds(), 1)) - g.capacity
 		}
-		if best != nil && short > 0 {
+		if short > 0 {
 			o.rent(g.first, best, short)
 			return
 		}
--- a/controller/work.go
+++ b/controller/work.go
@@ -306,6 +306,9 @@
 			o.c.memberLost()
 			return
 		}
+		if strings.HasPrefix(key, prefixMember) {
+			continue // a machine was to go to an owner that is gone
+		}
 		if name, ok := strings.CutPrefix(key, prefixMachine); ok {
 			if m := o.machines[name]; m != nil && m.version == 0 {
 				o.notOurs(m)
@@ -343,10 +346,12 @@
 	o.flushAt = max(o.flushAt, o.c.now+flushGap)
 }
 
-// notOurs drops a machine that was taken for unexpected, while another owner has it.
+// notOurs drops a machine that was taken for unexpected while it has a record already:
+// another owner's, or ours if it was given to us.
 func (o *owner) notOurs(m *machine) {
 	o.foreign[m.name] = o.c.now + foreignLife
 	o.forget(m)
+	o.takeGiven(m.name)
 }
 
 // flushMachines writes machines' records: claims, placements, and what has left.
@@ -377,6 +382,10 @@
 		})
 		return
 	}
+	if m.state == machineMoving && len(m.attempts) == 0 {
+		o.writeMove(t, m)
+		return
+	}
 	rec := machineRecord{
 		Owner: o.c.ownID(), Token: m.token, Endpoint: m.endpoint, Type: m.kind, Zone: m.zone, Spot: m.spot,
 		Rented: int64(m.rented), Condemned: m.state == machineCondemned || m.state == machineReleasing,
@@ -437,7 +446,7 @@
 			return true
 		}
 	}
-	return m.fence == fenceWanted || m.state == machineCondemned || m.state == machineDeleted
+	return m.fence == fenceWanted || m.state == machineMoving && len(m.attempts) == 0 || m.state == machineCondemned || m.state == machineDeleted
 }
 
 func (o *owner) recorded(a *attempt) {
--- a/sched/evict.go
+++ b/sched/evict.go
@@ -66,8 +66,8 @@
 	Guarantee Resources
 }
 
-// over is how far a team is above its guarantee, relative to the guarantee.
-func (t TeamUse) over() float64 {
+// Over is how far a team is above its guarantee, relative to the guarantee.
+func (t TeamUse) Over() float64 {
 	ratio := func(used, guarantee int64) float64 {
 		return float64(used-guarantee) / float64(max(guarantee, 1))
 	}
@@ -224,7 +224,7 @@
 		if r.Mode == Preempt {
 			return cmp.Or(priority, roi, last)
 		}
-		fair := -cmp.Compare(r.Teams[a.Victim.Team].over(), r.Teams[b.Victim.Team].over())
+		fair := -cmp.Compare(r.Teams[a.Victim.Team].Over(), r.Teams[b.Victim.Team].Over())
 		return cmp.Or(fair, roi, priority, last)
 	})
 }
