--- a/controller/scale.go
+++ b/controller/scale.go
@@ -594,7 +594,6 @@
 		}
 		best := o.cheapest(g.first)
 		if best == nil {
-			o.want(g.first.Job, int(short/max(g.first.Need.CPUs(), 0.01))+1, false)
 			continue
 		}
 		if !best.spot && !g.first.Gang {
