--- a/config/tuning.go
+++ b/config/tuning.go
@@ -43,7 +43,7 @@
 		DomainList:    4,
 		ROIThreshold:  0.05,
 		MaxMachines:   0,
-		SpreadTeams:   true,
+		SpreadTeams:   false,
 		WarmShare:     0,
 	}
 }
--- a/controller/hold.go
+++ b/controller/hold.go
@@ -38,6 +38,13 @@
 // a stop would not be faster.
 const endingSoon = 3 * micros.Second
 
+// soon is the boot time left for which nothing is stopped; roomRetry is the pause after
+// no room was found.
+const (
+	soon      = 12 * micros.Second
+	roomRetry = 4 * micros.Second
+)
+
 func (o *owner) setHold(h *hold, s holdState, why string) {
 	if h.state == s {
 		return
@@ -54,7 +61,7 @@
 
 // makeRoom looks for work to stop for a gang that does not fit, and holds the machines.
 func (o *owner) makeRoom(j *job) bool {
-	if !j.Gang || o.c.now < j.evictAt || o.rentingSuffices(j) {
+	if !j.Gang || o.c.now < j.evictAt || o.rentingSuffices(j) || o.comesSoon(j) {
 		return false
 	}
 	machines := o.evictView()
@@ -63,7 +70,7 @@
 		plan = o.evictPlan(j.Job, machines, sched.Reclaim)
 	}
 	if plan == nil {
-		j.evictAt = o.c.now + micros.Second
+		j.evictAt = o.c.now + roomRetry
 		o.want(j.Job, j.Tasks, o.withinGuarantee(j))
 		return false
 	}
@@ -130,6 +137,27 @@
 	return false
 }
 
+// comesSoon tells that a machine which boots will serve: one for each gang that waits,
+// in the order of the queue.
+func (o *owner) comesSoon(j *job) bool {
+	slots := 0
+	for _, m := range o.machines {
+		if k := o.c.types.find(m.kind); m.state == machineBooting && k != nil && j.Allows(m.kind, m.zone, m.spot) {
+			if o.c.day-m.rented+soon > k.Boot {
+				slots += j.Need.Count(k.Size, j.Tasks)
+			}
+		}
+	}
+	for _, q := range o.queue {
+		if q.Gang && q.gang == gangNone && q.Class == j.Class && o.holds[q.ID] == nil {
+			if slots -= q.Tasks; q == j {
+				return slots >= 0
+			}
+		}
+	}
+	return false
+}
+
 // leavingSoon tells that an attempt's room will be free without a stop.
 func (o *owner) leavingSoon(a *attempt) bool {
 	switch a.state {
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -54,6 +54,7 @@
 	writing  bool   // its record is being written
 	rented   micros.Micros
 	heard    micros.Micros // last report, or when we began to wait for one
+	expected bool          // was another owner's: it is up, or boots since we do not know when
 	listed   bool
 	unlisted int // lists in a row without it
 	failed   bool
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -187,7 +187,7 @@
 		}
 		delete(o.foreign, name)
 		m := o.newMachine(name, rec.Type, rec.Zone, rec.Spot, rec.Endpoint)
-		m.version, m.token, m.dirty = e.Version, e.Version, false
+		m.version, m.token, m.dirty, m.expected = e.Version, e.Version, false, true
 		m.rented = micros.Micros(rec.Rented)
 		o.c.log.Info("machine received", "machine", name, "type", rec.Type, "zone", rec.Zone)
 	})
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -39,6 +39,7 @@
 	holds     map[string]*hold         // by job
 	tombs     map[string]micros.Micros // machines that were returned
 	foreign   map[string]micros.Micros // machines that another owns, though no sibling says so yet
+	strange   map[string]micros.Micros // listed machines that nobody claims, since when
 	garbage   []string                 // keys that nobody reads any more
 	watchRev  uint64
 	watchDown bool
@@ -78,6 +79,7 @@
 		noCapacity: map[offer]micros.Micros{},
 		classes:    map[string]*classNeed{},
 		foreign:    map[string]micros.Micros{},
+		strange:    map[string]micros.Micros{},
 	}
 	for _, t := range c.cfg.Teams {
 		if v, ok := teams[t.Name]; ok {
@@ -178,10 +180,27 @@
 	}
 }
 
-// deaf tells that no worker has reached this owner for a while.
+// deaf tells that machines which should report to this owner do not, not one of them.
+// Machines that still boot do not count: nothing can be concluded from them.
 func (o *owner) deaf() bool {
-	return o.state == ownerActive && len(o.machines) > 0 &&
-		o.c.now-max(o.lastHeard, o.since) > deafAfter
+	latest, n := micros.Micros(0), 0
+	for _, m := range o.machines {
+		// After a takeover, a machine with tasks was up.
+		if m.state >= machineCondemned || m.state == machineBooting && !(m.expected && len(m.attempts) > 0) {
+			continue
+		}
+		heard := m.heard
+		if heard > o.c.now { // it was given time after a takeover
+			heard = o.since
+		}
+		latest = max(latest, heard)
+		n++
+	}
+	limit := deafAfter
+	if n == 1 { // more likely it is the machine; it is given up before then
+		limit = o.c.cfg.Tuning.SilentAfter + o.c.cfg.ReportEvery
+	}
+	return o.state == ownerActive && n > 0 && o.c.now-latest > limit
 }
 
 // guards builds a list of guards that always holds this node's own record: an owner
@@ -425,7 +444,7 @@
 
 func (o *owner) activate() {
 	for _, m := range o.machines {
-		m.heard = o.c.now + o.c.cfg.Tuning.TakeoverGrace
+		m.heard, m.expected = o.c.now+o.c.cfg.Tuning.TakeoverGrace, true
 	}
 	o.since = o.c.now
 	o.wantSchedule = true
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"net/url"
 	"slices"
 	"strconv"
@@ -279,12 +280,25 @@
 	})
 }
 
+// unexpected tells whether a listed machine belongs to nobody. The list may be twice its
+// usual lag late, so it still shows machines that another owner has returned: a machine
+// must stay listed for longer than that.
+func (o *owner) unexpected(name string) bool {
+	if o.tombs[name] != 0 || o.foreign[name] != 0 || o.c.claimant(name) != "" || o.c.firstOwner() != o.c.cfg.Node {
+		return false
+	}
+	if o.strange[name] == 0 {
+		o.strange[name] = o.c.now
+	}
+	return o.c.now-o.strange[name] > 3*o.c.cfg.ListLag
+}
+
 func (o *owner) takeList(found map[string]wire.ListedMachine) {
 	for _, name := range sortedKeys(found) {
 		e := found[name]
 		m := o.machines[name]
 		if m == nil {
-			if o.tombs[name] != 0 || o.foreign[name] != 0 || o.c.claimant(name) != "" || o.c.firstOwner() != o.c.cfg.Node {
+			if !o.unexpected(name) {
 				continue
 			}
 			m = o.adopt(e.Name, e.Type, e.Zone, e.Spot, e.Endpoint)
@@ -294,6 +308,10 @@
 		m.failed = e.Status == wire.ListFailed
 		m.endpoint = cmp.Or(m.endpoint, e.Endpoint)
 	}
+	maps.DeleteFunc(o.strange, func(name string, _ micros.Micros) bool {
+		_, ok := found[name]
+		return !ok
+	})
 	for name, m := range o.machines {
 		if _, ok := found[name]; !ok && m.listed {
 			m.unlisted++
@@ -361,6 +379,7 @@
 		return
 	}
 	o.nextScale = o.c.now + scaleEvery
+	o.wantSchedule = true // pauses of jobs end without an event
 	o.growth()
 	o.replace()
 	o.shed()
@@ -594,6 +613,10 @@
 		}
 		best := o.cheapest(g.first)
 		if best == nil {
+			// Nothing to rent: a share without machines gets what others have idle.
+			if g.capacity == 0 {
+				o.want(g.first.Job, int(short/max(g.first.Need.CPUs(), 0.01))+1, false)
+			}
 			continue
 		}
 		if !best.spot && !g.first.Gang {
--- a/controller/work.go
+++ b/controller/work.go
@@ -29,7 +29,7 @@
 	o.wantSchedule = false
 	view := o.view()
 	for i, j := range o.queue {
-		if i >= jobsPerPass || len(view) == 0 {
+		if i >= jobsPerPass {
 			break
 		}
 		if j.state != jobActive || j.pending == 0 || j.unsure || o.c.now < j.notUntil {
