--- a/controller/moves.go
+++ b/controller/moves.go
@@ -133,6 +133,24 @@
 		o.move(o.machines[a.Machine.Name], w.Owner)
 	}
 	o.stopBundles(plan.Stop, "room for "+j.ID)
+	for _, a := range plan.Place {
+		o.clear(o.machines[a.Machine.Name], "room for "+j.ID)
+	}
+}
+
+// clear stops what is left on a machine that moves, which goes only when it is empty:
+// arrays' tasks that would keep it for long, as far as their teams' guarantees allow.
+func (o *owner) clear(m *machine, why string) {
+	for _, a := range m.sorted() {
+		t := o.teams[a.job.Team]
+		if a.job.Gang || a.state != attemptLive || o.remaining(a) < endingSoon {
+			continue
+		}
+		use := sched.TeamUse{Used: t.used.Sub(a.job.Need), Guarantee: t.Guarantee}
+		if use.Covers() {
+			o.evict(a, why)
+		}
+	}
 }
 
 // idleToGive is how long a machine has had nothing to do before it counts as idle.
--- a/sched/evict.go
+++ b/sched/evict.go
@@ -74,6 +74,9 @@
 	return max(ratio(t.Used.CPU, t.Guarantee.CPU), ratio(t.Used.GPU, t.Guarantee.GPU))
 }
 
+// Covers tells whether a team still uses all that is guaranteed to it.
+func (t TeamUse) Covers() bool { return coversGuarantee(t.Used, t.Guarantee) }
+
 // coversGuarantee tells whether used still holds all that is guaranteed. Resources
 // that have no guarantee do not count.
 func coversGuarantee(used, guarantee Resources) bool {
