--- a/controller/hold.go
+++ b/controller/hold.go
@@ -96,12 +96,26 @@
 	}
 	rules := sched.Rules{Mode: mode, Threshold: o.c.cfg.Tuning.ROIThreshold, Teams: map[string]sched.TeamUse{}}
 	for name, t := range o.teams {
-		rules.Teams[name] = sched.TeamUse{Used: t.used, Guarantee: t.Guarantee}
+		rules.Teams[name] = o.teamUse(t)
 	}
 	domains := sched.Domains(j, machines, victims, o.c.cfg.Tuning.DomainList)
 	return sched.Evict(j, domains, victims, rules)
 }
 
+// teamUse is what a team uses and will go on using: what is being stopped already must
+// not be counted as surplus once more.
+func (o *owner) teamUse(t *team) sched.TeamUse {
+	use := sched.TeamUse{Used: t.used, Guarantee: t.Guarantee}
+	for _, m := range o.machines {
+		for _, a := range m.attempts {
+			if a.job.Team == t.Name && (a.state == attemptStopping || a.state == attemptLeaving || a.state == attemptFinished) {
+				use.Used = use.Used.Sub(a.job.Need)
+			}
+		}
+	}
+	return use
+}
+
 // withinGuarantee tells whether the gang fits into what is guaranteed to its team.
 func (o *owner) withinGuarantee(j *job) bool {
 	t := o.teams[j.Team]
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -146,8 +146,8 @@
 		if a.job.Gang || a.state != attemptLive || o.remaining(a) < endingSoon {
 			continue
 		}
-		use := sched.TeamUse{Used: t.used.Sub(a.job.Need), Guarantee: t.Guarantee}
-		if use.Covers() {
+		use := o.teamUse(t)
+		if use.Used = use.Used.Sub(a.job.Need); use.Covers() {
 			o.evict(a, why)
 		}
 	}
@@ -220,7 +220,7 @@
 		}
 	}
 	for _, name := range sortedKeys(o.teams) {
-		used := o.teams[name].used
+		used := o.teamUse(o.teams[name]).Used
 		b.Teams = append(b.Teams, &peer.TeamUse{Team: name, Cpu: used.CPU, Gpu: used.GPU})
 	}
 }
