--- a/controller/scale.go
+++ b/controller/scale.go
@@ -391,6 +391,8 @@
 	muchCheaper = 0.6  // of the price: worth a move
 	shedBelow   = 0.85 // of what is left may be in use when a machine is shed
 	shedEvery   = 2 * micros.Second
+	mostShed    = 4                  // at once
+	worthMoving = 15 * micros.Second // of machine time saved
 )
 
 // pricePerCPU is what a processor of a machine costs an hour.
@@ -450,27 +452,56 @@
 		if g.first.Gang || g.waiting > 0 {
 			continue
 		}
-		var dearest *machine
-		for _, name := range sortedKeys(o.machines) {
-			m := o.machines[name]
-			if m.state != machineUp || m.spot || o.reserved(name) || o.avoids(g.first, m.kind) ||
-				o.usable(g.first, m.kind, m.zone, m.spot) == 0 || o.c.day-m.rented < leastCharged-20*micros.Second {
-				continue
+		for range mostShed {
+			m := o.dearest(g.first)
+			if m == nil {
+				break
 			}
-			if dearest == nil || cmp.Or(
-				-cmp.Compare(o.pricePerCPU(m.kind, m.spot), o.pricePerCPU(dearest.kind, dearest.spot)),
-				cmp.Compare(m.used.CPU, dearest.used.CPU)) < 0 {
-				dearest = m
+			rest := g.capacity - o.usable(g.first, m.kind, m.zone, m.spot)
+			if g.used >= shedBelow*rest {
+				break
 			}
+			g.capacity = rest
+			o.setMachine(m, machineDraining, "the others suffice")
+			o.consolidate(m)
 		}
-		if dearest == nil {
+	}
+}
+
+// dearest finds the machine to shed first: the one that costs the most, and of equal
+// ones that with the least work.
+func (o *owner) dearest(j *job) *machine {
+	var best *machine
+	for _, name := range sortedKeys(o.machines) {
+		m := o.machines[name]
+		if m.state != machineUp || m.spot || o.reserved(name) || o.avoids(j, m.kind) ||
+			o.usable(j, m.kind, m.zone, m.spot) == 0 || o.c.day-m.rented < leastCharged-20*micros.Second {
 			continue
 		}
-		rest := g.capacity - o.usable(g.first, dearest.kind, dearest.zone, dearest.spot)
-		if g.used < shedBelow*rest {
-			o.setMachine(dearest, machineDraining, "the others suffice")
+		if best == nil || cmp.Or(
+			-cmp.Compare(o.pricePerCPU(m.kind, m.spot), o.pricePerCPU(best.kind, best.spot)),
+			cmp.Compare(m.used.CPU, best.used.CPU)) < 0 {
+			best = m
+		}
+	}
+	return best
+}
+
+// consolidate moves what can save away from a machine that is shed, if it would keep
+// the machine for much longer than saving takes.
+func (o *owner) consolidate(m *machine) {
+	longest := micros.Micros(0)
+	for _, a := range m.attempts {
+		if a.job.Gang || a.job.Checkpoint == 0 {
 			return
 		}
+		longest = max(longest, o.remaining(a)-a.job.Save)
+	}
+	if longest < worthMoving {
+		return
+	}
+	for _, a := range m.sorted() {
+		o.evict(a, "machine is shed")
 	}
 }
 
