--- a/sched/place.go
+++ b/sched/place.go
@@ -80,8 +80,7 @@
 }
 
 // order sorts by preference: not scarce, cheap (so that the dear ones become idle and
-// can be returned), busy before idle for the same reason, image present, then the
-// tightest.
+// can be returned), image present, busy before idle, then the tightest.
 func order(j *Job, machines []*Machine) {
 	rank := func(b bool) int {
 		if b {
@@ -93,8 +92,8 @@
 		return cmp.Or(
 			cmp.Compare(rank(a.Scarce), rank(b.Scarce)),
 			cmp.Compare(a.Price, b.Price),
-			cmp.Compare(rank(a.Idle), rank(b.Idle)),
 			-cmp.Compare(rank(slices.Contains(a.Images, j.Image)), rank(slices.Contains(b.Images, j.Image))),
+			cmp.Compare(rank(a.Idle), rank(b.Idle)),
 			cmp.Compare(a.Free.CPU, b.Free.CPU),
 			cmp.Compare(a.Name, b.Name),
 		)
