--- a/controller/scale.go
+++ b/controller/scale.go
@@ -391,7 +391,6 @@
 	muchCheaper = 0.6  // of the price: worth a move
 	shedBelow   = 0.85 // of what is left may be in use when a machine is shed
 	shedEvery   = 2 * micros.Second
-	mostShed    = 4                  // at once
 	worthMoving = 15 * micros.Second // of machine time saved
 )
 
@@ -452,18 +451,15 @@
 		if g.first.Gang || g.waiting > 0 {
 			continue
 		}
-		for range mostShed {
-			m := o.dearest(g.first)
-			if m == nil {
-				break
-			}
-			rest := g.capacity - o.usable(g.first, m.kind, m.zone, m.spot)
-			if g.used >= shedBelow*rest {
-				break
-			}
-			g.capacity = rest
+		m := o.dearest(g.first)
+		if m == nil {
+			continue
+		}
+		rest := g.capacity - o.usable(g.first, m.kind, m.zone, m.spot)
+		if g.used < shedBelow*rest {
 			o.setMachine(m, machineDraining, "the others suffice")
 			o.consolidate(m)
+			return
 		}
 	}
 }
@@ -513,7 +509,6 @@
 	capacity float64       // processors of machines that are up or boot
 	used     float64       // those in use
 	gangs    []*job        // gangs that wait
-	late     bool          // some job has used up most of its horizon
 }
 
 // horizonShare is the part of a class's slack that waiting may use up: the rest is for
@@ -576,9 +571,7 @@
 		g.horizon = min(g.horizon, o.horizon(j))
 		n := min(j.pending, o.withinTeam(j))
 		if n > 0 && o.c.now+5*micros.Second >= j.notUntil {
-			w := float64(n) * max(j.Need.CPUs(), 0.01) * max(o.estimate(j).Seconds(), 1)
-			g.late = g.late || o.c.day-j.accepted > o.horizon(j)*2/3
-			g.waiting += w
+			g.waiting += float64(n) * max(j.Need.CPUs(), 0.01) * max(o.estimate(j).Seconds(), 1)
 			if j.Gang {
 				g.gangs = append(g.gangs, j)
 			}
@@ -604,11 +597,10 @@
 }
 
 // How much longer work waits before an ordinary machine is rented for it than before a
-// spot machine is: much longer as long as no job is about to be late.
+// spot machine is, in proportion to what it costs more.
 const (
 	dearPatience = 0.55 // for each time that it costs what a spot machine costs
 	dearMost     = 5    // times the price beyond which nothing changes any more
-	latePatience = 0.75
 )
 
 // spotPrice is what a processor of the cheapest spot machine for a job costs an hour,
@@ -653,9 +645,6 @@
 		if !best.spot && !g.first.Gang {
 			// A dear machine must be worth it: it comes late and costs a minute.
 			patience := dearPatience * best.price / max(o.spotPrice(g.first), best.price/dearMost)
-			if g.late {
-				patience = latePatience
-			}
 			short = g.waiting/(patience*max(o.c.cfg.Tuning.QueueTarget.Seconds(), 1)) - g.capacity
 		}
 		if short > 0 {
