--- a/config/tuning.go
+++ b/config/tuning.go
@@ -25,7 +25,6 @@
 	ROIThreshold  float64       // ROIs that differ by less count as equal
 	MaxMachines   int           // never rent above this many; 0: no bound of ours
 	SpreadTeams   bool          // part teams among all controllers
-	WarmShare     float64       // share of the guarantees kept rented when idle
 }
 
 // DefaultTuning returns the documented defaults.
@@ -44,7 +43,6 @@
 		ROIThreshold:  0.05,
 		MaxMachines:   0,
 		SpreadTeams:   false,
-		WarmShare:     0,
 	}
 }
 
@@ -107,7 +105,6 @@
 	"machine.most":          {"most machines rented at once, 0 for no bound", count(func(t *Tuning) *int { return &t.MaxMachines }, 0, 100000)},
 	"rental.queue_target_s": {"waiting work that justifies no further machine", seconds(func(t *Tuning) *micros.Micros { return &t.QueueTarget }, 0, 3600)},
 	"rental.retry_s":        {"pause after a refusal for want of capacity", seconds(func(t *Tuning) *micros.Micros { return &t.RentalRetry }, 1, 600)},
-	"rental.warm_share":     {"share of the guarantees kept rented when idle", number(func(t *Tuning) *float64 { return &t.WarmShare }, 0, 1)},
 	"teams.spread":          {"part the teams among all controllers instead of gathering them", yesNo(func(t *Tuning) *bool { return &t.SpreadTeams })},
 	"preempt.hold_s":        {"how long freed machines are held after the last stop", seconds(func(t *Tuning) *micros.Micros { return &t.HoldWait }, 1, 600)},
 	"preempt.domains":       {"domains tried for one gang at a time", count(func(t *Tuning) *int { return &t.DomainList }, 1, 100)},
--- a/controller/job.go
+++ b/controller/job.go
@@ -41,12 +41,10 @@
 	attempts map[int]*attempt
 
 	gang      gangState
-	gangTry   uint64
 	notUntil  micros.Micros // backing off
 	failures  int           // in a row, without any success
 	failedOn  map[string]bool
-	unsure    bool // its record did not match: nothing is placed until that is cleared up
-	placedAt  micros.Micros
+	unsure    bool          // its record did not match: nothing is placed until that is cleared up
 	evictAt   micros.Micros // room may be made for it again from then on
 	evictions int           // in vain, in a row
 }
@@ -61,6 +59,10 @@
 	gangStopping                  // the attempt is over: its tasks must go
 )
 
+func (s gangState) String() string {
+	return [...]string{"none", "placing", "starting", "stopping"}[s]
+}
+
 func newJob(j *sched.Job, version uint64, accepted micros.Micros) *job {
 	return &job{
 		Job: j, version: version, accepted: accepted,
@@ -92,6 +94,22 @@
 	}
 }
 
+// setJob is the one place where a job changes its state.
+func (o *owner) setJob(j *job, s jobState) {
+	if j.state != s {
+		o.c.log.Debug("job", "job", j.ID, "from", j.state.String(), "to", s.String())
+		j.state = s
+	}
+}
+
+// setGang is the one place where a gang's attempt changes its state.
+func (o *owner) setGang(j *job, s gangState) {
+	if j.gang != s {
+		o.c.log.Debug("gang", "job", j.ID, "from", j.gang.String(), "to", s.String())
+		j.gang = s
+	}
+}
+
 // running counts the tasks that are on machines, for display.
 func (j *job) running() int {
 	n := 0
@@ -182,7 +200,7 @@
 		}
 	}
 	if len(j.attempts) == 0 {
-		j.gang, j.gangTry = gangNone, 0
+		o.setGang(j, gangNone)
 		if j.state == jobEnded {
 			delete(o.jobs, j.ID)
 		}
@@ -232,7 +250,7 @@
 // stopJob ends everything that a job has on machines.
 func (o *owner) stopJob(j *job, grace micros.Micros, why string) {
 	if j.gang != gangNone {
-		j.gang = gangStopping
+		o.setGang(j, gangStopping)
 	}
 	for _, a := range j.sorted() {
 		o.stop(a, grace, why)
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -38,6 +38,8 @@
 	fenceRaised            // it is recorded; the machine has not seen it yet
 )
 
+func (s fenceState) String() string { return [...]string{"none", "wanted", "raised"}[s] }
+
 // machine is a machine at its owner.
 type machine struct {
 	name     string
@@ -111,6 +113,18 @@
 	}
 }
 
+// setFence is the one place where doubt about a machine's commands changes.
+func (o *owner) setFence(m *machine, s fenceState) {
+	if m.fence == s {
+		return
+	}
+	o.c.log.Debug("fence", "machine", m.name, "from", m.fence.String(), "to", s.String())
+	m.fence = s
+	if s == fenceWanted {
+		m.dirty = true
+	}
+}
+
 // report takes a worker's report on any node.
 func (c *Core) report(r Request) {
 	rep, err := wire.DecodeReport(r.Body)
@@ -184,13 +198,13 @@
 		return false
 	}
 	if rep.Session > m.session && m.session != 0 {
-		m.fence, m.dirty = fenceNone, m.dirty || m.fence == fenceWanted
+		o.setFence(m, fenceNone)
 	}
 	m.session, m.seq, m.heard, m.seen = rep.Session, rep.Seq, o.c.now, rep.Tasks
 	m.endpoint = cmp.Or(rep.Endpoint, m.endpoint)
 	m.synced = rep.Token == m.token
 	if m.synced && m.fence == fenceRaised {
-		m.fence = fenceNone
+		o.setFence(m, fenceNone)
 	}
 	if m.state == machineBooting {
 		o.setMachine(m, machineUp, "reports")
@@ -298,7 +312,7 @@
 			}
 		}
 		if j.doneN == j.Tasks {
-			j.state = jobFinishing
+			o.setJob(j, jobFinishing)
 		}
 		return
 	}
@@ -481,7 +495,7 @@
 			}
 		case e.Sent:
 			o.c.log.Info("command not answered", "machine", m.name)
-			m.fence, m.dirty = fenceWanted, true
+			o.setFence(m, fenceWanted)
 		}
 	})
 }
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -52,7 +52,6 @@
 	flushAt      micros.Micros
 	nextScale    micros.Micros
 	nextShed     micros.Micros
-	nextSilent   micros.Micros
 	list         cloudList
 	noCapacity   map[offer]micros.Micros
 	classes      map[string]*classNeed
@@ -353,7 +352,7 @@
 		}
 		delete(j.dirty, chunk) // it is recorded, after all
 		if j.doneN == j.Tasks {
-			j.state = jobFinishing
+			o.setJob(j, jobFinishing)
 		}
 	}
 }
@@ -395,7 +394,7 @@
 				return
 			}
 			j := newJob(rec.job(ids[i]), 0, 0)
-			j.state = jobEnded
+			o.setJob(j, jobEnded)
 			o.jobs[j.ID] = j
 			next(i + 1)
 		})
@@ -423,7 +422,7 @@
 				}
 				a := o.attach(j, index, list[i+1], m, attemptOrdered)
 				if j.Gang {
-					j.gang, j.gangTry = gangStarting, a.number
+					o.setGang(j, gangStarting)
 				}
 				if j.state == jobEnded {
 					o.stop(a, 0, "job is over")
@@ -498,7 +497,7 @@
 
 // endJob takes a job out of the queue; its record is gone.
 func (o *owner) endJob(j *job) {
-	j.state = jobEnded
+	o.setJob(j, jobEnded)
 	o.queue = slices.DeleteFunc(o.queue, func(q *job) bool { return q == j })
 	for _, chunk := range sortedKeys(j.chunks) {
 		o.garbage = append(o.garbage, doneKey(j.ID, chunk))
--- a/controller/work.go
+++ b/controller/work.go
@@ -149,9 +149,8 @@
 	next := 0
 	number := o.nextNumber()
 	if j.Gang {
-		j.gang, j.gangTry = gangPlacing, number
+		o.setGang(j, gangPlacing)
 	}
-	j.placedAt = o.c.now
 	for _, as := range got {
 		m := o.machines[as.Machine.Name]
 		for n := 0; n < as.Count; n++ {
@@ -422,7 +421,7 @@
 		if claim {
 			m.token, m.synced = rev, false
 			if m.fence == fenceWanted {
-				m.fence = fenceRaised
+				o.setFence(m, fenceRaised)
 			}
 		}
 		for _, a := range leaving {
@@ -468,7 +467,7 @@
 			return
 		}
 	}
-	j.gang = gangStarting
+	o.setGang(j, gangStarting)
 	for _, b := range j.attempts {
 		b.machine.wantPush = true
 	}
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -47,8 +47,6 @@
 	broken    []string
 	starts    int
 	stops     map[string]int // by cause
-	answers   map[uint64]func(Respond)
-	userID    uint64
 }
 
 type simNode struct {
--- a/internal/reactor/server.go
+++ b/internal/reactor/server.go
@@ -29,16 +29,14 @@
 
 // Options of a server.
 type Options struct {
-	Addrs       []string
-	MaxConns    int
-	MaxBody     func(listener string) int
-	Idle        micros.Micros // a connection without a request for this long is closed
-	Partial     micros.Micros // a request must be whole after this long
-	ContentType string
+	Addrs    []string
+	MaxConns int
+	MaxBody  func(listener string) int
+	Idle     micros.Micros // a connection without a request for this long is closed
+	Partial  micros.Micros // a request must be whole after this long
 	// Handle takes a request; it must not block, and Reply must follow once.
 	Handle func(*Exchange)
-	// Refuse answers a request that the parser cannot take.
-	Log *slog.Logger
+	Log    *slog.Logger
 }
 
 type connState struct {
