--- a/controller/machine.go
+++ b/controller/machine.go
@@ -200,7 +200,8 @@
 	if rep.Session > m.session && m.session != 0 {
 		o.setFence(m, fenceNone)
 	}
-	m.session, m.seq, m.heard, m.seen = rep.Session, rep.Seq, o.c.now, rep.Tasks
+	m.session, m.seq, m.seen = rep.Session, rep.Seq, rep.Tasks
+	m.heard = max(m.heard, o.c.now) // after a takeover it has longer
 	m.endpoint = cmp.Or(rep.Endpoint, m.endpoint)
 	m.synced = rep.Token == m.token
 	if m.synced && m.fence == fenceRaised {
@@ -457,6 +458,25 @@
 	return out
 }
 
+// inspect asks a machine that was taken over for its report, and then shows it our
+// token, so that commands need not wait until its worker has found this node.
+func (o *owner) inspect(m *machine) {
+	if m.endpoint == "" || m.session != 0 || m.sending {
+		return
+	}
+	o.c.call(Call{
+		Addr: m.endpoint, Method: "GET", Target: "/inspect", Timeout: orderTimeout, MaxBody: wire.MaxBody,
+	}, func(e CallDone) {
+		rep, err := wire.DecodeReport(e.Body)
+		if o.over() || o.machines[m.name] != m || e.Status != 200 || err != nil || rep.Token > m.token {
+			return
+		}
+		if o.takeReport(m, rep, false) && !m.synced {
+			o.order(m, []wire.Command{})
+		}
+	})
+}
+
 const orderTimeout = 4 * micros.Second
 
 // push sends commands directly, instead of waiting for the next report.
@@ -466,10 +486,13 @@
 		return
 	}
 	m.wantPush = false
-	cmds := o.commands(m)
-	if len(cmds) == 0 {
-		return
+	if cmds := o.commands(m); len(cmds) > 0 {
+		o.order(m, cmds)
 	}
+}
+
+// order sends commands to a machine's worker.
+func (o *owner) order(m *machine, cmds []wire.Command) {
 	m.sending = true
 	o.c.call(Call{
 		Addr: m.endpoint, Method: "POST", Target: "/orders", Timeout: orderTimeout, MaxBody: wire.MaxBody,
@@ -490,16 +513,15 @@
 				return
 			}
 			o.takeReport(m, rep, false)
-			if hasPending(m) {
-				m.wantPush = true
-			}
-		case e.Sent:
+			m.wantPush = m.wantPush || hasPending(m)
+		case e.Sent && len(cmds) > 0:
 			o.c.log.Info("command not answered", "machine", m.name)
 			o.setFence(m, fenceWanted)
 		}
 	})
 }
 
+// hasPending tells whether starts wait for a machine.
 func hasPending(m *machine) bool {
 	for _, a := range m.attempts {
 		if a.state == attemptRecorded && (!a.job.Gang || a.job.gang == gangStarting) {
--- a/controller/work.go
+++ b/controller/work.go
@@ -434,6 +434,7 @@
 		m.dirty = m.changed()
 		if claim {
 			o.answerHeld(m)
+			o.inspect(m)
 		}
 	})
 }
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -265,6 +265,10 @@
 			w.after(micros.Second, func() { w.execute(n, c, answer) })
 			return
 		}
+		if c.Target == "/inspect" {
+			answer(standin.Reply{Status: 200, Body: wire.Encode(k.Report())})
+			return
+		}
 		answer(k.Orders(w.now, c.Body))
 	}
 }
