--- a/controller/job.go
+++ b/controller/job.go
@@ -66,8 +66,7 @@
 func newJob(j *sched.Job, version uint64, accepted micros.Micros) *job {
 	return &job{
 		Job: j, version: version, accepted: accepted,
-		tasks: make([]taskState, j.Tasks), pending: j.Tasks,
-		done:     make(bitmap, (j.Tasks+7)/8),
+		pending:  j.Tasks,
 		dirty:    map[int]bool{},
 		chunks:   map[int]uint64{},
 		attempts: map[int]*attempt{},
@@ -75,7 +74,24 @@
 	}
 }
 
+// task returns a task's state.
+func (j *job) task(i int) taskState {
+	if j.tasks == nil {
+		return taskPending
+	}
+	return j.tasks[i]
+}
+
+// unfold makes room for the states of single tasks, which a job that only waits does
+// without: a queue of large jobs must fit into little memory.
+func (j *job) unfold() {
+	if j.tasks == nil {
+		j.tasks, j.done = make([]taskState, j.Tasks), make(bitmap, (j.Tasks+7)/8)
+	}
+}
+
 func (j *job) setTask(i int, s taskState) {
+	j.unfold()
 	was := j.tasks[i]
 	if was == s || was == taskDone {
 		return // done is final
@@ -195,7 +211,7 @@
 	}
 	if j.attempts[a.index] == a {
 		delete(j.attempts, a.index)
-		if a.index < len(j.tasks) {
+		if a.index < j.Tasks {
 			j.setTask(a.index, taskPending)
 		}
 	}
@@ -218,7 +234,7 @@
 		t.used = t.used.Add(j.Need)
 	}
 	j.attempts[index] = a
-	if index < len(j.tasks) {
+	if index < j.Tasks {
 		j.setTask(index, taskPlaced)
 	}
 	return a
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -340,6 +340,7 @@
 			continue
 		}
 		var rec doneRecord
+		j.unfold()
 		if wire.Decode(e.Value, &rec) != nil || j.done.load(chunk, rec.Bits) != nil {
 			o.c.log.Error("record cannot be read", "key", e.Key)
 			continue
@@ -417,7 +418,7 @@
 			j, list := o.jobs[id], rec.Tasks[id]
 			for i := 0; i+1 < len(list); i += 2 {
 				index := int(list[i])
-				if index >= j.Tasks || j.tasks[index] == taskDone && j.state != jobEnded || j.attempts[index] != nil {
+				if index >= j.Tasks || j.task(index) == taskDone && j.state != jobEnded || j.attempts[index] != nil {
 					continue // completed: the record was not written since
 				}
 				a := o.attach(j, index, list[i+1], m, attemptOrdered)
--- a/controller/work.go
+++ b/controller/work.go
@@ -154,7 +154,7 @@
 	for _, as := range got {
 		m := o.machines[as.Machine.Name]
 		for n := 0; n < as.Count; n++ {
-			for j.tasks[next] != taskPending {
+			for j.task(next) != taskPending {
 				next++
 			}
 			o.attach(j, next, number, m, attemptProposed)
