A node starts with its whole burst; arrays ask for idle machines of other shares

The loopback test was answered 503 now and then: the limits' buckets started empty, so a node that had just started refused its first reads, and took longer to join.

--- a/controller/budget.go
+++ b/controller/budget.go
@@ -31,20 +31,30 @@
 }
 
 func (b *budget) init(cfg *config.Settings) {
-	b.requests = rate.NewLimiter(rate.Limit(cfg.StateRPS), 1)
-	b.writes = rate.NewLimiter(rate.Limit(cfg.WriteRPS), 1)
+	// A node starts with its whole burst: it must read the records at once.
+	requests, writes := shares(cfg, false, 1)
+	b.requests = rate.NewLimiter(rate.Limit(requests), burst(requests))
+	b.writes = rate.NewLimiter(rate.Limit(writes), burst(writes))
 }
 
-// setRole parts the limits anew when this node starts or stops owning teams.
-func (b *budget) setRole(cfg *config.Settings, owns bool, owners int, now micros.Micros) {
+// shares tells this node's part of the limits for requests and writes.
+func shares(cfg *config.Settings, owns bool, owners int) (requests, writes float64) {
 	n := float64(len(cfg.Siblings) + 1)
-	requests, writes := cfg.StateRPS/n, cfg.WriteRPS*userWrites/n
+	requests, writes = cfg.StateRPS/n, cfg.WriteRPS*userWrites/n
 	if owns {
 		writes += cfg.WriteRPS * (1 - userWrites) / float64(owners)
 	}
+	return requests, writes
+}
+
+func burst(limit float64) int { return max(1, int(limit)) }
+
+// setRole parts the limits anew when this node starts or stops owning teams.
+func (b *budget) setRole(cfg *config.Settings, owns bool, owners int, now micros.Micros) {
+	requests, writes := shares(cfg, owns, owners)
 	set := func(l *rate.Limiter, v float64) {
 		l.SetLimitAt(now.Time(), rate.Limit(v))
-		l.SetBurstAt(now.Time(), max(1, int(v)))
+		l.SetBurstAt(now.Time(), burst(v))
 	}
 	set(b.requests, requests)
 	set(b.writes, writes)
--- a/controller/core.go
+++ b/controller/core.go
@@ -57,7 +57,6 @@
 		c.peers[s.Node] = &sibling{Sibling: s}
 	}
 	c.budget.init(cfg)
-	c.budget.setRole(cfg, false, 1, now)
 	c.cluster.members, c.cluster.teams = map[string]member{}, map[string]teamView{}
 	c.route.lastOK = now
 	c.users.init()
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -17,6 +17,9 @@
 // wantEvery is the least time between two requests of an owner for machines.
 const wantEvery = 2 * micros.Second
 
+// arrayWantEvery is the same for arrays, which need machines less urgently than gangs.
+const arrayWantEvery = 8 * micros.Second
+
 // want asks the leader for machines.
 func (o *owner) want(j *sched.Job, tasks int, reclaim bool) {
 	if o.c.owners() < 2 || o.c.now < o.wantAt {
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -46,6 +46,7 @@
 
 	lastHeard    micros.Micros
 	wantAt       micros.Micros // machines may be asked for again
+	arrayWantAt  micros.Micros // and for arrays
 	wantSchedule bool
 	wantRelease  bool
 	flushing     bool
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -334,8 +334,9 @@
 		}
 		best := o.cheapest(g.first)
 		if best == nil {
-			// Nothing to rent: a share without machines gets what others have idle.
-			if g.capacity == 0 {
+			// Nothing to rent: what other shares have idle may serve.
+			if o.c.now >= o.arrayWantAt {
+				o.arrayWantAt = o.c.now + arrayWantEvery
 				o.want(g.first.Job, int(short/max(g.first.Need.CPUs(), 0.01))+1, false)
 			}
 			continue
