--- /dev/null
+++ b/controller/blocks.go
@@ -0,0 +1,609 @@
+package controller
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// This file keeps the machines' entries. One write holds the entries of a whole block,
+// so that a commit carries the starts and ends on hundreds of machines.
+
+// Bounds of a block. Its size is bounded by the settings; these keep it below.
+const (
+	blockMost    = 32 // machines
+	entryBytes   = 64 // of a machine without tasks, at most, as a rule
+	taskBytes    = 10 // of a task in an entry
+	blockSpare   = 0.7
+	adoptedBlock = "x-" // prefix of the block of a machine that nobody expected
+)
+
+// block is a record of machines at their owner.
+type block struct {
+	name     string
+	version  uint64
+	machines []*machine
+	dirty    bool
+	writing  bool
+}
+
+// blockFor finds the block that a new machine's entry goes to.
+func (o *owner) blockFor() *block {
+	for _, b := range o.blocks {
+		if len(b.machines) < o.blockRoom() && !strings.HasPrefix(b.name, adoptedBlock) {
+			return b
+		}
+	}
+	return o.newBlock(numberName(o.nextNumber()))
+}
+
+// blockRoom is how many machines share a block: as many as fit, each with a good number
+// of tasks.
+func (o *owner) blockRoom() int {
+	const tasks = 20
+	return min(max(1, int(float64(o.c.cfg.ValueBytes)*blockSpare)/(entryBytes+tasks*taskBytes)), blockMost)
+}
+
+// slotsOf is how many more tasks a machine's entry can hold: its part of the block, or
+// more while the block has room.
+func (o *owner) slotsOf(m *machine) int {
+	left := float64(o.c.cfg.ValueBytes) * blockSpare
+	for _, n := range m.block.machines {
+		left -= float64(entryBytes + taskBytes*len(n.attempts))
+	}
+	return min(int(left)/taskBytes/min(3, len(m.block.machines)), recordSlots-len(m.attempts))
+}
+
+func (o *owner) newBlock(name string) *block {
+	b := &block{name: name}
+	i, _ := slices.BinarySearchFunc(o.blocks, name, func(b *block, n string) int { return cmp.Compare(b.name, n) })
+	o.blocks = slices.Insert(o.blocks, i, b)
+	return b
+}
+
+func (b *block) add(m *machine) {
+	m.block = b
+	b.machines = append(b.machines, m)
+}
+
+// touch notes that a machine's entry must be written.
+func (o *owner) touch(m *machine) {
+	m.dirty = true
+	m.block.dirty = true
+}
+
+// urgency orders blocks that must be written: claims, then what starts tasks, then what
+// frees them.
+func (b *block) urgency() int {
+	n := 0
+	for _, m := range b.machines {
+		switch {
+		case m.token == 0 && !m.verifying:
+			n += 1000
+		case m.fence == fenceWanted:
+			n += 100
+		case m.state == machineCondemned || m.state == machineDeleted:
+			n += 20
+		}
+		if !m.dirty {
+			continue
+		}
+		for _, a := range m.attempts {
+			switch a.state {
+			case attemptProposed, attemptLeaving:
+				n += 2
+			case attemptFinished:
+			}
+		}
+	}
+	return n + 1
+}
+
+// flushBlocks writes blocks, the most urgent first; claims tells whether only those with
+// machines that must be claimed.
+func (o *owner) flushBlocks(t *txn, room func() int, claims bool) {
+	type entry struct {
+		b *block
+		n int
+	}
+	var due []entry
+	for _, b := range o.blocks {
+		if b.dirty && !b.writing {
+			if n := b.urgency(); n >= 1000 || !claims {
+				due = append(due, entry{b, n})
+			}
+		}
+	}
+	slices.SortStableFunc(due, func(x, y entry) int { return cmp.Compare(y.n, x.n) })
+	for _, e := range due {
+		if room() < 1 {
+			return
+		}
+		o.writeBlock(t, e.b, room())
+	}
+}
+
+// blockChange is what one write of a block means for its machines.
+type blockChange struct {
+	claimed, condemned, gone, left []*machine
+	leaving, proposed              []*attempt
+}
+
+// writeBlock adds a block's record to a commit. A block that does not fit any more waits
+// for the next one.
+func (o *owner) writeBlock(t *txn, b *block, room int) {
+	var ch blockChange
+	var moves []*machine
+	guards := map[string]uint64{prefixMachine + b.name: b.version}
+	d := &blockData{Since: int64(o.c.day), Base: ^uint64(0)}
+	kinds, jobs := map[offer]int{}, map[string]int{}
+	kept := b.machines[:0:0]
+	for _, m := range b.machines {
+		for _, a := range m.attempts {
+			d.Base = min(d.Base, a.number)
+		}
+		d.Since = min(d.Since, int64(m.rented))
+	}
+	for _, m := range b.machines {
+		if m.state == machineDeleted {
+			ch.gone = append(ch.gone, m)
+			continue
+		}
+		if m.state == machineMoving && len(m.attempts) == 0 && len(moves) < room-1 && o.canMove(m) {
+			moves = append(moves, m)
+			continue
+		}
+		kept = append(kept, m)
+		of := offer{m.kind, m.zone, m.spot}
+		k, ok := kinds[of]
+		if !ok {
+			k = len(d.Kinds)
+			kinds[of] = k
+			d.Kinds = append(d.Kinds, blockKind{Type: m.kind, Zone: m.zone, Spot: m.spot})
+		}
+		e := blockMachine{
+			Name: m.name, Token: m.token, Endpoint: m.endpoint, Kind: k, Rented: int64(m.rented) - d.Since,
+			Condemned: m.state == machineCondemned || m.state == machineReleasing,
+		}
+		if m.token == 0 || m.fence == fenceWanted {
+			e.Token = 0
+			ch.claimed = append(ch.claimed, m)
+			if m.token == 0 {
+				o.guardFirst(m, guards)
+			}
+		}
+		if m.state == machineCondemned {
+			ch.condemned = append(ch.condemned, m)
+		}
+		var tasks []blockTask
+		for _, a := range m.sorted() {
+			switch a.state {
+			case attemptLeaving:
+				ch.leaving = append(ch.leaving, a)
+				continue
+			case attemptProposed:
+				ch.proposed = append(ch.proposed, a)
+				guards[activeKey(a.job.ID)] = a.job.version
+				guards[teamKey(a.job.Team)] = o.teams[a.job.Team].view.version
+			}
+			n, ok := jobs[a.job.ID]
+			if !ok {
+				n = len(d.Jobs)
+				jobs[a.job.ID] = n
+				j := a.job
+				d.Jobs = append(d.Jobs, blockJob{ID: j.ID, Team: j.Team, Tasks: j.Tasks, CPU: j.Need.CPU, GPU: j.Need.GPU, Mem: j.Need.Mem})
+			}
+			tasks = append(tasks, blockTask{n, a.index, a.number})
+		}
+		d.pack(&e, tasks)
+		d.Machines = append(d.Machines, e)
+	}
+	rec := d.record(o.c.ownID())
+	if rec.size() > o.c.cfg.ValueBytes && len(ch.proposed) > 0 {
+		// The bounds above did not hold: what is proposed is given up.
+		o.c.log.Warn("block too large", "block", b.name, "bytes", rec.size(), "machines", len(kept))
+		for _, a := range ch.proposed {
+			if a.job.Gang {
+				o.stopJob(a.job, 0, "no room in the record")
+			} else {
+				o.stop(a, 0, "no room in the record")
+			}
+		}
+		return
+	}
+	if !t.takes(guards, rec.size(), o.c.cfg.TxnOps) {
+		return
+	}
+	maps.Copy(t.guards, guards)
+	b.writing, b.dirty = true, false
+	key := prefixMachine + b.name
+	if len(kept) == 0 {
+		t.writes = append(t.writes, state.Write{Delete: key})
+	} else {
+		t.write(key, rec, rec.size())
+	}
+	for _, m := range kept {
+		m.dirty = false
+	}
+	for _, m := range moves {
+		o.writeMove(t, m)
+	}
+	ch.left = moves
+	t.results = append(t.results, func(ok bool, rev uint64) {
+		b.writing = false
+		if !ok {
+			b.dirty = true
+			for _, m := range b.machines {
+				m.dirty = true
+			}
+			return
+		}
+		b.version = rev
+		o.blockWritten(b, ch, rev)
+	})
+}
+
+// guardFirst adds the guards of a machine's first claim: all teams of this owner, so
+// that it owns them still, and, where others own too, that nobody adopted the machine.
+func (o *owner) guardFirst(m *machine, guards map[string]uint64) {
+	for _, t := range o.teams {
+		guards[teamKey(t.Name)] = t.view.version
+	}
+	if key := prefixMachine + adoptedBlock + m.name; !o.sole() && prefixMachine+m.block.name != key && m.block.version == 0 {
+		guards[key] = 0
+	}
+}
+
+// sole tells that this node owns all teams: then no other owner's record can come up.
+func (o *owner) sole() bool { return len(o.teams) == len(o.c.cfg.Teams) }
+
+func (o *owner) blockWritten(b *block, ch blockChange, rev uint64) {
+	for _, m := range ch.condemned {
+		if m.state == machineCondemned {
+			o.setMachine(m, machineReleasing, "recorded")
+		}
+	}
+	for _, m := range ch.claimed {
+		if strings.HasPrefix(b.name, adoptedBlock) && m.token == 0 && !o.sole() {
+			o.verify(m, rev)
+			continue
+		}
+		o.claimed(m, rev)
+	}
+	for _, a := range ch.leaving {
+		o.setAttempt(a, attemptClosed)
+	}
+	for _, a := range ch.proposed {
+		o.recorded(a)
+	}
+	for _, m := range ch.gone {
+		o.forget(m)
+	}
+	for _, m := range ch.left {
+		o.moved(m)
+	}
+	// Dirty again only if something changed while the commit was under way.
+	for _, m := range b.machines {
+		if m.dirty = m.dirty || m.changed(); m.dirty {
+			b.dirty = true
+		}
+	}
+	o.dropEmpty(b)
+}
+
+func (o *owner) dropEmpty(b *block) {
+	if len(b.machines) == 0 && !b.writing && !b.dirty {
+		o.blocks = slices.DeleteFunc(o.blocks, func(x *block) bool { return x == b })
+	}
+}
+
+// claimed takes the revision of a commit as a machine's token.
+func (o *owner) claimed(m *machine, rev uint64) {
+	m.token, m.synced = rev, false
+	if m.fence == fenceWanted {
+		o.setFence(m, fenceRaised)
+	}
+	o.answerHeld(m)
+}
+
+// verify looks whether another owner had recorded an adopted machine before this one did.
+// Later records of others fail, since they are guarded on the one just written.
+func (o *owner) verify(m *machine, rev uint64) {
+	m.verifying = true
+	o.c.listAll(prefixMachine, func(ok bool, entries []state.Entry, _ uint64) {
+		if o.over() || o.machines[m.name] != m {
+			return
+		}
+		m.verifying = false
+		if !ok {
+			o.touch(m)
+			return
+		}
+		for _, e := range entries {
+			var rec blockRecord
+			if e.Key == prefixMachine+m.block.name || wire.Decode(e.Value, &rec) != nil {
+				continue
+			}
+			d, err := rec.data()
+			if err != nil {
+				continue
+			}
+			if slices.ContainsFunc(d.Machines, func(x blockMachine) bool { return x.Name == m.name }) {
+				o.garbage = append(o.garbage, prefixMachine+m.block.name)
+				o.notOurs(m, strings.TrimPrefix(e.Key, prefixMachine))
+				return
+			}
+		}
+		o.claimed(m, rev)
+	})
+}
+
+// changed tells whether a machine's entry must be written.
+func (m *machine) changed() bool {
+	for _, a := range m.attempts {
+		if a.state == attemptProposed || a.state == attemptLeaving {
+			return true
+		}
+	}
+	return m.token == 0 && !m.verifying || m.fence == fenceWanted || m.state == machineMoving && len(m.attempts) == 0 ||
+		m.state == machineCondemned || m.state == machineDeleted
+}
+
+// buildMachines rebuilds machines and attempts from the blocks.
+func (o *owner) buildMachines(entries []state.Entry) {
+	for _, e := range entries {
+		var rec blockRecord
+		err := wire.Decode(e.Value, &rec)
+		if err == nil && !o.mine(rec.Owner) {
+			continue
+		}
+		var d *blockData
+		if err == nil {
+			d, err = rec.data()
+		}
+		if err != nil {
+			o.c.log.Error("record cannot be read", "key", e.Key, "error", err)
+			continue
+		}
+		b := o.newBlock(strings.TrimPrefix(e.Key, prefixMachine))
+		b.version = e.Version
+		for i := range d.Machines {
+			o.buildMachine(b, d, &d.Machines[i])
+		}
+		b.dirty = true
+	}
+	for _, id := range sortedKeys(o.jobs) {
+		j := o.jobs[id]
+		if j.state == jobEnded && len(j.attempts) == 0 {
+			delete(o.jobs, id)
+		}
+		if j.state == jobActive && j.Gang && len(j.attempts) > 0 && len(j.attempts)+j.doneN < j.Tasks {
+			o.stopJob(j, 0, "gang was not recorded whole")
+		}
+	}
+}
+
+func (o *owner) buildMachine(b *block, d *blockData, e *blockMachine) {
+	k := d.Kinds[e.Kind]
+	m := o.machines[e.Name]
+	if m == nil {
+		m = o.newMachineIn(b, e.Name, k.Type, k.Zone, k.Spot, e.Endpoint)
+		m.rented = micros.Micros(e.Rented + d.Since)
+	}
+	if e.Condemned {
+		o.setMachine(m, machineReleasing, "condemned by an earlier owner")
+	}
+	tasks, err := d.unpack(e)
+	if err != nil {
+		o.c.log.Error("record cannot be read", "machine", e.Name, "error", err)
+	}
+	for _, t := range tasks {
+		spec := d.Jobs[t.job]
+		j := o.jobs[spec.ID]
+		if j == nil {
+			j = newJob(&sched.Job{
+				ID: spec.ID, Team: spec.Team, Tasks: spec.Tasks,
+				Need: sched.Resources{CPU: spec.CPU, GPU: spec.GPU, Mem: spec.Mem},
+			}, 0, 0)
+			o.setJob(j, jobEnded)
+			o.jobs[j.ID] = j
+		}
+		if t.index >= j.Tasks || j.task(t.index) == taskDone && j.state != jobEnded || j.attempts[t.index] != nil {
+			continue // completed: the record was not written since
+		}
+		a := o.attach(j, t.index, t.number, m, attemptOrdered)
+		if j.Gang {
+			o.setGang(j, gangStarting)
+		}
+		if j.state == jobEnded {
+			o.stop(a, 0, "job is over")
+		}
+	}
+}
+
+// shard is a record of completed tasks at their owner. It holds chunks of several jobs.
+type shard struct {
+	team    string
+	name    string
+	version uint64
+	chunks  map[chunkKey]*job
+	bytes   int
+	dirty   bool
+	writing bool
+}
+
+type chunkKey struct {
+	job   string
+	chunk int
+}
+
+func (k chunkKey) name() string { return numbered(k.job, k.chunk) }
+
+func (s *shard) key() string { return shardKey(s.team, s.name) }
+
+// chunkBytes bounds what a chunk takes in its shard.
+func (j *job) chunkBytes(chunk int) int {
+	tasks := min(chunkTasks, j.Tasks-chunk*chunkTasks)
+	return (tasks+7)/8*4/3 + len(j.ID) + 24
+}
+
+// shardFor finds the shard of a chunk, or chooses one.
+func (o *owner) shardFor(j *job, chunk int) *shard {
+	if s := j.shards[chunk]; s != nil {
+		return s
+	}
+	for _, s := range o.shards {
+		if s.team == j.Team && s.bytes+j.chunkBytes(chunk) <= o.c.cfg.ValueBytes-128 {
+			o.keep(s, j, chunk)
+			return s
+		}
+	}
+	s := &shard{team: j.Team, name: numberName(o.nextNumber()), chunks: map[chunkKey]*job{}}
+	o.shards = append(o.shards, s)
+	o.keep(s, j, chunk)
+	return s
+}
+
+func (o *owner) keep(s *shard, j *job, chunk int) {
+	s.chunks[chunkKey{j.ID, chunk}] = j
+	s.bytes += j.chunkBytes(chunk)
+	j.shards[chunk] = s
+}
+
+// dropChunks takes a job that is over out of its shards. Their records are corrected
+// when they are written next.
+func (o *owner) dropChunks(j *job) {
+	for chunk, s := range j.shards {
+		delete(s.chunks, chunkKey{j.ID, chunk})
+		s.bytes -= j.chunkBytes(chunk)
+	}
+	clear(j.shards)
+}
+
+// flushShards records completions of jobs that go on.
+func (o *owner) flushShards(t *txn, room func() int) {
+	for _, s := range o.shards {
+		if !s.dirty || s.writing {
+			continue
+		}
+		if room() < 1 {
+			return
+		}
+		o.writeShard(t, s)
+	}
+}
+
+func (o *owner) writeShard(t *txn, s *shard) {
+	guards := map[string]uint64{s.key(): s.version}
+	rec := doneRecord{Chunks: map[string]string{}}
+	for k, j := range s.chunks {
+		rec.Chunks[k.name()] = j.done.chunk(k.chunk)
+	}
+	if !t.takes(guards, s.bytes+64, o.c.cfg.TxnOps) {
+		return
+	}
+	maps.Copy(t.guards, guards)
+	t.write(s.key(), rec, s.bytes+64)
+	s.dirty, s.writing = false, true
+	var finished []*attempt
+	for _, k := range slices.SortedFunc(maps.Keys(s.chunks), compareChunks) {
+		finished = append(finished, s.chunks[k].finished[k.chunk]...)
+		delete(s.chunks[k].finished, k.chunk)
+	}
+	t.results = append(t.results, func(ok bool, rev uint64) {
+		s.writing = false
+		if !ok {
+			s.dirty = true
+			for _, a := range finished {
+				a.job.noteFinished(a)
+			}
+			return
+		}
+		s.version = rev
+		for _, a := range finished {
+			o.finishedRecorded(a)
+		}
+	})
+}
+
+func compareChunks(a, b chunkKey) int {
+	return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.chunk, b.chunk))
+}
+
+// noteFinished remembers that an attempt's completion must be recorded.
+func (j *job) noteFinished(a *attempt) {
+	chunk := a.index / chunkTasks
+	j.finished[chunk] = append(j.finished[chunk], a)
+}
+
+// dropShards gives up records of completions that hold nothing any more. Their keys are
+// never used again, so they can be deleted at leisure.
+func (o *owner) dropShards() {
+	o.shards = slices.DeleteFunc(o.shards, func(s *shard) bool {
+		if len(s.chunks) > 0 || s.writing || s.version == 0 {
+			return false
+		}
+		o.garbage = append(o.garbage, s.key())
+		return true
+	})
+}
+
+// loadDone takes the completed tasks from a shard's record.
+func (o *owner) loadDone(entries []state.Entry) {
+	for _, e := range entries {
+		team, name, ok := o.splitShardKey(e.Key)
+		if !ok {
+			if o.sole() {
+				o.garbage = append(o.garbage, e.Key)
+			}
+			continue
+		}
+		var rec doneRecord
+		if wire.Decode(e.Value, &rec) != nil {
+			o.c.log.Error("record cannot be read", "key", e.Key)
+			continue
+		}
+		s := &shard{team: team, name: name, version: e.Version, chunks: map[chunkKey]*job{}}
+		o.shards = append(o.shards, s)
+		for _, name := range sortedKeys(rec.Chunks) {
+			id, chunk, ok := splitNumbered(name)
+			j := o.jobs[id]
+			if !ok || j == nil || chunk*chunkTasks >= j.Tasks {
+				continue // over since
+			}
+			o.keep(s, j, chunk)
+			o.loadChunk(j, chunk, rec.Chunks[name])
+		}
+	}
+}
+
+func (o *owner) loadChunk(j *job, chunk int, bits string) {
+	j.unfold()
+	if err := j.done.load(chunk, bits); err != nil {
+		o.c.log.Error("record cannot be read", "job", j.ID, "chunk", chunk, "error", err)
+		return
+	}
+	for i := chunk * chunkTasks; i < min((chunk+1)*chunkTasks, j.Tasks); i++ {
+		if j.done.has(i) {
+			j.setTask(i, taskDone)
+		}
+	}
+	if j.doneN == j.Tasks {
+		o.setJob(j, jobFinishing)
+	}
+}
+
+func (o *owner) splitShardKey(key string) (team, name string, ok bool) {
+	for team := range o.teams {
+		if name, ok := strings.CutPrefix(key, shardKey(team, "")); ok {
+			return team, name, true
+		}
+	}
+	return "", "", false
+}
--- a/controller/core.go
+++ b/controller/core.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"log/slog"
 	"math/rand/v2"
 
@@ -14,11 +15,12 @@
 
 // Core is the state of a controller node.
 type Core struct {
-	cfg *config.Settings
-	log *slog.Logger
-	rng *rand.Rand
-	now micros.Micros // steady
-	day micros.Micros // time of day
+	cfg   *config.Settings
+	log   *slog.Logger
+	debug bool // the log takes details
+	rng   *rand.Rand
+	now   micros.Micros // steady
+	day   micros.Micros // time of day
 
 	out     []Effect
 	nextID  uint64
@@ -49,6 +51,7 @@
 		cfg: cfg, log: log, now: now, day: day,
 		rng:   rand.New(rand.NewPCG(seed, 0x7461_6d61)),
 		calls: map[uint64]func(CallDone){},
+		debug: log.Enabled(context.Background(), slog.LevelDebug),
 		peers: map[string]*sibling{},
 	}
 	c.cloudRate = rate.NewLimiter(rate.Limit(cfg.CloudRPS), max(1, int(cfg.CloudRPS)))
--- a/controller/hold.go
+++ b/controller/hold.go
@@ -106,7 +106,7 @@
 // not be counted as surplus once more.
 func (o *owner) teamUse(t *team) sched.TeamUse {
 	use := sched.TeamUse{Used: t.used, Guarantee: t.Guarantee}
-	for _, m := range o.machines {
+	for _, m := range o.list {
 		for _, a := range m.attempts {
 			if a.job.Team == t.Name && (a.state == attemptStopping || a.state == attemptLeaving || a.state == attemptFinished) {
 				use.Used = use.Used.Sub(a.job.Need)
@@ -155,7 +155,7 @@
 // in the order of the queue.
 func (o *owner) comesSoon(j *job) bool {
 	slots := 0
-	for _, m := range o.machines {
+	for _, m := range o.list {
 		if k := o.c.types.find(m.kind); m.state == machineBooting && k != nil && j.Allows(m.kind, m.zone, m.spot) {
 			if o.c.day-m.rented+soon > k.Boot {
 				slots += j.Need.Count(k.Size, j.Tasks)
--- a/controller/job.go
+++ b/controller/job.go
@@ -36,8 +36,10 @@
 	pending  int
 	done     bitmap
 	doneN    int
-	dirty    map[int]bool   // chunks with completions that are not recorded
-	chunks   map[int]uint64 // versions of the records of chunks
+	shards   map[int]*shard     // of its chunks
+	finished map[int][]*attempt // by chunk: completed, which is not recorded yet
+	proposed int                // attempts that are not recorded yet
+	runs     int                // tasks that run, for display
 	attempts map[int]*attempt
 
 	gang      gangState
@@ -67,8 +69,8 @@
 	return &job{
 		Job: j, version: version, accepted: accepted,
 		pending:  j.Tasks,
-		dirty:    map[int]bool{},
-		chunks:   map[int]uint64{},
+		shards:   map[int]*shard{},
+		finished: map[int][]*attempt{},
 		attempts: map[int]*attempt{},
 		failedOn: map[string]bool{},
 	}
@@ -106,7 +108,6 @@
 	if s == taskDone {
 		j.done.set(i)
 		j.doneN++
-		j.dirty[i/chunkTasks] = true
 	}
 }
 
@@ -126,17 +127,6 @@
 	}
 }
 
-// running counts the tasks that are on machines, for display.
-func (j *job) running() int {
-	n := 0
-	for _, a := range j.attempts {
-		if a.state == attemptLive && (a.phase == wire.PhaseRunning || a.phase == wire.PhaseSaving) {
-			n++
-		}
-	}
-	return n
-}
-
 // attemptState is the state machine of an attempt: one placement of one task.
 type attemptState int
 
@@ -168,6 +158,8 @@
 	since    micros.Micros // placed
 	running  micros.Micros // first seen running, 0 before
 	grace    micros.Micros // for stopping
+	counted  bool          // among its job's tasks that run
+	freed    bool          // takes nothing of its machine any more
 	why      string        // why it is stopped
 }
 
@@ -185,29 +177,79 @@
 	}
 	was := a.state
 	a.state = s
-	o.c.log.Debug("attempt", "task", taskName(a.job.ID, a.index), "try", a.number,
-		"machine", a.machine.name, "from", was.String(), "to", s.String(), "why", a.why)
+	if o.c.debug {
+		o.c.log.Debug("attempt", "task", numbered(a.job.ID, a.index), "try", a.number,
+			"machine", a.machine.name, "from", was.String(), "to", s.String(), "why", a.why)
+	}
+	if was == attemptProposed {
+		o.countProposed(a.job, -1)
+	}
+	a.count(s == attemptLive && a.counted)
 	switch s {
 	case attemptLeaving:
-		a.machine.dirty = true
+		o.free(a)
+		o.touch(a.machine)
 	case attemptFinished:
+		o.free(a)
 		a.job.setTask(a.index, taskDone)
+		if !a.job.Gang { // a gang is done as a whole, which its final record tells
+			a.job.noteFinished(a)
+			o.shardFor(a.job, a.index/chunkTasks).dirty = true
+		}
 	case attemptClosed:
+		o.free(a)
 		o.closed(a)
 	}
 }
 
+// count notes whether an attempt's task runs.
+func (a *attempt) count(runs bool) {
+	if a.counted == runs {
+		return
+	}
+	if a.counted = runs; runs {
+		a.job.runs++
+	} else {
+		a.job.runs--
+	}
+}
+
+func (o *owner) countProposed(j *job, by int) {
+	was := j.proposed > 0
+	j.proposed += by
+	o.proposed += by
+	if is := j.proposed > 0; is != was {
+		if is {
+			o.proposedJobs++
+		} else {
+			o.proposedJobs--
+		}
+	}
+}
+
+// free gives back what an attempt took of its machine and of its team's limit, once it
+// is certain that the task is not there. Its task waits until that is recorded.
+func (o *owner) free(a *attempt) {
+	if a.freed {
+		return
+	}
+	a.freed = true
+	a.machine.used = a.machine.used.Sub(a.job.Need)
+	if t := o.teams[a.job.Team]; t != nil {
+		t.used = t.used.Sub(a.job.Need)
+	}
+	o.wantSchedule = true
+}
+
 // closed frees what an attempt took. Its task may be placed again from now on.
 func (o *owner) closed(a *attempt) {
 	m, j := a.machine, a.job
 	delete(m.attempts, a.key())
-	m.used = m.used.Sub(j.Need)
 	if len(m.attempts) == 0 {
 		m.idleSince = o.c.now
-		m.dirty = m.dirty || m.state == machineMoving
-	}
-	if t := o.teams[j.Team]; t != nil {
-		t.used = t.used.Sub(j.Need)
+		if m.state == machineMoving {
+			o.touch(m)
+		}
 	}
 	if j.attempts[a.index] == a {
 		delete(j.attempts, a.index)
@@ -237,6 +279,9 @@
 	if index < j.Tasks {
 		j.setTask(index, taskPlaced)
 	}
+	if s == attemptProposed {
+		o.countProposed(j, 1)
+	}
 	return a
 }
 
@@ -246,7 +291,7 @@
 	case attemptProposed:
 		// Its commit may be under way; if so it is recorded first and leaves then.
 		a.why = why
-		if !a.machine.writing {
+		if !a.machine.block.writing {
 			o.setAttempt(a, attemptClosed)
 		} else {
 			o.setAttempt(a, attemptLeaving)
@@ -257,7 +302,7 @@
 	case attemptOrdered, attemptLive:
 		a.why, a.grace = why, grace
 		o.setAttempt(a, attemptStopping)
-		a.machine.wantPush = true
+		o.poke(a.machine)
 	case attemptStopping:
 		a.grace = min(a.grace, grace)
 	}
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -50,24 +50,27 @@
 	size     sched.Resources
 	state    machineState
 	fence    fenceState
-	version  uint64 // of its record
+	block    *block // holds its entry
 	token    uint64 // 0: not claimed yet
-	dirty    bool   // its record must be written
-	writing  bool   // its record is being written
-	rented   micros.Micros
-	heard    micros.Micros // last report, or when we began to wait for one
-	expected bool          // was another owner's: it is up, or boots since we do not know when
-	listed   bool
-	unlisted int // lists in a row without it
-	failed   bool
+	dirty    bool   // its entry must be written
+	// verifying: it was adopted, and may yet turn out to be another owner's.
+	verifying bool
+	rented    micros.Micros
+	heard     micros.Micros // last report, or when we began to wait for one
+	expected  bool          // was another owner's: it is up, or boots since we do not know when
+	listed    bool
+	unlisted  int // lists in a row without it
+	failed    bool
 
 	session, seq uint64
 	synced       bool // has seen our token
 	seen         []wire.TaskReport
 	notice       micros.Micros // when the cloud takes it, 0: not announced
 	sending      bool          // a direct command is under way
-	wantPush     bool
-	held         uint64 // report that waits for the claim
+	wantPush     bool          // commands wait for it
+	poked        bool          // and it is in the list of those to be looked at
+	inspected    bool          // was asked for its report after a takeover
+	held         uint64        // report that waits for the claim
 	heldReport   *wire.Report
 
 	attempts  map[taskKey]*attempt
@@ -109,7 +112,7 @@
 	case machineReleasing:
 		o.wantRelease = true
 	case machineMoving, machineCondemned, machineDeleted:
-		m.dirty = true
+		o.touch(m)
 	}
 }
 
@@ -121,7 +124,7 @@
 	o.c.log.Debug("fence", "machine", m.name, "from", m.fence.String(), "to", s.String())
 	m.fence = s
 	if s == fenceWanted {
-		m.dirty = true
+		o.touch(m)
 	}
 }
 
@@ -218,7 +221,7 @@
 	listed := make(map[taskKey]bool, len(rep.Tasks))
 	for i := range rep.Tasks {
 		t := &rep.Tasks[i]
-		id, index, ok := splitTaskName(t.Task)
+		id, index, ok := splitNumbered(t.Task)
 		if !ok {
 			continue
 		}
@@ -229,6 +232,9 @@
 		listed[a.key()] = true
 		o.sawTask(a, t)
 	}
+	if m.wantPush {
+		o.poke(m)
+	}
 	// Only a machine that has seen our token, and for which no command is open, can
 	// show that a task is not there and will not appear.
 	if !regular || !m.synced || m.fence != fenceNone || m.sending {
@@ -256,6 +262,7 @@
 	case t.Phase == wire.PhaseRunning && a.running == 0:
 		a.running = o.c.now
 	}
+	a.count(a.state == attemptLive && t.Phase == wire.PhaseRunning)
 }
 
 // missing handles an attempt that certainly is not on its machine.
@@ -416,7 +423,7 @@
 	present := make(map[taskKey]bool, len(m.seen))
 	settled := m.fence == fenceNone && !m.sending
 	for _, t := range m.seen {
-		id, index, ok := splitTaskName(t.Task)
+		id, index, ok := splitNumbered(t.Task)
 		key := taskKey{id, index}
 		present[key] = ok
 		a := m.attempts[key]
@@ -443,7 +450,7 @@
 		if a.state == attemptStopping && !a.seen {
 			// Ordered but not seen: the order to stop must reach it too.
 			grace := a.grace.Seconds()
-			out = append(out, wire.Command{Verb: wire.VerbStop, Task: taskName(a.job.ID, a.index), Attempt: a.number, GraceS: &grace})
+			out = append(out, wire.Command{Verb: wire.VerbStop, Task: numbered(a.job.ID, a.index), Attempt: a.number, GraceS: &grace})
 		}
 		if a.state != attemptRecorded || present[a.key()] || a.job.state != jobActive {
 			continue
@@ -453,11 +460,35 @@
 		}
 		a.startSeq = m.seq
 		o.setAttempt(a, attemptOrdered)
-		out = append(out, wire.Command{Verb: wire.VerbStart, Task: taskName(a.job.ID, a.index), Attempt: a.number})
+		out = append(out, wire.Command{Verb: wire.VerbStart, Task: numbered(a.job.ID, a.index), Attempt: a.number})
 	}
 	return out
 }
 
+// Pace at which machines that were taken over and stay silent are asked.
+const (
+	inspectAfter = 2 * micros.Second
+	inspectEach  = 4
+)
+
+// inspectSome asks a few machines that were taken over and have not reported. Most find
+// this node by themselves, and to ask all at once would starve their reports.
+func (o *owner) inspectSome() {
+	if o.c.now-o.since < inspectAfter {
+		return
+	}
+	n := 0
+	for _, m := range o.list {
+		if m.expected && m.session == 0 && !m.inspected && m.token != 0 && m.state < machineCondemned {
+			m.inspected = true
+			o.inspect(m)
+			if n++; n == inspectEach {
+				return
+			}
+		}
+	}
+}
+
 // inspect asks a machine that was taken over for its report, and then shows it our
 // token, so that commands need not wait until its worker has found this node.
 func (o *owner) inspect(m *machine) {
@@ -479,6 +510,28 @@
 
 const orderTimeout = 4 * micros.Second
 
+// poke has a machine looked at for commands that wait.
+func (o *owner) poke(m *machine) {
+	m.wantPush = true
+	if !m.poked {
+		m.poked = true
+		o.poked = append(o.poked, m)
+	}
+}
+
+// pushAll sends what waits to the machines that were poked. One that cannot be sent to
+// now is poked again when that changes.
+func (o *owner) pushAll() {
+	list := o.poked
+	o.poked = nil
+	for _, m := range list {
+		m.poked = false
+		if m.wantPush && o.machines[m.name] == m {
+			o.push(m)
+		}
+	}
+}
+
 // push sends commands directly, instead of waiting for the next report.
 func (o *owner) push(m *machine) {
 	if m.sending || !m.synced || m.fence != fenceNone || m.endpoint == "" ||
@@ -513,7 +566,9 @@
 				return
 			}
 			o.takeReport(m, rep, false)
-			m.wantPush = m.wantPush || hasPending(m)
+			if m.wantPush || hasPending(m) {
+				o.poke(m)
+			}
 		case e.Sent && len(cmds) > 0:
 			o.c.log.Info("command not answered", "machine", m.name)
 			o.setFence(m, fenceWanted)
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -111,8 +111,7 @@
 func (o *owner) give(w *peer.Want) {
 	j := wantedJob(w)
 	slots := 0
-	for _, name := range sortedKeys(o.machines) {
-		m := o.machines[name]
+	for _, m := range o.list {
 		if slots >= j.Tasks {
 			return
 		}
@@ -169,48 +168,59 @@
 	o.setMachine(m, machineMoving, "for "+to)
 }
 
-// writeMove gives an empty machine away.
+// canMove tells whether the new owner of a machine lives. If not, the machine stays.
+func (o *owner) canMove(m *machine) bool {
+	if o.c.lives(m.moveTo) {
+		return true
+	}
+	o.setMachine(m, machineUp, "its new owner is gone")
+	return false
+}
+
+// givenBlock names the block in which a machine is given away.
+func givenBlock(m *machine) string { return "g-" + m.name + "-" + numberName(m.token) }
+
+// writeMove gives an empty machine away, in a block of its own.
 func (o *owner) writeMove(t *txn, m *machine) {
 	node := nodeOf(m.moveTo)
-	if !o.c.lives(m.moveTo) {
-		m.writing, m.dirty = false, false
-		o.setMachine(m, machineUp, "its new owner is gone")
-		return
-	}
 	t.guards[memberKey(node)] = o.c.cluster.members[node].version
-	t.put(prefixMachine+m.name, machineRecord{
-		Owner: m.moveTo, Endpoint: m.endpoint, Type: m.kind, Zone: m.zone, Spot: m.spot, Rented: int64(m.rented),
-	})
-	t.results = append(t.results, func(ok bool, _ uint64) {
-		m.writing = false
-		if !ok {
-			m.dirty = true
-			return
-		}
-		o.foreign[m.name] = o.c.now + foreignLife
-		o.forget(m)
-		if s := o.c.peers[node]; s != nil {
-			o.c.send(s, &peer.Message{Body: &peer.Message_Given{Given: &peer.Given{Machine: m.name}}})
-		}
-	})
+	d := &blockData{
+		Kinds:    []blockKind{{Type: m.kind, Zone: m.zone, Spot: m.spot}},
+		Machines: []blockMachine{{Name: m.name, Endpoint: m.endpoint, Rented: int64(m.rented)}},
+	}
+	t.put(prefixMachine+givenBlock(m), d.record(m.moveTo))
+}
+
+// moved drops a machine that was given away.
+func (o *owner) moved(m *machine) {
+	o.foreign[m.name] = o.c.now + foreignLife
+	o.forget(m)
+	if s := o.c.peers[nodeOf(m.moveTo)]; s != nil {
+		o.c.send(s, &peer.Message{Body: &peer.Message_Given{Given: &peer.Given{Block: givenBlock(m)}}})
+	}
 }
 
 // takeGiven takes a machine whose record names this node as its owner.
 func (o *owner) takeGiven(name string) {
-	if o.state != ownerActive || o.machines[name] != nil {
+	if o.state != ownerActive {
 		return
 	}
 	o.c.get(forOwnership, prefixMachine+name, func(out outcome, e state.Entry) {
-		var rec machineRecord
-		if o.over() || out != outOK || wire.Decode(e.Value, &rec) != nil ||
-			rec.Owner != o.c.ownID() || rec.Token != 0 || o.machines[name] != nil {
+		var rec blockRecord
+		if o.over() || out != outOK || wire.Decode(e.Value, &rec) != nil || rec.Owner != o.c.ownID() {
+			return
+		}
+		d, err := rec.data()
+		if err != nil || len(d.Machines) != 1 || d.Machines[0].Token != 0 || o.machines[d.Machines[0].Name] != nil {
 			return
 		}
-		delete(o.foreign, name)
-		m := o.newMachine(name, rec.Type, rec.Zone, rec.Spot, rec.Endpoint)
-		m.version, m.token, m.dirty, m.expected = e.Version, e.Version, false, true
-		m.rented = micros.Micros(rec.Rented)
-		o.c.log.Info("machine received", "machine", name, "type", rec.Type, "zone", rec.Zone)
+		b := o.newBlock(name)
+		b.version = e.Version
+		o.buildMachine(b, d, &d.Machines[0])
+		m := b.machines[0]
+		delete(o.foreign, m.name)
+		m.token, m.dirty, m.expected, b.dirty = e.Version, false, true, false
+		o.c.log.Info("machine received", "machine", m.name, "type", m.kind, "zone", m.zone)
 	})
 }
 
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -33,6 +33,9 @@
 	busy      bool
 	teams     map[string]*team
 	machines  map[string]*machine
+	list      []*machine // the same in the order of their names
+	blocks    []*block
+	shards    []*shard
 	jobs      map[string]*job
 	queue     []*job // active jobs in the order in which they are placed
 	rentals   map[string]*rental
@@ -47,13 +50,18 @@
 	lastHeard    micros.Micros
 	wantAt       micros.Micros // machines may be asked for again
 	arrayWantAt  micros.Micros // and for arrays
+	poked        []*machine
+	proposed     int // attempts that are not recorded yet
+	proposedJobs int // jobs with such
+	nextPass     micros.Micros
+	nextInspect  micros.Micros
 	wantSchedule bool
 	wantRelease  bool
 	flushing     bool
 	flushAt      micros.Micros
 	nextScale    micros.Micros
 	nextShed     micros.Micros
-	list         cloudList
+	listing      cloudList
 	noCapacity   map[offer]micros.Micros
 	classes      map[string]*classNeed
 	releasing    bool
@@ -118,8 +126,8 @@
 
 // dropAll answers what waits, when this node stops owning.
 func (o *owner) dropAll() {
-	for _, name := range sortedKeys(o.machines) {
-		if m := o.machines[name]; m.held != 0 {
+	for _, m := range o.list {
+		if m.held != 0 {
 			o.c.refuse(m.held, 503, "ownership lost")
 			m.held = 0
 		}
@@ -154,11 +162,7 @@
 	case ownerActive:
 		o.schedule()
 		o.flush()
-		for _, name := range sortedKeys(o.machines) {
-			if m := o.machines[name]; m.wantPush {
-				o.push(m)
-			}
-		}
+		o.pushAll()
 		o.release()
 	}
 }
@@ -172,6 +176,7 @@
 		o.watchJobs(o.watchRev)
 	}
 	o.findSilent()
+	o.inspectSome()
 	o.tickHolds()
 	o.tickList()
 	o.tickScale()
@@ -216,7 +221,7 @@
 // mine tells whether what an owner had is this node's to take: its own, that of owners
 // whose heir it is, and what nobody else takes.
 func (o *owner) mine(id string) bool {
-	if id == o.c.ownID() {
+	if id == o.c.ownID() || o.sole() {
 		return true
 	}
 	for _, t := range o.teams {
@@ -243,6 +248,8 @@
 	fail := func() { o.busy, o.retryAt = false, c.now+loadRetry }
 	clear(o.jobs)
 	clear(o.machines)
+	o.list, o.blocks, o.shards, o.poked = nil, nil, nil, nil
+	o.proposed, o.proposedJobs = 0, 0
 	clear(o.rentals)
 	clear(o.holds)
 	for _, t := range o.teams {
@@ -263,19 +270,11 @@
 		}
 	}
 	var machines []state.Entry
-	final := func() {
-		o.loadMachines(machines, func(ok bool) {
-			if !ok {
-				fail()
-				return
-			}
-			o.busy = false
-			o.activate()
-		})
-	}
 	holds := step(prefixHold, func(entries []state.Entry, _ uint64) {
 		o.loadHolds(entries)
-		final()
+		o.buildMachines(machines)
+		o.busy = false
+		o.activate()
 	})
 	rentals := step(prefixRental, func(entries []state.Entry, _ uint64) {
 		o.loadRentals(entries)
@@ -330,121 +329,8 @@
 	return cmp.Or(-cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.accepted, b.accepted), cmp.Compare(a.ID, b.ID))
 }
 
-func (o *owner) loadDone(entries []state.Entry) {
-	for _, e := range entries {
-		id, chunk, ok := splitDoneKey(e.Key)
-		j := o.jobs[id]
-		if !ok || j == nil {
-			if len(o.teams) == len(o.c.cfg.Teams) { // no other owner's, then
-				o.garbage = append(o.garbage, e.Key)
-			}
-			continue
-		}
-		var rec doneRecord
-		j.unfold()
-		if wire.Decode(e.Value, &rec) != nil || j.done.load(chunk, rec.Bits) != nil {
-			o.c.log.Error("record cannot be read", "key", e.Key)
-			continue
-		}
-		j.chunks[chunk] = e.Version
-		for i := chunk * chunkTasks; i < min((chunk+1)*chunkTasks, j.Tasks); i++ {
-			if j.done.has(i) {
-				j.setTask(i, taskDone)
-			}
-		}
-		delete(j.dirty, chunk) // it is recorded, after all
-		if j.doneN == j.Tasks {
-			o.setJob(j, jobFinishing)
-		}
-	}
-}
-
-// loadMachines rebuilds machines and attempts. What tasks of jobs that are over take
-// is read from their final records.
-func (o *owner) loadMachines(entries []state.Entry, done func(ok bool)) {
-	missing := map[string]bool{}
-	for _, e := range entries {
-		var rec machineRecord
-		if wire.Decode(e.Value, &rec) != nil {
-			o.c.log.Error("record cannot be read", "key", e.Key)
-			continue
-		}
-		if !o.mine(rec.Owner) {
-			continue
-		}
-		for id := range rec.Tasks {
-			if o.jobs[id] == nil {
-				missing[id] = true
-			}
-		}
-	}
-	ids := sortedKeys(missing)
-	var next func(i int)
-	next = func(i int) {
-		if i == len(ids) {
-			o.buildMachines(entries)
-			done(true)
-			return
-		}
-		o.c.get(forOwnership, finalKey(ids[i]), func(out outcome, e state.Entry) {
-			if o.over() {
-				return
-			}
-			var rec finalRecord
-			if out != outOK || wire.Decode(e.Value, &rec) != nil {
-				done(false)
-				return
-			}
-			j := newJob(rec.job(ids[i]), 0, 0)
-			o.setJob(j, jobEnded)
-			o.jobs[j.ID] = j
-			next(i + 1)
-		})
-	}
-	next(0)
-}
-
-func (o *owner) buildMachines(entries []state.Entry) {
-	for _, e := range entries {
-		var rec machineRecord
-		if wire.Decode(e.Value, &rec) != nil || !o.mine(rec.Owner) {
-			continue
-		}
-		m := o.newMachine(strings.TrimPrefix(e.Key, prefixMachine), rec.Type, rec.Zone, rec.Spot, rec.Endpoint)
-		m.version, m.rented = e.Version, micros.Micros(rec.Rented)
-		if rec.Condemned {
-			o.setMachine(m, machineReleasing, "condemned by an earlier owner")
-		}
-		for _, id := range sortedKeys(rec.Tasks) {
-			j, list := o.jobs[id], rec.Tasks[id]
-			for i := 0; i+1 < len(list); i += 2 {
-				index := int(list[i])
-				if index >= j.Tasks || j.task(index) == taskDone && j.state != jobEnded || j.attempts[index] != nil {
-					continue // completed: the record was not written since
-				}
-				a := o.attach(j, index, list[i+1], m, attemptOrdered)
-				if j.Gang {
-					o.setGang(j, gangStarting)
-				}
-				if j.state == jobEnded {
-					o.stop(a, 0, "job is over")
-				}
-			}
-		}
-	}
-	for _, id := range sortedKeys(o.jobs) {
-		j := o.jobs[id]
-		if j.state == jobEnded && len(j.attempts) == 0 {
-			delete(o.jobs, id)
-		}
-		if j.state == jobActive && j.Gang && len(j.attempts) > 0 && len(j.attempts)+j.doneN < j.Tasks {
-			o.stopJob(j, 0, "gang was not recorded whole")
-		}
-	}
-}
-
 func (o *owner) activate() {
-	for _, m := range o.machines {
+	for _, m := range o.list {
 		m.heard, m.expected = o.c.now+o.c.cfg.Tuning.TakeoverGrace, true
 	}
 	o.since = o.c.now
@@ -501,9 +387,7 @@
 func (o *owner) endJob(j *job) {
 	o.setJob(j, jobEnded)
 	o.queue = slices.DeleteFunc(o.queue, func(q *job) bool { return q == j })
-	for _, chunk := range sortedKeys(j.chunks) {
-		o.garbage = append(o.garbage, doneKey(j.ID, chunk))
-	}
+	o.dropChunks(j)
 	if len(j.attempts) == 0 {
 		delete(o.jobs, j.ID)
 	}
@@ -521,22 +405,48 @@
 }
 
 func (o *owner) newMachine(name, kind, zone string, spot bool, endpoint string) *machine {
+	return o.newMachineIn(o.blockFor(), name, kind, zone, spot, endpoint)
+}
+
+func (o *owner) newMachineIn(b *block, name, kind, zone string, spot bool, endpoint string) *machine {
 	m := &machine{
 		name: name, kind: kind, zone: zone, spot: spot, endpoint: endpoint,
-		heard: o.c.now, idleSince: o.c.now, dirty: true,
+		heard: o.c.now, idleSince: o.c.now,
 		attempts: map[taskKey]*attempt{},
 	}
+	b.add(m)
+	o.touch(m)
 	if t := o.c.types.find(kind); t != nil {
 		m.size = t.Size
 	}
 	o.machines[name] = m
+	i, _ := slices.BinarySearchFunc(o.list, name, compareName)
+	o.list = slices.Insert(o.list, i, m)
 	return m
 }
 
+func compareName(m *machine, name string) int { return cmp.Compare(m.name, name) }
+
+// dropMachine takes a machine out of all that lists it.
+func (o *owner) dropMachine(m *machine) {
+	delete(o.machines, m.name)
+	if i, ok := slices.BinarySearchFunc(o.list, m.name, compareName); ok {
+		o.list = slices.Delete(o.list, i, i+1)
+	}
+	m.block.machines = slices.DeleteFunc(m.block.machines, func(x *machine) bool { return x == m })
+}
+
 // adopt takes a machine that nobody expected.
 func (o *owner) adopt(name, kind, zone string, spot bool, endpoint string) *machine {
 	o.c.log.Info("machine adopted", "machine", name, "type", kind, "zone", zone, "spot", spot)
-	m := o.newMachine(name, kind, zone, spot, endpoint)
+	b := (*block)(nil)
+	if o.sole() {
+		b = o.blockFor()
+	} else {
+		// Another owner may have it without our knowing: see verify.
+		b = o.newBlock(adoptedBlock + name)
+	}
+	m := o.newMachineIn(b, name, kind, zone, spot, endpoint)
 	m.rented = o.c.day
 	return m
 }
@@ -550,7 +460,7 @@
 			break
 		}
 		if len(j.attempts) > 0 || j.doneN > 0 {
-			list = append(list, &peer.JobCount{Id: j.ID, Done: uint32(j.doneN), Running: uint32(j.running())})
+			list = append(list, &peer.JobCount{Id: j.ID, Done: uint32(j.doneN), Running: uint32(j.runs)})
 		}
 	}
 	return list
@@ -558,7 +468,7 @@
 
 func (o *owner) countsOf(id string) (done, running int) {
 	if j := o.jobs[id]; j != nil {
-		return j.doneN, j.running()
+		return j.doneN, j.runs
 	}
 	return 0, 0
 }
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -133,7 +133,7 @@
 		c.answerPeer(r.ID, &peer.Message{})
 	case *peer.Message_Given:
 		if c.owner != nil {
-			c.owner.takeGiven(b.Given.Machine)
+			c.owner.takeGiven(b.Given.Block)
 		}
 		c.answerPeer(r.ID, &peer.Message{})
 	default:
--- a/controller/records.go
+++ b/controller/records.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"fmt"
 	"net/url"
+	"strconv"
 	"strings"
 
 	"tamarindlead/internal/wire"
@@ -17,10 +18,10 @@
 	prefixMember  = prefixCluster + "n/"
 	prefixTeam    = prefixCluster + "t/"
 	keyTypes      = "types"
-	prefixMachine = "m/"
+	prefixMachine = "m/" // blocks of machines
 	prefixActive  = "a/" // accepted jobs that are not over
 	prefixFinal   = "f/" // final states, kept forever
-	prefixDone    = "p/" // completed tasks of active jobs
+	prefixDone    = "p/" // shards of completed tasks of active jobs
 	prefixRental  = "r/"
 	prefixHold    = "h/"
 )
@@ -30,8 +31,10 @@
 func activeKey(id string) string   { return prefixActive + id }
 func finalKey(id string) string    { return prefixFinal + id }
 func holdKey(id string) string     { return prefixHold + id }
-func doneKey(id string, chunk int) string {
-	return fmt.Sprintf("%s%s/%03d", prefixDone, id, chunk)
+
+// shardKey names a record of completed tasks of a team's jobs.
+func shardKey(team, name string) string {
+	return prefixDone + url.PathEscape(team) + "/" + name
 }
 
 // memberRecord is attached to the node's lease. Its life tells lives of one node apart.
@@ -78,23 +81,115 @@
 	return &sched.Job{ID: id, Team: f.Team, Tasks: f.Tasks, Need: sched.Resources{CPU: f.CPU, GPU: f.GPU, Mem: f.Mem}}
 }
 
-// machineRecord is the one record of a machine. Token 0 means that the token is the
+// blockRecord holds some machines of one owner. Writes are scarce, so the entries of
+// several machines share a record; each has a token of its own, which only grows.
+type blockRecord struct {
+	Owner string `cbor:"o"`
+	Data  string `cbor:"d"` // blockData in CBOR and base64: values must be text
+}
+
+// blockData names each job and each kind of machine once.
+type blockData struct {
+	_        struct{} `cbor:",toarray"`
+	Base     uint64   // numbers of attempts count from here
+	Since    int64    // times of rental count from here
+	Kinds    []blockKind
+	Jobs     []blockJob
+	Machines []blockMachine
+}
+
+type blockKind struct {
+	_    struct{} `cbor:",toarray"`
+	Type string
+	Zone string
+	Spot bool
+}
+
+// blockJob tells what a task of the job takes, since tasks of a job that is over count
+// against its team until they are gone.
+type blockJob struct {
+	_             struct{} `cbor:",toarray"`
+	ID, Team      string
+	Tasks         int
+	CPU, GPU, Mem int64
+}
+
+// blockMachine is the one entry of a machine. Token 0 means that the token is the
 // record's own revision.
-type machineRecord struct {
-	Owner     string              `cbor:"o"`
-	Token     uint64              `cbor:"t"`
-	Endpoint  string              `cbor:"e"`
-	Type      string              `cbor:"b"`
-	Zone      string              `cbor:"h"`
-	Spot      bool                `cbor:"s"`
-	Rented    int64               `cbor:"a"`           // time of day, in microseconds
-	Condemned bool                `cbor:"x,omitempty"` // to be deleted
-	Tasks     map[string][]uint64 `cbor:"w"`           // job -> task, attempt, task, attempt, ...
-}
-
-// doneRecord holds the completed tasks of one chunk of a job.
+type blockMachine struct {
+	_         struct{} `cbor:",toarray"`
+	Name      string
+	Token     uint64
+	Endpoint  string
+	Kind      int
+	Rented    int64 // time of day, in microseconds
+	Condemned bool  // to be deleted
+	Tasks     []uint64
+}
+
+// blockTask is a task in a machine's entry: job, number of tasks, then a task and its
+// attempt for each.
+type blockTask struct {
+	job    int
+	index  int
+	number uint64
+}
+
+func (d *blockData) pack(m *blockMachine, tasks []blockTask) {
+	for i := 0; i < len(tasks); {
+		n := i
+		for n < len(tasks) && tasks[n].job == tasks[i].job {
+			n++
+		}
+		m.Tasks = append(m.Tasks, uint64(tasks[i].job), uint64(n-i))
+		for ; i < n; i++ {
+			m.Tasks = append(m.Tasks, uint64(tasks[i].index), tasks[i].number-d.Base)
+		}
+	}
+}
+
+func (d *blockData) unpack(m *blockMachine) ([]blockTask, error) {
+	var out []blockTask
+	for list := m.Tasks; len(list) > 0; {
+		if len(list) < 2 || list[0] >= uint64(len(d.Jobs)) || list[1] > uint64(len(list)-2)/2 {
+			return nil, fmt.Errorf("tasks of %s cannot be read", m.Name)
+		}
+		job, n := int(list[0]), int(list[1])
+		for i := range n {
+			out = append(out, blockTask{job, int(list[2+2*i]), list[3+2*i] + d.Base})
+		}
+		list = list[2+2*n:]
+	}
+	return out, nil
+}
+
+func (d *blockData) record(owner string) blockRecord {
+	return blockRecord{owner, base64.RawStdEncoding.EncodeToString(wire.Encode(d))}
+}
+
+func (r blockRecord) data() (*blockData, error) {
+	raw, err := base64.RawStdEncoding.DecodeString(r.Data)
+	if err != nil {
+		return nil, err
+	}
+	var d blockData
+	if err := wire.Decode(raw, &d); err != nil {
+		return nil, err
+	}
+	for _, m := range d.Machines {
+		if m.Kind < 0 || m.Kind >= len(d.Kinds) {
+			return nil, fmt.Errorf("kind of %s cannot be read", m.Name)
+		}
+	}
+	return &d, nil
+}
+
+// size is that of the value in the form in which the state service counts it.
+func (r blockRecord) size() int { return len(r.Owner) + len(r.Data) + 32 }
+
+// doneRecord holds the completed tasks of chunks of several jobs.
 type doneRecord struct {
-	Bits string `cbor:"d"`
+	Chunks map[string]string `cbor:"d"` // "job/chunk" -> bits
 }
 
 // rentalRecord names a rental before it is asked for.
@@ -111,8 +206,8 @@
 	Machines map[string]int `cbor:"m"`
 }
 
-// chunkTasks is how many tasks' completion one record holds: small enough to write
-// often, large enough that a job of 100,000 tasks needs few.
+// chunkTasks is how many tasks' completion one chunk holds: small enough to write
+// often, large enough that a job of 100,000 tasks needs few chunks.
 const chunkTasks = 4096
 
 // bitmap is a set of small numbers.
@@ -139,24 +234,18 @@
 	return nil
 }
 
-// splitDoneKey is the inverse of doneKey.
-func splitDoneKey(key string) (id string, chunk int, ok bool) {
-	id, text, found := strings.Cut(strings.TrimPrefix(key, prefixDone), "/")
+// splitNumbered is the inverse of numbered.
+func splitNumbered(name string) (id string, n int, ok bool) {
+	id, text, found := strings.Cut(name, "/")
 	if !found {
 		return "", 0, false
 	}
-	_, err := fmt.Sscanf(text, "%d", &chunk)
-	return id, chunk, err == nil && chunk >= 0
+	n, err := strconv.Atoi(text)
+	return id, n, err == nil && n >= 0
 }
 
-// taskName is a task's name on the wire.
-func taskName(job string, index int) string { return fmt.Sprintf("%s/%d", job, index) }
+// numbered names a numbered part of a job: a task, as on the wire, or a chunk.
+func numbered(job string, index int) string { return job + "/" + strconv.Itoa(index) }
 
-func splitTaskName(name string) (job string, index int, ok bool) {
-	job, text, found := strings.Cut(name, "/")
-	if !found {
-		return "", 0, false
-	}
-	n, err := fmt.Sscanf(text, "%d", &index)
-	return job, index, n == 1 && err == nil && index >= 0
-}
+// numberName writes a number that nextNumber gave out as part of a key.
+func numberName(n uint64) string { return strconv.FormatUint(n, 36) }
--- a/controller/rental.go
+++ b/controller/rental.go
@@ -198,8 +198,7 @@
 func (o *owner) findSilent() {
 	t := &o.c.cfg.Tuning
 	alone := o.c.now-max(o.lastHeard, o.since) > 2*o.c.cfg.ReportEvery
-	for _, name := range sortedKeys(o.machines) {
-		m := o.machines[name]
+	for _, m := range o.list {
 		silent := o.c.now - m.heard
 		switch m.state {
 		case machineBooting:
@@ -237,7 +236,7 @@
 }
 
 func (o *owner) tickList() {
-	l := &o.list
+	l := &o.listing
 	if l.asking || o.c.now < l.next || !o.c.cloudRate.AllowN(o.c.now.Time(), 1) {
 		return
 	}
@@ -250,7 +249,7 @@
 	if after != "" {
 		q.Set("after", after)
 	}
-	l := &o.list
+	l := &o.listing
 	o.c.cloud("GET", "/rentals?"+q.Encode(), nil, func(status int, body []byte) {
 		if o.over() {
 			return
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -122,7 +122,7 @@
 		}
 		// What is on dearer machines, less what is rented and empty already.
 		cpus := 0.0
-		for _, m := range o.machines {
+		for _, m := range o.list {
 			price := o.pricePerCPU(m.kind, m.spot)
 			switch {
 			case o.usable(j, m.kind, m.zone, m.spot) == 0:
@@ -166,9 +166,8 @@
 // ones that with the least work.
 func (o *owner) dearest(j *job) *machine {
 	var best *machine
-	for _, name := range sortedKeys(o.machines) {
-		m := o.machines[name]
-		if m.state != machineUp || m.spot || o.reserved(name) || o.avoids(j, m.kind) ||
+	for _, m := range o.list {
+		if m.state != machineUp || m.spot || o.reserved(m.name) || o.avoids(j, m.kind) ||
 			o.usable(j, m.kind, m.zone, m.spot) == 0 || o.c.day-m.rented < leastCharged-20*micros.Second {
 			continue
 		}
@@ -276,7 +275,7 @@
 		}
 	}
 	for _, g := range list {
-		for _, m := range o.machines {
+		for _, m := range o.list {
 			if m.state != machineBooting && m.state != machineUp || o.avoids(g.first, m.kind) {
 				continue
 			}
@@ -362,7 +361,7 @@
 			waiting += max(j.Need.CPUs(), 0.01) * float64(j.Tasks)
 		}
 	}
-	for _, m := range o.machines {
+	for _, m := range o.list {
 		usable := o.usable(g.first, m.kind, m.zone, m.spot)
 		if usable == 0 {
 			continue
@@ -454,7 +453,7 @@
 
 func (o *owner) inZone(zone string) int {
 	n := 0
-	for _, m := range o.machines {
+	for _, m := range o.list {
 		if m.zone == zone {
 			n++
 		}
@@ -464,9 +463,8 @@
 
 // returnIdle returns machines that have had nothing to do for a while.
 func (o *owner) returnIdle() {
-	for _, name := range sortedKeys(o.machines) {
-		m := o.machines[name]
-		if m.state != machineUp || len(m.attempts) > 0 || m.token == 0 || o.reserved(name) {
+	for _, m := range o.list {
+		if m.state != machineUp || len(m.attempts) > 0 || m.token == 0 || o.reserved(m.name) {
 			continue
 		}
 		idle := o.c.cfg.Tuning.IdleReturn
--- a/controller/work.go
+++ b/controller/work.go
@@ -15,22 +15,25 @@
 	flushGapShort = 300 * micros.Millisecond // while they are scarce: batches grow
 	flushRetry    = 150 * micros.Millisecond
 	jobsPerPass   = 200 // jobs looked at in one pass
-	recordSlots   = 128 // tasks in one machine's record, so that it fits a value
-	commitBytes   = 56 << 10
+	recordSlots   = 128 // tasks in one machine's entry, so that its block fits a value
+	commitBytes   = 60 << 10
+	guardBytes    = 64 // of a guard, at most, as a rule
+	passGap       = 100 * micros.Millisecond
+	mostProposed  = 1000 // attempts that wait for their record
 	foreignLife   = 10 * micros.Second
 )
 
 // schedule proposes places for waiting tasks. A proposal takes effect only when the
 // machine's record has been written with it.
 func (o *owner) schedule() {
-	if !o.wantSchedule || o.flushing || o.proposed() >= 2*o.c.cfg.TxnOps {
+	if !o.wantSchedule || o.flushing || o.c.now < o.nextPass || o.proposed >= mostProposed {
 		return
 	}
-	o.wantSchedule = false
+	o.wantSchedule, o.nextPass = false, o.c.now+passGap
 	view := o.view()
 	for i, j := range o.queue {
-		if i >= jobsPerPass {
-			break
+		if i >= jobsPerPass || o.proposedJobs >= 2*o.c.cfg.TxnOps {
+			break // the guards of a commit are bounded
 		}
 		if j.state != jobActive || j.pending == 0 || j.unsure || o.c.now < j.notUntil {
 			continue
@@ -61,29 +64,17 @@
 	}
 }
 
-// proposed counts machines whose records wait to be written.
-func (o *owner) proposed() int {
-	n := 0
-	for _, m := range o.machines {
-		if m.dirty {
-			n++
-		}
-	}
-	return n
-}
-
 // view is what placement may use now.
 func (o *owner) view() []*sched.Machine {
 	var view []*sched.Machine
-	for _, name := range sortedKeys(o.machines) {
-		m := o.machines[name]
+	for _, m := range o.list {
 		if m.state != machineUp || m.token == 0 || m.fence != fenceNone || o.c.now < m.pausedTo ||
 			o.c.now-m.heard > 2*o.c.cfg.ReportEvery {
 			continue
 		}
 		view = append(view, &sched.Machine{
 			Name: m.name, Type: m.kind, Zone: m.zone, Spot: m.spot,
-			Free: o.machineSize(m).Sub(m.used).Sub(o.held(m.name)), Slots: recordSlots - len(m.attempts),
+			Free: o.machineSize(m).Sub(m.used).Sub(o.held(m.name)), Slots: o.slotsOf(m),
 			Idle: len(m.attempts) == 0, Scarce: o.scarce(m.kind), Price: o.pricePerCPU(m.kind, m.spot), Images: m.images,
 		})
 	}
@@ -162,7 +153,7 @@
 				number = o.nextNumber()
 			}
 		}
-		m.dirty = true
+		o.touch(m)
 		as.Machine.Free = as.Machine.Free.Sub(j.Need.Times(as.Count))
 		as.Machine.Slots -= as.Count
 		as.Machine.Idle = false
@@ -186,9 +177,22 @@
 	results []func(ok bool, revision uint64)
 }
 
-func (t *txn) put(key string, v any) {
+func (t *txn) put(key string, v any) { t.write(key, v, state.Size(v)) }
+
+func (t *txn) write(key string, v any, size int) {
 	t.writes = append(t.writes, state.Write{Put: key, Value: v})
-	t.size += state.Size(v)
+	t.size += size
+}
+
+// takes tells whether a commit has room for another write with its guards.
+func (t *txn) takes(guards map[string]uint64, size, ops int) bool {
+	n := len(t.guards) + 1 // this node's own record
+	for k := range guards {
+		if _, ok := t.guards[k]; !ok {
+			n++
+		}
+	}
+	return n <= 4*ops && t.size+size+guardBytes*n <= commitBytes
 }
 
 // flush writes the most urgent changes. One commit is under way at a time, so that
@@ -203,17 +207,18 @@
 	if o.claimsWait() {
 		purpose = forOwnership
 	}
-	room := min(c.budget.room(purpose, c.now), c.cfg.TxnOps)
+	most := min(c.budget.room(purpose, c.now), c.cfg.TxnOps)
+	room := func() int { return most - len(t.writes) }
 	full := func() bool {
-		return len(t.writes) >= room || t.size > commitBytes || len(t.guards) > 3*c.cfg.TxnOps
+		return room() < 1 || t.size > commitBytes/2 || len(t.guards) > 2*c.cfg.TxnOps
 	}
-	if room > 0 {
-		o.flushMachines(t, full, func(m *machine) bool { return m.token == 0 })
-		o.flushFinals(t, func() bool { return len(t.writes)+2 > room || full() })
-		o.flushRentals(t, func() bool { return len(t.writes)+2 > room || full() })
+	if most > 0 {
+		o.flushBlocks(t, room, true)
+		o.flushFinals(t, func() bool { return room() < 2 || full() })
+		o.flushRentals(t, func() bool { return room() < 2 || full() })
 		o.flushHolds(t, full)
-		o.flushMachines(t, full, func(*machine) bool { return true })
-		o.flushDone(t, full)
+		o.flushShards(t, room)
+		o.flushBlocks(t, room, false)
 	}
 	if len(t.writes) == 0 {
 		o.tidy()
@@ -224,8 +229,8 @@
 }
 
 func (o *owner) claimsWait() bool {
-	for _, m := range o.machines {
-		if m.token == 0 {
+	for _, m := range o.list {
+		if m.token == 0 && !m.verifying {
 			return true
 		}
 	}
@@ -308,9 +313,9 @@
 		if strings.HasPrefix(key, prefixMember) {
 			continue // a machine was to go to an owner that is gone
 		}
-		if name, ok := strings.CutPrefix(key, prefixMachine); ok {
-			if m := o.machines[name]; m != nil && m.version == 0 {
-				o.notOurs(m)
+		if name, ok := strings.CutPrefix(key, prefixMachine+adoptedBlock); ok {
+			if m := o.machines[name]; m != nil && m.token == 0 {
+				o.notOurs(m, adoptedBlock+name)
 				continue
 			}
 		}
@@ -347,106 +352,10 @@
 
 // notOurs drops a machine that was taken for unexpected while it has a record already:
 // another owner's, or ours if it was given to us.
-func (o *owner) notOurs(m *machine) {
+func (o *owner) notOurs(m *machine, block string) {
 	o.foreign[m.name] = o.c.now + foreignLife
 	o.forget(m)
-	o.takeGiven(m.name)
-}
-
-// flushMachines writes machines' records: claims, placements, and what has left.
-func (o *owner) flushMachines(t *txn, full func() bool, which func(*machine) bool) {
-	for _, name := range sortedKeys(o.machines) {
-		m := o.machines[name]
-		if !m.dirty && m.token != 0 && m.fence != fenceWanted || m.writing || !which(m) {
-			continue
-		}
-		if full() {
-			return
-		}
-		o.writeMachine(t, m)
-	}
-}
-
-func (o *owner) writeMachine(t *txn, m *machine) {
-	key := prefixMachine + m.name
-	t.guards[key] = m.version
-	m.writing, m.dirty = true, false
-	if m.state == machineDeleted {
-		t.writes = append(t.writes, state.Write{Delete: key})
-		t.results = append(t.results, func(ok bool, _ uint64) {
-			m.writing, m.dirty = false, !ok
-			if ok {
-				o.forget(m)
-			}
-		})
-		return
-	}
-	if m.state == machineMoving && len(m.attempts) == 0 {
-		o.writeMove(t, m)
-		return
-	}
-	rec := machineRecord{
-		Owner: o.c.ownID(), Token: m.token, Endpoint: m.endpoint, Type: m.kind, Zone: m.zone, Spot: m.spot,
-		Rented: int64(m.rented), Condemned: m.state == machineCondemned || m.state == machineReleasing,
-		Tasks: map[string][]uint64{},
-	}
-	claim := m.token == 0 || m.fence == fenceWanted
-	if claim {
-		rec.Token = 0
-	}
-	var proposed, leaving []*attempt
-	for _, a := range m.sorted() {
-		switch a.state {
-		case attemptLeaving:
-			leaving = append(leaving, a)
-			continue
-		case attemptProposed:
-			proposed = append(proposed, a)
-			t.guards[activeKey(a.job.ID)] = a.job.version
-			t.guards[teamKey(a.job.Team)] = o.teams[a.job.Team].view.version
-		}
-		rec.Tasks[a.job.ID] = append(rec.Tasks[a.job.ID], uint64(a.index), a.number)
-	}
-	t.put(key, rec)
-	t.results = append(t.results, func(ok bool, rev uint64) {
-		m.writing = false
-		if !ok {
-			m.dirty = true
-			return
-		}
-		m.version = rev
-		if rec.Condemned && m.state == machineCondemned {
-			o.setMachine(m, machineReleasing, "recorded")
-		}
-		if claim {
-			m.token, m.synced = rev, false
-			if m.fence == fenceWanted {
-				o.setFence(m, fenceRaised)
-			}
-		}
-		for _, a := range leaving {
-			o.setAttempt(a, attemptClosed)
-		}
-		for _, a := range proposed {
-			o.recorded(a)
-		}
-		// Dirty again only if something changed while the commit was under way.
-		m.dirty = m.changed()
-		if claim {
-			o.answerHeld(m)
-			o.inspect(m)
-		}
-	})
-}
-
-// changed tells whether a machine's record must be written.
-func (m *machine) changed() bool {
-	for _, a := range m.attempts {
-		if a.state == attemptProposed || a.state == attemptLeaving {
-			return true
-		}
-	}
-	return m.fence == fenceWanted || m.state == machineMoving && len(m.attempts) == 0 || m.state == machineCondemned || m.state == machineDeleted
+	o.takeGiven(block)
 }
 
 func (o *owner) recorded(a *attempt) {
@@ -455,7 +364,7 @@
 	}
 	o.setAttempt(a, attemptRecorded)
 	j := a.job
-	a.machine.wantPush = true
+	o.poke(a.machine)
 	if j.state != jobActive {
 		o.stop(a, 0, "job is over")
 		return
@@ -470,7 +379,7 @@
 	}
 	o.setGang(j, gangStarting)
 	for _, b := range j.attempts {
-		b.machine.wantPush = true
+		o.poke(b.machine)
 	}
 }
 
@@ -485,7 +394,7 @@
 
 // forget drops a machine whose record is gone; its tasks may run elsewhere now.
 func (o *owner) forget(m *machine) {
-	delete(o.machines, m.name)
+	o.dropMachine(m)
 	if m.held != 0 {
 		o.c.refuse(m.held, 503, "machine was returned")
 		m.held = 0
@@ -538,46 +447,9 @@
 	o.setAttempt(a, attemptClosed)
 }
 
-// flushDone records completions of jobs that go on.
-func (o *owner) flushDone(t *txn, full func() bool) {
-	for _, j := range o.queue {
-		if j.state != jobActive || j.unsure {
-			continue
-		}
-		for _, chunk := range sortedKeys(j.dirty) {
-			if full() {
-				return
-			}
-			o.writeDone(t, j, chunk)
-		}
-	}
-}
-
-func (o *owner) writeDone(t *txn, j *job, chunk int) {
-	t.guards[activeKey(j.ID)] = j.version
-	t.guards[doneKey(j.ID, chunk)] = j.chunks[chunk]
-	t.put(doneKey(j.ID, chunk), doneRecord{j.done.chunk(chunk)})
-	delete(j.dirty, chunk)
-	var finished []*attempt
-	for _, a := range j.sorted() {
-		if a.state == attemptFinished && a.index/chunkTasks == chunk {
-			finished = append(finished, a)
-		}
-	}
-	t.results = append(t.results, func(ok bool, rev uint64) {
-		if !ok {
-			j.dirty[chunk] = true
-			return
-		}
-		j.chunks[chunk] = rev
-		for _, a := range finished {
-			o.finishedRecorded(a)
-		}
-	})
-}
-
 // tidy deletes what nobody reads any more, when writes are plentiful.
 func (o *owner) tidy() {
+	o.dropShards()
 	room := min(o.c.budget.room(forTidying, o.c.now), o.c.cfg.TxnOps, len(o.garbage))
 	if room < 1 {
 		return
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -340,7 +340,7 @@
 			Lease: w.cfg.Lease, LastSent: w.now, Changed: true,
 			Node: w.rng.IntN(len(w.nodes)), NextAt: w.now,
 			Info:    func(task string) (standin.TaskInfo, bool) { return w.info(task) },
-			OnStart: w.onStart, OnExit: w.onExit, GangReady: w.gangReady,
+			OnStart: w.onStart, OnExit: w.onExit, GangReady: w.gangReady, GangWhole: w.gangWhole, GangPeer: w.cfg.GangPeer,
 		}
 	}
 }
@@ -355,14 +355,14 @@
 }
 
 func (w *world) info(task string) (standin.TaskInfo, bool) {
-	id, _, _ := splitTaskName(task)
+	id, _, _ := splitNumbered(task)
 	i, ok := w.infos[id]
 	return i, ok
 }
 
 func (w *world) onStart(k *standin.Worker, task string, attempt uint64) {
 	w.starts++
-	id, _, _ := splitTaskName(task)
+	id, _, _ := splitNumbered(task)
 	j := w.submitted[id]
 	if other, ok := w.running[task]; ok && other != k.Machine.Name {
 		w.breakRule("ran_twice: %s starts on %s while on %s", task, k.Machine.Name, other)
@@ -376,7 +376,7 @@
 	}
 	zones := map[string]int{}
 	for other, name := range w.running {
-		if o, _, _ := splitTaskName(other); o == id {
+		if o, _, _ := splitNumbered(other); o == id {
 			zones[w.cloud.Machines[name].Zone]++
 		}
 	}
@@ -396,15 +396,27 @@
 }
 
 func (w *world) gangReady(task string, attempt uint64) bool {
-	id, _, _ := splitTaskName(task)
+	return w.gangCount(task, attempt, func(k *standin.Worker, t *standin.Task) bool {
+		return t.Phase == wire.PhaseWaiting || t.Phase == wire.PhaseRunning
+	})
+}
+
+func (w *world) gangWhole(task string, attempt uint64) bool {
+	return w.gangCount(task, attempt, func(k *standin.Worker, t *standin.Task) bool {
+		return !k.Hung && (t.Phase == wire.PhaseRunning || t.Phase == wire.PhaseSaving || t.Cause == wire.CauseDone)
+	})
+}
+
+// gangCount tells whether all tasks of a gang's attempt are as asked.
+func (w *world) gangCount(task string, attempt uint64, is func(*standin.Worker, *standin.Task) bool) bool {
+	id, _, _ := splitNumbered(task)
 	n := 0
 	for _, k := range w.workers {
 		if k.Machine.Gone {
 			continue
 		}
 		for name, t := range k.Tasks {
-			o, _, _ := splitTaskName(name)
-			if o == id && t.Attempt == attempt && (t.Phase == wire.PhaseWaiting || t.Phase == wire.PhaseRunning) {
+			if o, _, _ := splitNumbered(name); o == id && t.Attempt == attempt && is(k, t) {
 				n++
 			}
 		}
@@ -448,7 +460,7 @@
 func (w *world) checkRules() {
 	used := map[string]float64{}
 	for task := range w.running {
-		id, _, _ := splitTaskName(task)
+		id, _, _ := splitNumbered(task)
 		used[w.submitted[id].Team] += w.infos[id].CPU
 		if at, ok := w.cancelled[id]; ok && w.now > at+w.cfg.CancelIn {
 			w.breakRule("ran_cancelled: %s is still on %s", task, w.running[task])
@@ -490,7 +502,7 @@
 	switch st.Status {
 	case wire.JobDone:
 		for i := range w.submitted[id].Tasks {
-			if !w.done[taskName(id, i)] {
+			if !w.done[numbered(id, i)] {
 				w.breakRule("not_done: %s without task %d", id, i)
 				break
 			}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -27,6 +27,7 @@
 	Cause   wire.Cause
 	Saved   bool
 	until   micros.Micros
+	partAt  micros.Micros // since when its gang is not whole
 }
 
 // Worker runs tasks on one machine and reports.
@@ -53,6 +54,8 @@
 	OnStart   func(w *Worker, task string, attempt uint64)
 	OnExit    func(w *Worker, task string, cause wire.Cause)
 	GangReady func(task string, attempt uint64) bool
+	GangWhole func(task string, attempt uint64) bool // all its tasks run, or are done
+	GangPeer  micros.Micros                          // after which a task notices that they do not
 }
 
 // Report builds the worker's report.
@@ -107,6 +110,17 @@
 				t.Phase, w.Changed = wire.PhaseWaiting, true
 			}
 		case wire.PhaseRunning:
+			// Tasks of a gang complete together or not at all.
+			if info.Gang && !w.GangWhole(t.Name, t.Attempt) {
+				if t.partAt == 0 {
+					t.partAt = now
+				}
+				if now-t.partAt > w.GangPeer {
+					w.exit(t, wire.CausePeers)
+				}
+				break
+			}
+			t.partAt = 0
 			if now >= t.until {
 				w.exit(t, wire.CauseDone)
 			}
