--- a/controller/core.go
+++ b/controller/core.go
@@ -36,6 +36,7 @@
 	member  membership
 	cluster cluster
 	lead    leadership
+	risk    risk
 	owner   *owner // set while this node owns teams
 
 	timers    []timer
--- a/controller/hold.go
+++ b/controller/hold.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"slices"
 	"strings"
 
 	"tamarindlead/internal/state"
@@ -393,7 +392,10 @@
 
 // reserved tells whether a machine is kept for some gang, and so must not be returned.
 func (o *owner) reserved(name string) bool {
-	return slices.ContainsFunc(sortedKeys(o.holds), func(id string) bool {
-		return o.holds[id].state != holdOver && o.holds[id].machines[name] > 0
-	})
+	for _, h := range o.holds {
+		if h.state != holdOver && h.machines[name] > 0 {
+			return true
+		}
+	}
+	return false
 }
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -79,6 +79,7 @@
 	idleSince micros.Micros
 	errors    int // in a row
 	pausedTo  micros.Micros
+	lost      bool   // a spot machine that the cloud took
 	moveTo    string // the owner that gets it, while moving
 }
 
@@ -381,6 +382,7 @@
 	if !first {
 		return
 	}
+	o.noteSpotLost(m)
 	for _, a := range m.sorted() {
 		// What would not complete in time is stopped now: it saves if it can, and
 		// starts elsewhere the sooner. What cannot save and has run for long may
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -226,9 +226,13 @@
 
 // tell adds to a beat what siblings must know of this owner.
 func (o *owner) tell(b *peer.Beat) {
-	b.Jobs, b.Machines = o.counts(), sortedKeys(o.machines)
-	for _, name := range b.Machines {
-		if m := o.machines[name]; o.isIdle(m) {
+	b.Jobs = o.counts()
+	if o.sole() {
+		return // nobody to share machines with
+	}
+	for _, m := range o.list {
+		b.Machines = append(b.Machines, m.name)
+		if o.isIdle(m) {
 			b.Idle = append(b.Idle, &peer.IdleMachine{Type: m.kind, Zone: m.zone, Spot: m.spot})
 		}
 	}
--- a/controller/rental.go
+++ b/controller/rental.go
@@ -216,10 +216,13 @@
 			}
 			switch {
 			case m.failed:
+				o.noteSpotLost(m)
 				o.setMachine(m, machineCondemned, "has failed")
 			case m.unlisted >= 2 && silent > 2*o.c.cfg.ReportEvery:
+				o.noteSpotLost(m)
 				o.setMachine(m, machineCondemned, "is not listed any more")
 			case silent > limit && (!alone || silent > 3*limit):
+				o.noteSpotLost(m)
 				o.setMachine(m, machineCondemned, "is silent")
 			case m.state == machineDraining && len(m.attempts) == 0 && m.token != 0:
 				o.setMachine(m, machineCondemned, "is empty")
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
+	"strings"
 
 	"tamarindlead/micros"
 	"tamarindlead/sched"
@@ -12,19 +12,26 @@
 // Bounds of decisions about renting and returning.
 const (
 	scaleEvery   = micros.Second
-	mostAtOnce   = 10                 // machines in one rental
+	mostAtOnce   = 50                 // machines in one rental, by the cloud's protocol
+	mostRentals  = 4                  // asked for at the same time
 	leastCharged = 60 * micros.Second // shorter rentals cost as much
 	classMemory  = 10 * micros.Minute // how long a class counts after its last job
 )
 
-// classNeed remembers which machine types a class of jobs fits, and how good its
-// estimates are.
+// classNeed remembers which machine types a class of jobs fits, how good its estimates
+// are, and how large its gangs are.
 type classNeed struct {
 	types  []string
+	key    string // the types in one word
 	seen   micros.Micros
 	factor float64 // real run time by estimate
+	sizes  []int   // of its latest gangs
+	first  *job    // its latest
 }
 
+// sizesKept is how many gangs of a class tell what sizes are to be expected.
+const sizesKept = 40
+
 func (o *owner) noteClass(j *job) {
 	var types []string
 	for _, t := range o.c.types.list {
@@ -37,7 +44,11 @@
 		c = &classNeed{factor: 1}
 		o.classes[j.Class] = c
 	}
-	c.types, c.seen = types, o.c.now
+	c.types, c.key, c.seen, c.first = types, strings.Join(types, " "), o.c.now, j
+	if j.Gang {
+		c.sizes = append(c.sizes, j.Tasks)
+		c.sizes = c.sizes[max(0, len(c.sizes)-sizesKept):]
+	}
 }
 
 // Learning how far estimates are off: the weight of one task, and bounds.
@@ -67,6 +78,12 @@
 	return false
 }
 
+// dependent tells that a class of jobs fits one machine type only.
+func (o *owner) dependent(j *job) bool {
+	c := o.classes[j.Class]
+	return c != nil && len(c.types) == 1
+}
+
 func (o *owner) tickScale() {
 	for _, name := range sortedKeys(o.rentals) {
 		if r := o.rentals[name]; r.state == rentalAsking {
@@ -78,9 +95,11 @@
 	}
 	o.nextScale = o.c.now + scaleEvery
 	o.wantSchedule = true // pauses of jobs end without an event
-	o.growth()
-	o.replace()
-	o.shed()
+	o.noteRisk()
+	groups := o.demands()
+	o.growth(groups)
+	o.replace(groups)
+	o.shed(groups)
 	o.returnIdle()
 }
 
@@ -89,6 +108,7 @@
 	muchCheaper = 0.6  // of the price: worth a move
 	shedBelow   = 0.85 // of what is left may be in use when a machine is shed
 	shedEvery   = 2 * micros.Second
+	shedShare   = 0.03               // of all machines are shed at once, one at least
 	worthMoving = 15 * micros.Second // of machine time saved
 )
 
@@ -107,17 +127,13 @@
 
 // replace rents cheaper machines for work that runs on dear ones, which then empty and
 // are returned.
-func (o *owner) replace() {
+func (o *owner) replace(groups []*demand) {
 	if len(o.rentals) > 0 {
 		return
 	}
-	for _, id := range sortedKeys(o.jobs) {
-		j := o.jobs[id]
-		if j.state != jobActive || len(j.attempts) == 0 {
-			continue
-		}
-		best := o.cheapestOf(j, false)
-		if best == nil {
+	for _, g := range groups {
+		best := o.cheapestOf(g.first, false, o.anyOffer)
+		if best == nil || g.placed == 0 || g.first.Gang && !best.spot {
 			continue
 		}
 		// What is on dearer machines, less what is rented and empty already.
@@ -125,7 +141,7 @@
 		for _, m := range o.list {
 			price := o.pricePerCPU(m.kind, m.spot)
 			switch {
-			case o.usable(j, m.kind, m.zone, m.spot) == 0:
+			case g.use(o, m) == 0:
 			case price*muchCheaper >= best.price:
 				cpus += m.used.CPUs()
 			case m.state == machineBooting || m.state == machineUp:
@@ -133,31 +149,38 @@
 			}
 		}
 		if cpus >= best.cpus/2 {
-			o.rent(j, best, cpus-best.cpus/2)
+			o.rent(g.first, best, cpus-best.cpus/2)
 			return
 		}
 	}
 }
 
-// shed stops using the dearest machine once the others can carry the work.
-func (o *owner) shed() {
+// shed stops using the dearest machines once the others can carry the work: some at a
+// time, so that what leaves them finds its place.
+func (o *owner) shed(groups []*demand) {
 	if o.c.now < o.nextShed {
 		return
 	}
 	o.nextShed = o.c.now + shedEvery
-	for _, g := range o.demands() {
-		if g.first.Gang || g.waiting > 0 {
-			continue
-		}
-		m := o.dearest(g.first)
-		if m == nil {
+	most := max(1, int(shedShare*float64(len(o.list))))
+	for _, g := range groups {
+		if g.first.Gang {
 			continue
 		}
-		rest := g.capacity - o.usable(g.first, m.kind, m.zone, m.spot)
-		if g.used < shedBelow*rest {
+		needs := g.used + g.waiting/max(o.c.cfg.Tuning.QueueTarget.Seconds(), 1)
+		for ; most > 0; most-- {
+			m := o.dearest(g.first)
+			if m == nil {
+				break
+			}
+			usable := g.use(o, m)
+			if needs >= shedBelow*(g.capacity-usable) {
+				break
+			}
+			g.capacity -= usable
+			needs -= m.used.CPUs()
 			o.setMachine(m, machineDraining, "the others suffice")
 			o.consolidate(m)
-			return
 		}
 	}
 }
@@ -203,9 +226,25 @@
 	first    *job
 	horizon  micros.Micros // within which a gang should start
 	waiting  float64       // work that is not placed, in processor seconds
-	capacity float64       // processors of machines that are up or boot
+	capacity float64       // processors of machines that are up, boot or are asked for
 	used     float64       // those in use
+	placed   int           // tasks that are placed
 	gangs    []*job        // gangs that wait
+	usable   map[offer]float64
+}
+
+// use tells how many processors of a machine the work could use.
+func (g *demand) use(o *owner, m *machine) float64 {
+	return g.useOffer(o, offer{m.kind, m.zone, m.spot})
+}
+
+func (g *demand) useOffer(o *owner, of offer) float64 {
+	v, ok := g.usable[of]
+	if !ok {
+		v = o.usable(g.first, of.kind, of.zone, of.spot)
+		g.usable[of] = v
+	}
+	return v
 }
 
 // horizonShare is the part of a class's slack that waiting may use up: the rest is for
@@ -250,26 +289,36 @@
 	return j.Estimate
 }
 
+// demandKey tells which jobs fit the same machines.
+type demandKey struct {
+	gang, spot  bool
+	zone, types string
+}
+
 // demands groups the jobs by the machine types that they fit.
 func (o *owner) demands() []*demand {
-	groups := map[string]*demand{}
+	groups := map[demandKey]*demand{}
 	var list []*demand
 	for _, j := range o.queue {
 		if j.state != jobActive {
 			continue
 		}
-		key := fmt.Sprint(j.Gang, j.Spot, j.Zone, j.Types, o.classes[j.Class].types)
+		key := demandKey{j.Gang, j.Spot, j.Zone, o.classes[j.Class].key}
 		g := groups[key]
 		if g == nil {
-			g = &demand{first: j, horizon: o.horizon(j)}
+			g = &demand{first: j, horizon: o.horizon(j), usable: map[offer]float64{}}
 			groups[key] = g
 			list = append(list, g)
 		}
 		g.horizon = min(g.horizon, o.horizon(j))
+		g.placed += len(j.attempts)
+		if j.Gang {
+			j.SpotMost = o.spotMost(j)
+		}
 		n := min(j.pending, o.withinTeam(j))
 		if n > 0 && o.c.now+5*micros.Second >= j.notUntil {
 			g.waiting += float64(n) * max(j.Need.CPUs(), 0.01) * max(o.estimate(j).Seconds(), 1)
-			if j.Gang {
+			if j.Gang && n == j.Tasks {
 				g.gangs = append(g.gangs, j)
 			}
 		}
@@ -279,11 +328,16 @@
 			if m.state != machineBooting && m.state != machineUp || o.avoids(g.first, m.kind) {
 				continue
 			}
-			usable := o.usable(g.first, m.kind, m.zone, m.spot)
+			usable := g.use(o, m)
 			if g.capacity += usable; usable > 0 {
 				g.used += m.used.CPUs()
 			}
 		}
+		for _, r := range o.rentals {
+			if r.state < rentalGranted && !o.avoids(g.first, r.offer.kind) {
+				g.capacity += g.useOffer(o, r.offer) * float64(r.number)
+			}
+		}
 	}
 	return list
 }
@@ -317,71 +371,63 @@
 }
 
 // growth rents machines for work that would take too long on those there are.
-func (o *owner) growth() {
-	if len(o.rentals) > 0 {
-		return // one decision at a time
-	}
-	for _, g := range o.demands() {
-		short := 0.0
+func (o *owner) growth(groups []*demand) {
+	for _, g := range groups {
 		if g.first.Gang {
-			short = o.shortOfGangs(g)
-		} else if g.waiting > 0 {
-			short = g.waiting/max(o.c.cfg.Tuning.QueueTarget.Seconds(), 1) - g.capacity
-		}
-		if short <= 0 {
+			o.growGangs(g)
 			continue
 		}
-		best := o.cheapest(g.first)
-		if best == nil {
-			// Nothing to rent: what other shares have idle may serve.
-			if o.c.now >= o.arrayWantAt {
-				o.arrayWantAt = o.c.now + arrayWantEvery
-				o.want(g.first.Job, int(short/max(g.first.Need.CPUs(), 0.01))+1, false)
-			}
+		if g.waiting <= 0 {
 			continue
 		}
-		if !best.spot && !g.first.Gang {
-			// A dear machine must be worth it: it comes late and costs a minute.
-			patience := dearPatience * best.price / max(o.spotPrice(g.first), best.price/dearMost)
-			short = g.waiting/(patience*max(o.c.cfg.Tuning.QueueTarget.Seconds(), 1)) - g.capacity
+		short := g.waiting/max(o.c.cfg.Tuning.QueueTarget.Seconds(), 1) - g.capacity
+		for short > 0 && o.asked() < mostRentals {
+			best := o.cheapest(g.first, o.notAsked)
+			if best == nil {
+				break
+			}
+			if !best.spot {
+				// A dear machine must be worth it: it comes late and costs a minute.
+				patience := dearPatience * best.price / max(o.spotPrice(g.first), best.price/dearMost)
+				short = g.waiting/(patience*max(o.c.cfg.Tuning.QueueTarget.Seconds(), 1)) - g.capacity
+			}
+			got := o.rent(g.first, best, short)
+			if got <= 0 {
+				break
+			}
+			short -= got
+			g.capacity += got
 		}
-		if short > 0 {
-			o.rent(g.first, best, short)
-			return
+		if short > 0 && o.cheapest(g.first, o.anyOffer) == nil && o.c.now >= o.arrayWantAt {
+			// Nothing to rent: what other shares have idle may serve.
+			o.arrayWantAt = o.c.now + arrayWantEvery
+			o.want(g.first.Job, int(short/max(g.first.Need.CPUs(), 0.01))+1, false)
 		}
 	}
 }
 
-// shortOfGangs counts the processors of waiting gangs that no machine will take in
-// time: none that boots, none whose work ends soon.
-func (o *owner) shortOfGangs(g *demand) float64 {
-	waiting := 0.0
-	for _, j := range g.gangs {
-		if o.holds[j.ID] == nil {
-			waiting += max(j.Need.CPUs(), 0.01) * float64(j.Tasks)
+// asked counts the rentals that are under way.
+func (o *owner) asked() int {
+	n := 0
+	for _, r := range o.rentals {
+		if r.state < rentalGranted {
+			n++
 		}
 	}
-	for _, m := range o.list {
-		usable := o.usable(g.first, m.kind, m.zone, m.spot)
-		if usable == 0 {
-			continue
-		}
-		switch m.state {
-		case machineBooting:
-			waiting -= usable
-		case machineUp:
-			end := micros.Micros(0)
-			for _, a := range m.attempts {
-				end = max(end, o.remaining(a))
-			}
-			if end <= g.horizon {
-				// It takes one gang then, and more if they are short.
-				turns := 1 + (g.horizon-end)/max(o.estimate(g.first), micros.Second)
-				waiting -= usable * float64(turns)
-			}
+	return n
+}
+
+// anyOffer and notAsked choose among offers: all, or those that no rental is under way
+// for, since its answer tells whether there are more.
+func (o *owner) anyOffer(offer) bool { return true }
+
+func (o *owner) notAsked(of offer) bool {
+	for _, r := range o.rentals {
+		if r.state < rentalGranted && r.offer == of {
+			return false
 		}
 	}
-	return waiting
+	return true
 }
 
 // usable tells how many processors of a machine a job could use.
@@ -402,14 +448,14 @@
 
 // cheapest finds the best offer for a job among those that were not refused lately.
 // Types that other jobs depend on are taken only if no other is left.
-func (o *owner) cheapest(j *job) *choice {
-	if best := o.cheapestOf(j, false); best != nil {
+func (o *owner) cheapest(j *job, among func(offer) bool) *choice {
+	if best := o.cheapestOf(j, false, among); best != nil {
 		return best
 	}
-	return o.cheapestOf(j, true)
+	return o.cheapestOf(j, true, among)
 }
 
-func (o *owner) cheapestOf(j *job, avoided bool) *choice {
+func (o *owner) cheapestOf(j *job, avoided bool, among func(offer) bool) *choice {
 	var best *choice
 	for _, t := range o.c.types.list {
 		if o.avoids(j, t.Name) != avoided {
@@ -423,7 +469,7 @@
 				if spot {
 					price = t.SpotPrice
 				}
-				if cpus == 0 || price <= 0 || o.c.now < o.noCapacity[of] {
+				if cpus == 0 || price <= 0 || o.c.now < o.noCapacity[of] || !among(of) {
 					continue
 				}
 				c := &choice{of, cpus, price / cpus}
@@ -436,19 +482,21 @@
 	return best
 }
 
-// rent asks for machines for the processors that a job is short of.
-func (o *owner) rent(j *job, best *choice, short float64) {
+// rent asks for machines for the processors that a job is short of, and tells how many
+// processors it asked for.
+func (o *owner) rent(j *job, best *choice, short float64) float64 {
 	n := min(int(short/best.cpus)+1, mostAtOnce)
 	if most := o.c.cfg.Tuning.MaxMachines; most > 0 {
-		n = min(n, most-len(o.machines))
+		n = min(n, most-len(o.list))
 	}
-	if n <= 0 {
-		return
+	if n <= 0 || short <= 0 {
+		return 0
 	}
-	r := &rental{name: fmt.Sprintf("h-%d", o.nextNumber()), offer: best.offer, number: n}
+	r := &rental{name: "h-" + numberName(o.nextNumber()), offer: best.offer, number: n}
 	o.rentals[r.name] = r
 	o.c.log.Info("rental wanted", "name", r.name, "type", r.offer.kind, "zone", r.offer.zone,
 		"spot", r.offer.spot, "number", n, "class", j.Class, "short_cpus", short)
+	return float64(n) * best.cpus
 }
 
 func (o *owner) inZone(zone string) int {
@@ -461,8 +509,10 @@
 	return n
 }
 
-// returnIdle returns machines that have had nothing to do for a while.
+// returnIdle returns machines that have had nothing to do for a while, but for those
+// that are kept ready for gangs.
 func (o *owner) returnIdle() {
+	ready := o.readyOffers()
 	for _, m := range o.list {
 		if m.state != machineUp || len(m.attempts) > 0 || m.token == 0 || o.reserved(m.name) {
 			continue
@@ -471,7 +521,7 @@
 		if !m.spot {
 			idle /= 2
 		}
-		if o.c.now-m.idleSince > idle && o.c.day-m.rented > leastCharged-5*micros.Second {
+		if o.c.now-m.idleSince > idle && o.c.day-m.rented > leastCharged-5*micros.Second && !ready.takes(o, m) {
 			o.setMachine(m, machineDraining, "idle")
 		}
 	}
--- a/controller/work.go
+++ b/controller/work.go
@@ -31,6 +31,7 @@
 	}
 	o.wantSchedule, o.nextPass = false, o.c.now+passGap
 	view := o.view()
+	o.keepForGangs(view)
 	for i, j := range o.queue {
 		if i >= jobsPerPass || o.proposedJobs >= 2*o.c.cfg.TxnOps {
 			break // the guards of a commit are bounded
@@ -55,6 +56,7 @@
 		if len(got) == 0 {
 			if o.makeRoom(j) {
 				view = o.view() // without what is held now
+				o.keepForGangs(view)
 			} else {
 				view = o.reserve(j, view)
 			}
@@ -110,8 +112,8 @@
 // reserve keeps the machine that will have room for a waiting gang the soonest free
 // of jobs that come after it; without that, small tasks would fill every gap first.
 func (o *owner) reserve(j *job, view []*sched.Machine) []*sched.Machine {
-	if !j.Gang {
-		return view
+	if !j.Gang || o.dependent(j) {
+		return view // see keepForGangs
 	}
 	best, soonest := -1, micros.Micros(0)
 	for i, v := range view {
--- a/sched/place.go
+++ b/sched/place.go
@@ -18,6 +18,8 @@
 	Scarce bool
 	Price  float64 // per processor and hour
 	Images []string
+	Kept   bool   // kept for gangs
+	For    string // the gang for which it is kept from all others, or ""
 }
 
 // Assignment gives Count tasks to a machine.
@@ -35,6 +37,9 @@
 	}
 	fits := make([]*Machine, 0, len(machines))
 	for _, m := range machines {
+		if m.Kept && !j.Gang || m.For != "" && m.For != j.ID {
+			continue
+		}
 		if m.Slots > 0 && j.Allows(m.Type, m.Zone, m.Spot) && j.Need.Fits(m.Free) {
 			fits = append(fits, m)
 		}
@@ -104,15 +109,25 @@
 	var got []Assignment
 	total := 0
 	used := map[string]int{}
+	spots := want
+	if j.Gang && j.SpotMost > 0 {
+		spots = j.SpotMost
+	}
 	for _, m := range machines {
 		if zone != "" && m.Zone != zone {
 			continue
 		}
 		room := j.ZoneCap() - inZone[m.Zone] - used[m.Zone]
+		if m.Spot {
+			room = min(room, spots)
+		}
 		n := j.Need.Count(m.Free, min(want-total, room, m.Slots))
 		if n <= 0 {
 			continue
 		}
+		if m.Spot {
+			spots -= n
+		}
 		got = append(got, Assignment{m, n})
 		used[m.Zone] += n
 		if total += n; total == want {
