No block starves; the watch's word of our own commit is no cancellation; requests on the event loop

The watch tells of the owner's own final commit before its answer, which was taken for a cancellation and cost another write for each task. Owners may use more of the write limit, since users take about 2 of 20 a second.

--- a/config/config.go
+++ b/config/config.go
@@ -63,6 +63,7 @@
 	CloudRPS    float64
 	ListLag     micros.Micros
 	MemoryBytes int64
+	Cores       float64 // share of a processor
 	Sockets     int
 	Tuning      Tuning
 }
@@ -222,10 +223,10 @@
 		TxnOps:      p.State.TxnOps,
 		CloudRPS:    c.positive("params.cloud.rps", p.Cloud.RPS),
 		ListLag:     micros.FromSeconds(c.atLeastZero("params.cloud.list_lag_s", p.Cloud.ListLagS)),
+		Cores:       c.positive("params.quota.cores", p.Quota.Cores),
 		MemoryBytes: int64(c.positive("params.quota.ram_mb", p.Quota.RAMMB) * 1e6),
 		Sockets:     p.Quota.Sockets,
 	}
-	c.positive("params.quota.cores", p.Quota.Cores)
 	c.require(len(p.Zones) > 0, "params.zones", "missing")
 	c.require(p.Count == len(f.Siblings)+1, "params.count", "must be the number of siblings and this node")
 	c.require(s.ValueBytes >= 1024, "params.state.value_kb", "must be at least 1")
--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -30,13 +30,16 @@
 	version  uint64
 	machines []*machine
 	dirty    bool
+	since    micros.Micros // dirty
 	writing  bool
 }
 
-// blockFor finds the block that a new machine's entry goes to.
-func (o *owner) blockFor() *block {
+// blockFor finds the block that a new machine's entry goes to. Machines of one type and
+// zone share blocks: a gang is then recorded by few writes.
+func (o *owner) blockFor(kind, zone string) *block {
 	for _, b := range o.blocks {
-		if len(b.machines) < o.blockRoom() && !strings.HasPrefix(b.name, adoptedBlock) {
+		if n := len(b.machines); n > 0 && n < o.blockRoom() && b.machines[0].kind == kind && b.machines[0].zone == zone &&
+			!strings.HasPrefix(b.name, adoptedBlock) {
 			return b
 		}
 	}
@@ -75,34 +78,50 @@
 // touch notes that a machine's entry must be written.
 func (o *owner) touch(m *machine) {
 	m.dirty = true
-	m.block.dirty = true
+	o.soil(m.block)
 }
 
-// urgency orders blocks that must be written: claims, then what starts tasks, then what
-// frees them.
-func (b *block) urgency() int {
-	n := 0
+func (o *owner) soil(b *block) {
+	if !b.dirty {
+		b.dirty, b.since = true, o.c.now
+	}
+}
+
+// Weights of what a write of a block brings, in tasks that may start.
+const (
+	claimWeight   = 1000
+	fenceWeight   = 100
+	machineWeight = 20
+	gangWeight    = 8  // a gang waits for its last task
+	waitWeight    = 20 // for each second that a block has waited: none may starve
+)
+
+// urgency orders blocks that must be written.
+func (o *owner) urgency(b *block) int {
+	n := int(waitWeight * (o.c.now - b.since).Seconds())
 	for _, m := range b.machines {
 		switch {
 		case m.token == 0 && !m.verifying:
-			n += 1000
+			n += claimWeight
 		case m.fence == fenceWanted:
-			n += 100
+			n += fenceWeight
 		case m.state == machineCondemned || m.state == machineDeleted:
-			n += 20
+			n += machineWeight
 		}
 		if !m.dirty {
 			continue
 		}
 		for _, a := range m.attempts {
-			switch a.state {
-			case attemptProposed, attemptLeaving:
-				n += 2
-			case attemptFinished:
+			switch {
+			case a.state != attemptProposed && a.state != attemptLeaving:
+			case a.job.Gang:
+				n += gangWeight
+			default:
+				n++
 			}
 		}
 	}
-	return n + 1
+	return n
 }
 
 // flushBlocks writes blocks, the most urgent first; claims tells whether only those with
@@ -115,7 +134,8 @@
 	var due []entry
 	for _, b := range o.blocks {
 		if b.dirty && !b.writing {
-			if n := b.urgency(); n >= 1000 || !claims {
+			if !claims || b.claims() {
+				n := o.urgency(b)
 				due = append(due, entry{b, n})
 			}
 		}
@@ -129,6 +149,11 @@
 	}
 }
 
+// claims tells whether machines of the block are not claimed yet.
+func (b *block) claims() bool {
+	return slices.ContainsFunc(b.machines, func(m *machine) bool { return m.token == 0 && !m.verifying })
+}
+
 // blockChange is what one write of a block means for its machines.
 type blockChange struct {
 	claimed, condemned, gone, left []*machine
@@ -238,7 +263,7 @@
 	t.results = append(t.results, func(ok bool, rev uint64) {
 		b.writing = false
 		if !ok {
-			b.dirty = true
+			o.soil(b)
 			for _, m := range b.machines {
 				m.dirty = true
 			}
@@ -291,7 +316,7 @@
 	// Dirty again only if something changed while the commit was under way.
 	for _, m := range b.machines {
 		if m.dirty = m.dirty || m.changed(); m.dirty {
-			b.dirty = true
+			o.soil(b)
 		}
 	}
 	o.dropEmpty(b)
@@ -376,7 +401,7 @@
 		for i := range d.Machines {
 			o.buildMachine(b, d, &d.Machines[i])
 		}
-		b.dirty = true
+		o.soil(b)
 	}
 	for _, id := range sortedKeys(o.jobs) {
 		j := o.jobs[id]
--- a/controller/budget.go
+++ b/controller/budget.go
@@ -22,7 +22,7 @@
 
 // userWrites is the part of the write limit that all nodes share for accepting and
 // cancelling; the rest is for owners, who record placements and completions.
-const userWrites = 0.54
+const userWrites = 0.35
 
 // budget keeps this node within its part of the state service's limits.
 type budget struct {
@@ -34,7 +34,7 @@
 	// A node starts with its whole burst: it must read the records at once.
 	requests, writes := shares(cfg, false, 1)
 	b.requests = rate.NewLimiter(rate.Limit(requests), burst(requests))
-	b.writes = rate.NewLimiter(rate.Limit(writes), burst(writes))
+	b.writes = rate.NewLimiter(rate.Limit(writes), writeBurst(cfg, writes))
 }
 
 // shares tells this node's part of the limits for requests and writes.
@@ -49,15 +49,22 @@
 
 func burst(limit float64) int { return max(1, int(limit)) }
 
+// writeBurst lets a node accept a few jobs at once although its part of the limit is
+// small: seldom do several nodes do so in one second, and then the service refuses some,
+// which are tried again.
+func writeBurst(cfg *config.Settings, limit float64) int {
+	return max(burst(limit), int(cfg.WriteRPS/4))
+}
+
 // setRole parts the limits anew when this node starts or stops owning teams.
 func (b *budget) setRole(cfg *config.Settings, owns bool, owners int, now micros.Micros) {
 	requests, writes := shares(cfg, owns, owners)
-	set := func(l *rate.Limiter, v float64) {
+	set := func(l *rate.Limiter, v float64, burst int) {
 		l.SetLimitAt(now.Time(), rate.Limit(v))
-		l.SetBurstAt(now.Time(), burst(v))
+		l.SetBurstAt(now.Time(), burst)
 	}
-	set(b.requests, requests)
-	set(b.writes, writes)
+	set(b.requests, requests, burst(requests))
+	set(b.writes, writes, writeBurst(cfg, writes))
 }
 
 // room tells how many writes a commit for a purpose may have now; 0: wait.
--- a/controller/core.go
+++ b/controller/core.go
@@ -85,8 +85,11 @@
 	return c.out
 }
 
-// slowTick is how often the slower duties are looked at.
-const slowTick = 250 * micros.Millisecond
+// How often the slower duties are looked at, and how exactly time is seen to pass.
+const (
+	slowTick = 250 * micros.Millisecond
+	fastTick = 50 * micros.Millisecond // while something waits for a moment
+)
 
 type timer struct {
 	at micros.Micros
@@ -110,6 +113,14 @@
 	}
 }
 
+// TickEvery tells how often the time must be passed to the core now.
+func (c *Core) TickEvery() micros.Micros {
+	if c.owner != nil || len(c.users.waiting) > 0 || len(c.timers) > 0 {
+		return fastTick
+	}
+	return slowTick
+}
+
 func (c *Core) tick() {
 	c.runTimers()
 	if c.now >= c.nextSlow {
--- a/controller/job.go
+++ b/controller/job.go
@@ -46,6 +46,7 @@
 	notUntil  micros.Micros // backing off
 	failures  int           // in a row, without any success
 	failedOn  map[string]bool
+	writing   bool          // its final record is being written
 	unsure    bool          // its record did not match: nothing is placed until that is cleared up
 	evictAt   micros.Micros // room may be made for it again from then on
 	evictions int           // in vain, in a row
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -375,8 +375,8 @@
 // jobGone handles a job that is over: by our own commit, or cancelled.
 func (o *owner) jobGone(id string) {
 	j := o.jobs[id]
-	if j == nil || j.state == jobEnded {
-		return
+	if j == nil || j.state == jobEnded || j.state == jobFinishing && j.writing {
+		return // the watch may tell of our own commit before its answer comes
 	}
 	o.c.log.Info("job cancelled", "job", id, "attempts", len(j.attempts))
 	o.endJob(j)
@@ -405,7 +405,7 @@
 }
 
 func (o *owner) newMachine(name, kind, zone string, spot bool, endpoint string) *machine {
-	return o.newMachineIn(o.blockFor(), name, kind, zone, spot, endpoint)
+	return o.newMachineIn(o.blockFor(kind, zone), name, kind, zone, spot, endpoint)
 }
 
 func (o *owner) newMachineIn(b *block, name, kind, zone string, spot bool, endpoint string) *machine {
@@ -441,7 +441,7 @@
 	o.c.log.Info("machine adopted", "machine", name, "type", kind, "zone", zone, "spot", spot)
 	b := (*block)(nil)
 	if o.sole() {
-		b = o.blockFor()
+		b = o.blockFor(kind, zone)
 	} else {
 		// Another owner may have it without our knowing: see verify.
 		b = o.newBlock(adoptedBlock + name)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,7 +7,9 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"log/slog"
+	"runtime"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"tamarindlead/config"
@@ -20,11 +22,8 @@
 
 // Sizes of the stages before and after the core.
 const (
-	inboxSize    = 256 // requests that wait for the core; more are refused at once
-	resultsSize  = 256
-	spareSockets = 96                      // kept free for outbound connections
-	maxPeerBody  = 1 << 20                 // bodies from siblings
-	tickEvery    = 50 * micros.Millisecond // how exactly the core sees time pass
+	spareSockets = 96      // kept free for outbound connections
+	maxPeerBody  = 1 << 20 // bodies from siblings
 	idleLimit    = 90 * micros.Second
 	partialLimit = 10 * micros.Second
 	keepIdle     = 6 // outbound connections kept for each address
@@ -34,31 +33,36 @@
 // collector works harder; the rest is for stacks, code and the system.
 const memoryShare = 0.6
 
+// node feeds the core with one event at a time, from whatever goroutine it comes: requests
+// on the event loop, so that most are answered without waking another thread.
 type node struct {
-	cfg     *config.Settings
-	log     *slog.Logger
-	core    *controller.Core
-	client  *reactor.Client
-	start   time.Time
-	inbox   chan *reactor.Exchange
-	results chan controller.CallDone
-	open    map[uint64]*reactor.Exchange
-	nextID  uint64
+	cfg    *config.Settings
+	log    *slog.Logger
+	client *reactor.Client
+	start  time.Time
+
+	mu     sync.Mutex
+	core   *controller.Core
+	open   map[uint64]*reactor.Exchange
+	nextID uint64
 }
 
 // Run serves until ctx ends.
 func Run(ctx context.Context, cfg *config.Settings, log *slog.Logger) error {
 	debug.SetMemoryLimit(int64(float64(cfg.MemoryBytes) * memoryShare))
+	if cfg.Cores <= 1 {
+		// With at most one processor, waking threads to run goroutines side by side
+		// only costs time.
+		runtime.GOMAXPROCS(1)
+	}
 	var seed [8]byte
 	if _, err := crand.Read(seed[:]); err != nil {
 		return err
 	}
 	n := &node{
 		cfg: cfg, log: log, start: time.Now(),
-		client:  reactor.NewClient(wire.ContentType, keepIdle),
-		inbox:   make(chan *reactor.Exchange, inboxSize),
-		results: make(chan controller.CallDone, resultsSize),
-		open:    map[uint64]*reactor.Exchange{},
+		client: reactor.NewClient(wire.ContentType, keepIdle),
+		open:   map[uint64]*reactor.Exchange{},
 	}
 	n.core = controller.New(cfg, binary.LittleEndian.Uint64(seed[:]), log, n.now(), n.day())
 	served := make(chan error, 1)
@@ -91,43 +95,42 @@
 	return wire.MaxBody
 }
 
-// take is called on the event loop and never waits: what the core cannot take soon
-// is refused at once.
-func (n *node) take(x *reactor.Exchange) {
-	select {
-	case n.inbox <- x:
-	default:
-		x.Reply(503, wire.ContentType, wire.Encode(wire.Problem{Error: "too busy"}), 1)
-	}
+// take is called on the event loop and never waits.
+func (n *node) take(x *reactor.Exchange, loop *reactor.Loop) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nextID++
+	n.open[n.nextID] = x
+	n.handle(loop, controller.Request{
+		ID: n.nextID, Peer: x.Listener == n.cfg.PeerListen,
+		Method: x.Request.Method, Path: x.Request.Path, Body: x.Request.Body,
+	})
 }
 
+// loop passes the time to the core, as often as it asks for.
 func (n *node) loop(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery.Duration())
-	defer ticker.Stop()
+	tick := time.NewTimer(0)
+	defer tick.Stop()
 	sweep := time.NewTicker(10 * time.Second)
 	defer sweep.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case x := <-n.inbox:
-			n.nextID++
-			n.open[n.nextID] = x
-			n.handle(controller.Request{
-				ID: n.nextID, Peer: x.Listener == n.cfg.PeerListen,
-				Method: x.Request.Method, Path: x.Request.Path, Body: x.Request.Body,
-			})
-		case r := <-n.results:
-			n.handle(r)
-		case <-ticker.C:
-			n.handle(controller.Tick{})
+		case <-tick.C:
+			n.mu.Lock()
+			n.handle(nil, controller.Tick{})
+			tick.Reset(n.core.TickEvery().Duration())
+			n.mu.Unlock()
 		case <-sweep.C:
 			n.client.Sweep()
 		}
 	}
 }
 
-func (n *node) handle(ev controller.Event) {
+// handle lets the core handle an event and carries out what it returns. The caller holds
+// the lock.
+func (n *node) handle(loop *reactor.Loop, ev controller.Event) {
 	for _, e := range n.core.Handle(n.now(), n.day(), ev) {
 		switch e := e.(type) {
 		case controller.Call:
@@ -135,7 +138,7 @@
 		case controller.Respond:
 			if x := n.open[e.ID]; x != nil {
 				delete(n.open, e.ID)
-				x.Reply(e.Status, wire.ContentType, e.Body, e.RetryAfter)
+				x.Reply(loop, e.Status, wire.ContentType, e.Body, e.RetryAfter)
 			}
 		}
 	}
@@ -146,5 +149,7 @@
 		Addr: call.Addr, Method: call.Method, Target: call.Target, Body: call.Body,
 		Timeout: call.Timeout, MaxBody: call.MaxBody + httpwire.MaxHead,
 	})
-	n.results <- controller.CallDone{ID: call.ID, Status: res.Status, Body: res.Body, Sent: res.Sent}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handle(nil, controller.CallDone{ID: call.ID, Status: res.Status, Body: res.Body, Sent: res.Sent})
 }
--- a/internal/reactor/server.go
+++ b/internal/reactor/server.go
@@ -27,6 +27,10 @@
 	state    *connState
 }
 
+// Loop proves that its holder runs on the event loop, where responses are written at
+// once. From elsewhere the loop must be woken for each.
+type Loop struct{}
+
 // Options of a server.
 type Options struct {
 	Addrs    []string
@@ -34,8 +38,9 @@
 	MaxBody  func(listener string) int
 	Idle     micros.Micros // a connection without a request for this long is closed
 	Partial  micros.Micros // a request must be whole after this long
-	// Handle takes a request; it must not block, and Reply must follow once.
-	Handle func(*Exchange)
+	// Handle takes a request on the event loop; it must not block, and Reply must follow
+	// once. While it runs, the next requests wait in the kernel.
+	Handle func(*Exchange, *Loop)
 	Log    *slog.Logger
 }
 
@@ -43,6 +48,7 @@
 	listener string
 	busy     bool // a request waits for its response
 	closing  bool // no more requests are taken
+	gone     bool // the connection has ended
 	since    time.Time
 	partial  bool
 }
@@ -102,6 +108,9 @@
 }
 
 func (s *server) OnClose(c gnet.Conn, _ error) gnet.Action {
+	if st := s.conns[c]; st != nil {
+		st.gone = true
+	}
 	delete(s.conns, c)
 	return gnet.None
 }
@@ -141,7 +150,7 @@
 	}
 	c.Discard(n)
 	st.busy, st.partial, st.since = true, false, time.Now()
-	s.opts.Handle(&Exchange{Listener: st.listener, Request: req, conn: c, state: st})
+	s.opts.Handle(&Exchange{Listener: st.listener, Request: req, conn: c, state: st}, &Loop{})
 	return gnet.None
 }
 
@@ -159,21 +168,34 @@
 	return time.Second, gnet.None
 }
 
-// Reply answers an exchange; it may be called from any goroutine, once.
-func (e *Exchange) Reply(status int, contentType string, body []byte, retryAfter int) {
-	closing := e.Request.Close
-	data := httpwire.AppendResponse(nil, status, contentType, body, retryAfter, closing)
-	e.conn.AsyncWrite(data, func(c gnet.Conn, err error) error {
-		e.state.busy, e.state.since = false, time.Now()
-		if closing || err != nil {
-			e.state.closing = true
-			return c.Close()
-		}
-		if c.InboundBuffered() > 0 {
-			return c.Wake(nil)
-		}
+// Reply answers an exchange, once. It may be called from any goroutine, with nil for
+// loop, or on the event loop.
+func (e *Exchange) Reply(loop *Loop, status int, contentType string, body []byte, retryAfter int) {
+	data := httpwire.AppendResponse(nil, status, contentType, body, retryAfter, e.Request.Close)
+	if loop == nil {
+		e.conn.AsyncWrite(data, func(c gnet.Conn, err error) error { return e.replied(err) })
+		return
+	}
+	if e.state.gone {
+		return
+	}
+	_, err := e.conn.Write(data)
+	e.replied(err)
+}
+
+// replied makes the connection ready for its next request.
+func (e *Exchange) replied(err error) error {
+	e.state.busy, e.state.since = false, time.Now()
+	switch {
+	case e.state.gone:
 		return nil
-	})
+	case e.Request.Close || err != nil:
+		e.state.closing = true
+		return e.conn.Close()
+	case e.conn.InboundBuffered() > 0:
+		return e.conn.Wake(nil)
+	}
+	return nil
 }
 
 // quiet passes the library's errors to our log and drops the rest.
