--- a/controller/core.go
+++ b/controller/core.go
@@ -37,6 +37,7 @@
 	cluster cluster
 	lead    leadership
 	risk    risk
+	count   counters
 	owner   *owner // set while this node owns teams
 
 	timers    []timer
@@ -70,6 +71,7 @@
 // Handle takes one event and returns what must be done.
 func (c *Core) Handle(now, day micros.Micros, ev Event) []Effect {
 	c.now, c.day = max(now, c.now), day
+	c.count.events++
 	c.out = nil
 	switch e := ev.(type) {
 	case Request:
@@ -130,6 +132,7 @@
 		c.tickTypes()
 		c.tickMembership()
 		c.tickLeadership()
+		c.tickStatus()
 		if c.owner != nil {
 			c.owner.slowTick()
 		}
@@ -143,6 +146,7 @@
 // call starts an outbound request.
 func (c *Core) call(call Call, done func(CallDone)) {
 	c.nextID++
+	c.count.calls++
 	call.ID = c.nextID
 	c.calls[call.ID] = done
 	c.out = append(c.out, call)
@@ -158,6 +162,7 @@
 
 // refuse answers at once that a request cannot be taken now.
 func (c *Core) refuse(id uint64, status int, why string) {
+	c.count.refused++
 	c.out = append(c.out, Respond{ID: id, Status: status, Body: wire.Encode(wire.Problem{Error: why}), RetryAfter: retryAfter})
 }
 
--- a/controller/gangs.go
+++ b/controller/gangs.go
@@ -45,27 +45,53 @@
 // worthSpot is the least part of its time that a gang must spend on progress that lasts.
 const worthSpot = 0.55
 
-// spotMost tells how many tasks of a gang may be on spot machines. Each of them that is
-// taken stops the whole gang; with too many it would start anew again and again. What is
-// between two losses counts, less what is undone back to the last checkpoint and the
-// time until the gang is whole again.
-func (o *owner) spotMost(j *job) int {
+// ordinaryFor tells how many tasks of a gang must not be on spot machines. Each spot
+// machine that is taken stops the whole gang, and with many of them it would start anew
+// again and again. Of all mixes that make good progress, the one that costs the least for
+// what is achieved is taken; a gang that waits for long takes any.
+func (o *owner) ordinaryFor(j *job) int {
+	spot, ordinary := o.spotPrice(j), o.ordinaryPrice(j)
+	best, least := j.Tasks, float64(j.Tasks)*ordinary
+	any := o.c.day-j.accepted > gangPatience
+	for spots := 1; spots <= j.Tasks; spots++ {
+		part := o.progress(j, spots)
+		if part < worthSpot {
+			break
+		}
+		cost := (float64(spots)*spot + float64(j.Tasks-spots)*ordinary) / part
+		if cost < least || any {
+			best, least = j.Tasks-spots, cost
+		}
+	}
+	return best
+}
+
+// progress is the part of its time that a gang with some spot machines spends on progress
+// that lasts. Lost is what is undone back to the last checkpoint when one is taken, and
+// the time until the gang is whole again.
+func (o *owner) progress(j *job, spots int) float64 {
 	again := o.bootTime(j).Seconds()
 	step := j.Checkpoint.Seconds()
 	if step <= 0 {
 		step = o.estimate(j).Seconds()
 	}
 	step = max(min(step, o.estimate(j).Seconds()), 1)
-	rate := o.c.perSecond()
-	n := j.Tasks
-	for ; n > 1; n-- {
-		between := 1 / max(float64(n)*rate, 1e-9)
-		kept := step / between / (math.Exp(step/between) - 1)
-		if kept*between/(between+again) >= worthSpot {
-			break
+	between := 1 / max(float64(spots)*o.c.perSecond(), 1e-9)
+	kept := step / between / (math.Exp(step/between) - 1)
+	return kept * between / (between + again)
+}
+
+// ordinaryPrice is what a processor of the cheapest ordinary machine for a job costs.
+func (o *owner) ordinaryPrice(j *job) float64 {
+	least := 0.0
+	for _, t := range o.c.types.list {
+		for _, z := range t.Zones {
+			if cpus := o.usable(j, t.Name, z, false); cpus > 0 && (least == 0 || t.Price/cpus < least) {
+				least = t.Price / cpus
+			}
 		}
 	}
-	return n
+	return least
 }
 
 // bootTime is how long the quickest machine for a job takes to come.
@@ -79,15 +105,19 @@
 	return least
 }
 
-// slowBoot is how much longer than usual machines often take to come.
-const slowBoot = 1.5
+// slowBoot is how much longer than usual machines often take to come; readyMemory is how
+// long after a gang others of its class are expected.
+const (
+	slowBoot    = 1.5
+	readyMemory = micros.Minute
+)
 
 // readySize tells how many tasks of a class should find machines at once: when gangs
 // should start sooner than a machine comes, as many as the size of gang that the aim's
 // share of them does not exceed.
 func (o *owner) readySize(class string) (int, *job) {
 	c := o.classes[class]
-	if c == nil || len(c.sizes) == 0 || o.c.now-c.seen > classMemory {
+	if c == nil || len(c.sizes) == 0 || o.c.now-c.seen > readyMemory {
 		return 0, nil
 	}
 	within, share := micros.Micros(0), 0.0
@@ -154,7 +184,7 @@
 }
 
 // fits tells how many tasks of a gang a zone takes.
-func (s *zoneRoom) fits(j *job) int { return min(j.Tasks, s.of[0]+min(s.of[1], j.SpotMost)) }
+func (s *zoneRoom) fits(j *job) int { return min(j.Tasks, s.of[0]+min(s.of[1], j.Tasks-j.Ordinary)) }
 
 func (s *zoneRoom) take(n, spotMost int) (ordinary, spot int) {
 	spot = min(n, s.of[1], spotMost)
@@ -193,11 +223,11 @@
 	}
 	for _, j := range g.gangs {
 		if o.holds[j.ID] == nil {
-			o.growFor(j, g, free, j.Tasks, j.SpotMost)
+			o.growFor(j, free, j.Tasks, j.Tasks-j.Ordinary)
 		}
 	}
 	if n, j := o.readySize(g.first.Class); n > 0 {
-		o.growFor(j, g, free, n, n)
+		o.growFor(j, free, n, n)
 	}
 }
 
@@ -215,7 +245,7 @@
 }
 
 // growFor takes room for so many tasks, and rents what is missing.
-func (o *owner) growFor(j *job, g *demand, free gangRoom, tasks, spotMost int) {
+func (o *owner) growFor(j *job, free gangRoom, tasks, spotMost int) {
 	zone := ""
 	if j.OneZone {
 		zone = o.bestZone(j, free, tasks)
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -131,8 +131,10 @@
 
 // report takes a worker's report on any node.
 func (c *Core) report(r Request) {
+	c.count.reports++
 	rep, err := wire.DecodeReport(r.Body)
 	if err != nil {
+		c.count.dropped++
 		c.respond(r.ID, 400, wire.Problem{Error: err.Error()})
 		return
 	}
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -133,18 +133,19 @@
 	}
 	for _, g := range groups {
 		best := o.cheapestOf(g.first, false, o.anyOffer)
-		if best == nil || g.placed == 0 || g.first.Gang && !best.spot {
+		if best == nil || len(g.on) == 0 || g.first.Gang {
 			continue
 		}
 		// What is on dearer machines, less what is rented and empty already.
 		cpus := 0.0
+		for of, n := range g.on {
+			if o.pricePerCPU(of.kind, of.spot)*muchCheaper >= best.price {
+				cpus += n
+			}
+		}
 		for _, m := range o.list {
-			price := o.pricePerCPU(m.kind, m.spot)
-			switch {
-			case g.use(o, m) == 0:
-			case price*muchCheaper >= best.price:
-				cpus += m.used.CPUs()
-			case m.state == machineBooting || m.state == machineUp:
+			if (m.state == machineBooting || m.state == machineUp) && g.use(o, m) > 0 &&
+				o.pricePerCPU(m.kind, m.spot)*muchCheaper < best.price {
 				cpus -= max(0, o.machineSize(m).Sub(m.used).CPUs())
 			}
 		}
@@ -224,12 +225,12 @@
 // demand is work that fits the same machine types, and what could carry it.
 type demand struct {
 	first    *job
-	horizon  micros.Micros // within which a gang should start
-	waiting  float64       // work that is not placed, in processor seconds
-	capacity float64       // processors of machines that are up, boot or are asked for
-	used     float64       // those in use
-	placed   int           // tasks that are placed
-	gangs    []*job        // gangs that wait
+	horizon  micros.Micros     // within which a gang should start
+	waiting  float64           // work that is not placed, in processor seconds
+	capacity float64           // processors of machines that are up, boot or are asked for
+	used     float64           // those in use
+	on       map[offer]float64 // processors in use by this work
+	gangs    []*job            // gangs that wait
 	usable   map[offer]float64
 }
 
@@ -306,14 +307,18 @@
 		key := demandKey{j.Gang, j.Spot, j.Zone, o.classes[j.Class].key}
 		g := groups[key]
 		if g == nil {
-			g = &demand{first: j, horizon: o.horizon(j), usable: map[offer]float64{}}
+			g = &demand{first: j, horizon: o.horizon(j), usable: map[offer]float64{}, on: map[offer]float64{}}
 			groups[key] = g
 			list = append(list, g)
 		}
 		g.horizon = min(g.horizon, o.horizon(j))
-		g.placed += len(j.attempts)
+		for _, a := range j.attempts {
+			if !a.freed {
+				g.on[offer{a.machine.kind, a.machine.zone, a.machine.spot}] += j.Need.CPUs()
+			}
+		}
 		if j.Gang {
-			j.SpotMost = o.spotMost(j)
+			j.Ordinary = o.ordinaryFor(j)
 		}
 		n := min(j.pending, o.withinTeam(j))
 		if n > 0 && o.c.now+5*micros.Second >= j.notUntil {
@@ -350,8 +355,8 @@
 // How much longer work waits before an ordinary machine is rented for it than before a
 // spot machine is, in proportion to what it costs more.
 const (
-	dearPatience = 0.55 // for each time that it costs what a spot machine costs
-	dearMost     = 5    // times the price beyond which nothing changes any more
+	dearPatience = 0.9 // for each time that it costs what a spot machine costs
+	dearMost     = 5   // times the price beyond which nothing changes any more
 )
 
 // spotPrice is what a processor of the cheapest spot machine for a job costs an hour,
@@ -513,15 +518,19 @@
 // that are kept ready for gangs.
 func (o *owner) returnIdle() {
 	ready := o.readyOffers()
-	for _, m := range o.list {
-		if m.state != machineUp || len(m.attempts) > 0 || m.token == 0 || o.reserved(m.name) {
-			continue
-		}
-		idle := o.c.cfg.Tuning.IdleReturn
+	idle := slices.DeleteFunc(slices.Clone(o.list), func(m *machine) bool {
+		return m.state != machineUp || len(m.attempts) > 0 || m.token == 0 || o.reserved(m.name)
+	})
+	slices.SortStableFunc(idle, func(a, b *machine) int { // what is kept ready should cost little
+		return cmp.Compare(o.pricePerCPU(a.kind, a.spot), o.pricePerCPU(b.kind, b.spot))
+	})
+	for _, m := range idle {
+		needed := ready.takes(o, m)
+		limit := o.c.cfg.Tuning.IdleReturn
 		if !m.spot {
-			idle /= 2
+			limit /= 2
 		}
-		if o.c.now-m.idleSince > idle && o.c.day-m.rented > leastCharged-5*micros.Second && !ready.takes(o, m) {
+		if o.c.now-m.idleSince > limit && o.c.day-m.rented > leastCharged-5*micros.Second && !needed {
 			o.setMachine(m, machineDraining, "idle")
 		}
 	}
--- a/controller/store.go
+++ b/controller/store.go
@@ -78,6 +78,8 @@
 		done(storeReply{outcome: outLimited})
 		return
 	}
+	c.count.requests++
+	c.count.writes += req.Writes
 	if c.route.state == routeSibling {
 		if s := c.servedSibling(); s != nil {
 			c.storeThrough(s, req, timeout, done)
--- a/controller/users.go
+++ b/controller/users.go
@@ -269,6 +269,7 @@
 // job that is not over it hands over the version of its record.
 func (c *Core) lookup(id string, done func(st lookupState, status string, version uint64)) {
 	u := &c.users
+	c.count.lookups++
 	if status, ok := u.finals[id]; ok {
 		done(lookupFound, status, 0)
 		return
--- a/sched/place.go
+++ b/sched/place.go
@@ -110,8 +110,8 @@
 	total := 0
 	used := map[string]int{}
 	spots := want
-	if j.Gang && j.SpotMost > 0 {
-		spots = j.SpotMost
+	if j.Gang {
+		spots = want - j.Ordinary
 	}
 	for _, m := range machines {
 		if zone != "" && m.Zone != zone {
--- a/sched/types.go
+++ b/sched/types.go
@@ -93,7 +93,7 @@
 	OneZone  bool
 	Spread   bool
 	Spot     bool // may use spot machines
-	SpotMost int  // of a gang's tasks, so many at most; 0: no bound
+	Ordinary int  // so many of a gang's tasks must not be on spot machines
 	Estimate micros.Micros
 	// Checkpoint is the progress after which a running task saves by itself; 0: never.
 	Checkpoint micros.Micros
