Polls are confirmed many at a time; they cannot starve an owner's commits

Nodes now know the versions of active jobs' records and compare up to four times txn_ops of them in one request. A machine's boot patience counts from its rental, not anew from each takeover.

--- a/controller/core.go
+++ b/controller/core.go
@@ -33,6 +33,8 @@
 	peers   map[string]*sibling
 	types   typeTable
 	users   users
+	asked   lookups
+	index   index
 	member  membership
 	cluster cluster
 	lead    leadership
@@ -65,6 +67,7 @@
 	c.cluster.members, c.cluster.teams = map[string]member{}, map[string]teamView{}
 	c.route.lastOK = now
 	c.users.init()
+	c.index.versions = map[string]uint64{}
 	return c
 }
 
@@ -117,7 +120,7 @@
 
 // TickEvery tells how often the time must be passed to the core now.
 func (c *Core) TickEvery() micros.Micros {
-	if c.owner != nil || len(c.users.waiting) > 0 || len(c.timers) > 0 {
+	if c.owner != nil || len(c.users.waiting) > 0 || len(c.asked.waiting) > 0 || len(c.timers) > 0 {
 		return fastTick
 	}
 	return slowTick
@@ -132,12 +135,14 @@
 		c.tickTypes()
 		c.tickMembership()
 		c.tickLeadership()
+		c.tickIndex()
 		c.tickStatus()
 		if c.owner != nil {
 			c.owner.slowTick()
 		}
 	}
 	c.users.flush(c)
+	c.flushLookups()
 	if c.owner != nil {
 		c.owner.advance()
 	}
--- /dev/null
+++ b/controller/lookups.go
@@ -0,0 +1,244 @@
+package controller
+
+import (
+	"strings"
+
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// This file answers what state a job is in. A non-final state is answered only after a
+// read made for that answer, since another node may have ended the job a moment ago. A
+// node that knows the version of a job's record need not read the record: a commit
+// without writes compares the versions of many at once.
+
+// Bounds of the stage that looks up jobs. What cannot be looked up in time is refused at
+// once and asked again; the rest is served in the order in which it came.
+const (
+	maxLookups   = 512
+	lookupWithin = 1500 * micros.Millisecond // users wait for 2 s
+	lookupGap    = 60 * micros.Millisecond   // lookups gather for so long
+)
+
+type lookupState int
+
+const (
+	lookupFailed lookupState = iota
+	lookupNone
+	lookupFound
+)
+
+// lookup is a question for a job's state.
+type lookup struct {
+	id    string
+	since micros.Micros
+	done  func(st lookupState, status string, version uint64)
+}
+
+// lookups is the stage of questions that wait.
+type lookups struct {
+	waiting []*lookup
+	open    int // reads and comparisons under way, in lookups
+	next    micros.Micros
+}
+
+// lookup finds a job's state from the records, which alone are never outdated. For a job
+// that is not over it hands over the version of its record.
+func (c *Core) lookup(id string, done func(st lookupState, status string, version uint64)) {
+	c.count.lookups++
+	if status, ok := c.users.finals[id]; ok {
+		done(lookupFound, status, 0)
+		return
+	}
+	l := &c.asked
+	if len(l.waiting)+l.open >= maxLookups {
+		done(lookupFailed, "", 0)
+		return
+	}
+	if len(l.waiting) == 0 {
+		l.next = max(l.next, c.now+lookupGap)
+	}
+	l.waiting = append(l.waiting, &lookup{id, c.now, done})
+}
+
+// flushLookups makes the reads for what waits, as the budget allows.
+func (c *Core) flushLookups() {
+	l := &c.asked
+	for len(l.waiting) > 0 && c.now-l.waiting[0].since > lookupWithin {
+		q := l.waiting[0]
+		l.waiting = l.waiting[1:]
+		q.done(lookupFailed, "", 0)
+	}
+	if len(l.waiting) == 0 || c.now < l.next {
+		return
+	}
+	l.next = c.now + lookupGap
+	var known, rest []*lookup
+	guards := map[string]uint64{}
+	for _, q := range l.waiting {
+		v := c.knownVersion(q.id)
+		if v != 0 && (guards[activeKey(q.id)] == v || len(guards) < 4*c.cfg.TxnOps) {
+			guards[activeKey(q.id)] = v
+			known = append(known, q)
+		} else {
+			rest = append(rest, q)
+		}
+	}
+	l.waiting = rest
+	if len(known) > 0 {
+		if enough(c.budget.requests, forReads, 1, c.now) {
+			c.compare(known, guards)
+		} else {
+			l.waiting = append(known, rest...)
+			return
+		}
+	}
+	for len(l.waiting) > 0 && enough(c.budget.requests, forReads, 1, c.now) {
+		q := l.waiting[0]
+		if c.knownVersion(q.id) != 0 {
+			break // its turn comes with the next comparison
+		}
+		l.waiting = l.waiting[1:]
+		l.open++
+		c.read(q)
+	}
+}
+
+// knownVersion is the version of an active job's record as this node last saw it, or 0.
+func (c *Core) knownVersion(id string) uint64 {
+	if c.owner != nil {
+		if j := c.owner.jobs[id]; j != nil && j.state != jobEnded {
+			return j.version
+		}
+	}
+	return c.index.versions[id]
+}
+
+// compare asks whether jobs' records are as this node knows them.
+func (c *Core) compare(known []*lookup, guards map[string]uint64) {
+	c.asked.open += len(known)
+	c.store(forReads, state.Commit(guardList(guards), nil), func(r storeReply) {
+		var res state.Committed
+		failed := map[string]bool{}
+		switch {
+		case r.outcome == outConflict && r.decode(&res) && len(res.Failed) > 0:
+			for _, k := range res.Failed {
+				failed[k] = true
+			}
+		case r.outcome != outOK:
+			for _, q := range known {
+				c.finish(q, lookupFailed, "", 0)
+			}
+			return
+		}
+		for _, q := range known {
+			key := activeKey(q.id)
+			if failed[key] {
+				if c.index.versions[q.id] == guards[key] {
+					delete(c.index.versions, q.id)
+				}
+				c.read(q)
+				continue
+			}
+			c.finish(q, lookupFound, wire.JobQueued, guards[key])
+		}
+	})
+}
+
+// read looks a job up by its records.
+func (c *Core) read(q *lookup) {
+	c.get(forReads, activeKey(q.id), func(out outcome, e state.Entry) {
+		switch out {
+		case outOK:
+			c.index.learn(q.id, e.Version)
+			c.finish(q, lookupFound, wire.JobQueued, e.Version)
+		case outMissing:
+			c.get(forReads, finalKey(q.id), func(out outcome, e state.Entry) {
+				var rec finalRecord
+				switch {
+				case out == outMissing:
+					c.finish(q, lookupNone, "", 0)
+				case out == outOK && wire.Decode(e.Value, &rec) == nil:
+					c.users.remember(q.id, rec.Status)
+					c.finish(q, lookupFound, rec.Status, 0)
+				default:
+					c.finish(q, lookupFailed, "", 0)
+				}
+			})
+		default:
+			c.finish(q, lookupFailed, "", 0)
+		}
+	})
+}
+
+func (c *Core) finish(q *lookup, st lookupState, status string, version uint64) {
+	c.asked.open--
+	q.done(st, status, version)
+}
+
+// indexPause is the least time between two answers of the watch that the index follows:
+// it need not be up to date, since what it says is always confirmed.
+const indexPause = micros.Second
+
+// index holds the versions of active jobs' records at a node that does not own. They only
+// serve for comparisons. After a start one listing brings them all.
+type index struct {
+	versions  map[string]uint64
+	following bool
+	next      micros.Micros
+}
+
+// indexMost bounds the index: what it does not hold is read one by one.
+const indexMost = 20000
+
+func (x *index) learn(id string, version uint64) {
+	if len(x.versions) < indexMost {
+		x.versions[id] = version
+	}
+}
+
+func (c *Core) tickIndex() {
+	x := &c.index
+	if x.following || c.now < x.next || c.owner != nil {
+		return
+	}
+	x.following = true
+	c.listAll(prefixActive, func(ok bool, entries []state.Entry, rev uint64) {
+		if !ok {
+			x.following, x.next = false, c.now+indexPause
+			return
+		}
+		clear(x.versions)
+		for _, e := range entries {
+			x.learn(strings.TrimPrefix(e.Key, prefixActive), e.Version)
+		}
+		c.followIndex(rev)
+	})
+}
+
+func (c *Core) followIndex(after uint64) {
+	x := &c.index
+	c.after(indexPause, func() {
+		if c.owner != nil { // it follows the jobs itself
+			x.following = false
+			clear(x.versions)
+			return
+		}
+		c.storeWithin(forReads, state.Watch(prefixActive, after, watchWait), watchTimeout, func(r storeReply) {
+			var ch state.Changes
+			if r.outcome != outOK || !r.decode(&ch) {
+				x.following, x.next = false, c.now+indexPause
+				return
+			}
+			for _, e := range ch.Events {
+				if e.Put != "" {
+					x.learn(strings.TrimPrefix(e.Put, prefixActive), e.Version)
+				} else {
+					delete(x.versions, strings.TrimPrefix(e.Delete, prefixActive))
+				}
+			}
+			c.followIndex(max(after, ch.Revision))
+		})
+	})
+}
--- a/controller/rental.go
+++ b/controller/rental.go
@@ -206,7 +206,8 @@
 			if k := o.c.types.find(m.kind); k != nil {
 				boot = k.Boot
 			}
-			if m.failed || silent > micros.Micros(t.BootPatience*float64(boot))+t.SilentAfter {
+			// After a takeover the machine may have been up all the while.
+			if m.failed || o.c.day-m.rented > micros.Micros(t.BootPatience*float64(boot))+t.SilentAfter && silent > t.SilentAfter {
 				o.setMachine(m, machineCondemned, "never came up")
 			}
 		case machineUp, machineDraining, machineMoving:
--- a/controller/users.go
+++ b/controller/users.go
@@ -13,7 +13,6 @@
 // once, so that the waiting happens with the users.
 const (
 	maxWaiting   = 128           // submissions waiting for their commit
-	maxLookups   = 64            // reads under way for users
 	acceptWithin = micros.Second // a submission is given up after this
 	finalCache   = 2048          // final states kept in memory
 	limitedPause = 100 * micros.Millisecond
@@ -25,7 +24,6 @@
 	byID       map[string]*acceptance
 	committing bool
 	pause      micros.Micros
-	lookups    int
 	finals     map[string]string
 	order      []string // of finals, the oldest first
 }
@@ -257,55 +255,6 @@
 	}
 }
 
-type lookupState int
-
-const (
-	lookupFailed lookupState = iota
-	lookupNone
-	lookupFound
-)
-
-// lookup reads a job's state from the records, which alone are never outdated. For a
-// job that is not over it hands over the version of its record.
-func (c *Core) lookup(id string, done func(st lookupState, status string, version uint64)) {
-	u := &c.users
-	c.count.lookups++
-	if status, ok := u.finals[id]; ok {
-		done(lookupFound, status, 0)
-		return
-	}
-	if u.lookups >= maxLookups {
-		done(lookupFailed, "", 0)
-		return
-	}
-	u.lookups++
-	finish := func(st lookupState, status string, version uint64) {
-		u.lookups--
-		done(st, status, version)
-	}
-	c.get(forUsers, activeKey(id), func(out outcome, e state.Entry) {
-		switch out {
-		case outOK:
-			finish(lookupFound, wire.JobQueued, e.Version)
-		case outMissing:
-			c.get(forUsers, finalKey(id), func(out outcome, e state.Entry) {
-				var rec finalRecord
-				switch {
-				case out == outMissing:
-					finish(lookupNone, "", 0)
-				case out == outOK && wire.Decode(e.Value, &rec) == nil:
-					u.remember(id, rec.Status)
-					finish(lookupFound, rec.Status, 0)
-				default:
-					finish(lookupFailed, "", 0)
-				}
-			})
-		default:
-			finish(lookupFailed, "", 0)
-		}
-	})
-}
-
 func (c *Core) query(req uint64, id string) {
 	if !wire.ValidRef(id) {
 		c.respond(req, 404, wire.Problem{Error: "no such job"})
