--- a/controller/gangs.go
+++ b/controller/gangs.go
@@ -150,8 +150,8 @@
 
 // takes counts an idle machine towards what is kept ready, if it is needed for that.
 func (r readiness) takes(o *owner, m *machine) bool {
-	for class, n := range r {
-		j := o.classes[class].first
+	for _, class := range sortedKeys(r) {
+		n, j := r[class], o.classes[class].first
 		if n <= 0 || !j.Allows(m.kind, m.zone, m.spot) {
 			continue
 		}
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -137,12 +137,13 @@
 			continue
 		}
 		// What is on dearer machines, less what is rented and empty already.
-		cpus := 0.0
-		for of, n := range g.on {
+		var dear sched.Resources
+		for of, used := range g.on {
 			if o.pricePerCPU(of.kind, of.spot)*muchCheaper >= best.price {
-				cpus += n
+				dear = dear.Add(used)
 			}
 		}
+		cpus := dear.CPUs()
 		for _, m := range o.list {
 			if (m.state == machineBooting || m.state == machineUp) && g.use(o, m) > 0 &&
 				o.pricePerCPU(m.kind, m.spot)*muchCheaper < best.price {
@@ -225,12 +226,12 @@
 // demand is work that fits the same machine types, and what could carry it.
 type demand struct {
 	first    *job
-	horizon  micros.Micros     // within which a gang should start
-	waiting  float64           // work that is not placed, in processor seconds
-	capacity float64           // processors of machines that are up, boot or are asked for
-	used     float64           // those in use
-	on       map[offer]float64 // processors in use by this work
-	gangs    []*job            // gangs that wait
+	horizon  micros.Micros             // within which a gang should start
+	waiting  float64                   // work that is not placed, in processor seconds
+	capacity float64                   // processors of machines that are up, boot or are asked for
+	used     float64                   // those in use
+	on       map[offer]sched.Resources // in use by this work
+	gangs    []*job                    // gangs that wait
 	usable   map[offer]float64
 }
 
@@ -307,14 +308,15 @@
 		key := demandKey{j.Gang, j.Spot, j.Zone, o.classes[j.Class].key}
 		g := groups[key]
 		if g == nil {
-			g = &demand{first: j, horizon: o.horizon(j), usable: map[offer]float64{}, on: map[offer]float64{}}
+			g = &demand{first: j, horizon: o.horizon(j), usable: map[offer]float64{}, on: map[offer]sched.Resources{}}
 			groups[key] = g
 			list = append(list, g)
 		}
 		g.horizon = min(g.horizon, o.horizon(j))
 		for _, a := range j.attempts {
 			if !a.freed {
-				g.on[offer{a.machine.kind, a.machine.zone, a.machine.spot}] += j.Need.CPUs()
+				of := offer{a.machine.kind, a.machine.zone, a.machine.spot}
+				g.on[of] = g.on[of].Add(j.Need)
 			}
 		}
 		if j.Gang {
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -390,8 +390,21 @@
 	if w.running[task] == k.Machine.Name {
 		delete(w.running, task)
 	}
-	if cause == wire.CauseDone {
-		w.done[task] = true
+	if cause != wire.CauseDone {
+		return
+	}
+	w.done[task] = true
+	id, _, _ := splitNumbered(task)
+	if !w.infos[id].Gang {
+		return
+	}
+	for _, name := range w.workerNames() {
+		mate := w.workers[name]
+		for i := range w.infos[id].Tasks {
+			if t := mate.Tasks[numbered(id, i)]; t != nil && !mate.Machine.Gone && t.Phase == wire.PhaseRunning && t.Attempt == k.Tasks[task].Attempt {
+				mate.Complete(t)
+			}
+		}
 	}
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -149,6 +149,9 @@
 	}
 }
 
+// Complete ends a running task as done: tasks of a gang complete together.
+func (w *Worker) Complete(t *Task) { w.exit(t, wire.CauseDone) }
+
 // Execute carries out commands in order.
 func (w *Worker) Execute(now micros.Micros, cmds []wire.Command) {
 	for _, c := range cmds {
