--- a/controller/gangs.go
+++ b/controller/gangs.go
@@ -357,8 +357,8 @@
 	slots := map[string]int{}
 	for _, v := range view {
 		m := o.machines[v.Name]
-		if v.Kept || !v.Scarce || !j.Allows(v.Type, v.Zone, v.Spot) {
-			continue
+		if v.Kept || !v.Scarce || !j.Allows(v.Type, v.Zone, v.Spot) || o.reserved(v.Name) {
+			continue // what a hold keeps is spoken for
 		}
 		fits := j.Need.Count(m.size, j.Tasks)
 		if fits == 0 {
