--- a/controller/scale.go
+++ b/controller/scale.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 
@@ -106,7 +107,8 @@
 // Bounds of replacing and shedding.
 const (
 	muchCheaper = 0.6  // of the price: worth a move
-	shedBelow   = 0.85 // of what is left may be in use when a machine is shed
+	shedSpare   = 0.85 // room that is left when machines are shed, by the root of their number
+	shedLeast   = 0.05 // and at least this part
 	shedEvery   = 2 * micros.Second
 	shedShare   = 0.03               // of all machines are shed at once, one at least
 	worthMoving = 15 * micros.Second // of machine time saved
@@ -165,6 +167,9 @@
 	}
 	o.nextShed = o.c.now + shedEvery
 	most := max(1, int(shedShare*float64(len(o.list))))
+	// The more machines, the less their load varies in proportion.
+	below := 1 - max(shedLeast, shedSpare/math.Sqrt(float64(max(1, len(o.list)))))
+	below = max(below, 0.5)
 	for _, g := range groups {
 		if g.first.Gang {
 			continue
@@ -176,7 +181,7 @@
 				break
 			}
 			usable := g.use(o, m)
-			if needs >= shedBelow*(g.capacity-usable) {
+			if needs >= below*(g.capacity-usable) {
 				break
 			}
 			g.capacity -= usable
@@ -228,6 +233,8 @@
 	first    *job
 	horizon  micros.Micros             // within which a gang should start
 	waiting  float64                   // work that is not placed, in processor seconds
+	low      float64                   // the part of it that has the lowest priority
+	lowWait  micros.Micros             // which may wait for so long
 	capacity float64                   // processors of machines that are up, boot or are asked for
 	used     float64                   // those in use
 	on       map[offer]sched.Resources // in use by this work
@@ -324,7 +331,12 @@
 		}
 		n := min(j.pending, o.withinTeam(j))
 		if n > 0 && o.c.now+5*micros.Second >= j.notUntil {
-			g.waiting += float64(n) * max(j.Need.CPUs(), 0.01) * max(o.estimate(j).Seconds(), 1)
+			work := float64(n) * max(j.Need.CPUs(), 0.01) * max(o.estimate(j).Seconds(), 1)
+			g.waiting += work
+			if j.Priority == sched.Low {
+				g.low += work
+				g.lowWait = max(g.lowWait, o.horizon(j))
+			}
 			if j.Gang && n == j.Tasks {
 				g.gangs = append(g.gangs, j)
 			}
@@ -396,7 +408,8 @@
 			if !best.spot {
 				// A dear machine must be worth it: it comes late and costs a minute.
 				patience := dearPatience * best.price / max(o.spotPrice(g.first), best.price/dearMost)
-				short = g.waiting/(patience*max(o.c.cfg.Tuning.QueueTarget.Seconds(), 1)) - g.capacity
+				wait := patience * max(o.c.cfg.Tuning.QueueTarget.Seconds(), 1)
+				short = (g.waiting-g.low)/wait + g.low/max(wait, g.lowWait.Seconds()) - g.capacity
 			}
 			got := o.rent(g.first, best, short)
 			if got <= 0 {
