--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -17,10 +17,12 @@
 
 // Bounds of a block. Its size is bounded by the settings; these keep it below.
 const (
-	blockMost    = 32 // machines
-	entryBytes   = 64 // of a machine without tasks, at most, as a rule
-	taskBytes    = 10 // of a task in an entry
-	blockSpare   = 0.7
+	blockMost    = 48   // machines
+	entryBytes   = 60   // of a machine without tasks, as a rule
+	taskBytes    = 10   // of a task in an entry, as a rule
+	blockTasks   = 16   // for each machine, when a block is filled with machines
+	blockUsed    = 0.8  // of a value, when a block is filled with machines
+	blockFull    = 0.92 // of a value, when machines are filled with tasks
 	adoptedBlock = "x-" // prefix of the block of a machine that nobody expected
 )
 
@@ -32,6 +34,8 @@
 	dirty    bool
 	since    micros.Micros // dirty
 	writing  bool
+	// taskBytes is what a task takes, with its part of the names of jobs.
+	taskBytes float64
 }
 
 // blockFor finds the block that a new machine's entry goes to. Machines of one type and
@@ -49,18 +53,18 @@
 // blockRoom is how many machines share a block: as many as fit, each with a good number
 // of tasks.
 func (o *owner) blockRoom() int {
-	const tasks = 20
-	return min(max(1, int(float64(o.c.cfg.ValueBytes)*blockSpare)/(entryBytes+tasks*taskBytes)), blockMost)
+	return min(max(1, int(float64(o.c.cfg.ValueBytes)*blockUsed)/(entryBytes+blockTasks*taskBytes)), blockMost)
 }
 
-// slotsOf is how many more tasks a machine's entry can hold: its part of the block, or
-// more while the block has room.
+// slotsOf is how many more tasks a machine's entry can hold: a part of what is left in
+// its block, by what a task took there when it was written last.
 func (o *owner) slotsOf(m *machine) int {
-	left := float64(o.c.cfg.ValueBytes) * blockSpare
+	each := max(m.block.taskBytes, taskBytes)
+	left := float64(o.c.cfg.ValueBytes) * blockFull
 	for _, n := range m.block.machines {
-		left -= float64(entryBytes + taskBytes*len(n.attempts))
+		left -= entryBytes + each*float64(len(n.attempts))
 	}
-	return min(int(left)/taskBytes/min(3, len(m.block.machines)), recordSlots-len(m.attempts))
+	return min(int(left/each)/min(3, len(m.block.machines)), recordSlots-len(m.attempts))
 }
 
 func (o *owner) newBlock(name string) *block {
@@ -169,6 +173,7 @@
 	d := &blockData{Since: int64(o.c.day), Base: ^uint64(0)}
 	kinds, jobs := map[offer]int{}, map[string]int{}
 	kept := b.machines[:0:0]
+	placed := 0
 	for _, m := range b.machines {
 		for _, a := range m.attempts {
 			d.Base = min(d.Base, a.number)
@@ -227,9 +232,13 @@
 			tasks = append(tasks, blockTask{n, a.index, a.number})
 		}
 		d.pack(&e, tasks)
+		placed += len(tasks)
 		d.Machines = append(d.Machines, e)
 	}
 	rec := d.record(o.c.ownID())
+	if placed > 0 {
+		b.taskBytes = float64(rec.size()-len(kept)*entryBytes) / float64(placed)
+	}
 	if rec.size() > o.c.cfg.ValueBytes && len(ch.proposed) > 0 {
 		// The bounds above did not hold: what is proposed is given up.
 		o.c.log.Warn("block too large", "block", b.name, "bytes", rec.size(), "machines", len(kept))
--- a/controller/budget.go
+++ b/controller/budget.go
@@ -23,7 +23,7 @@
 
 // userWrites is the part of the write limit that all nodes share for accepting and
 // cancelling; the rest is for owners, who record placements and completions.
-const userWrites = 0.35
+const userWrites = 0.2
 
 // budget keeps this node within its part of the state service's limits.
 type budget struct {
--- a/controller/job.go
+++ b/controller/job.go
@@ -34,6 +34,7 @@
 	accepted micros.Micros
 	tasks    []taskState
 	pending  int
+	lowest   int // no task below it is pending
 	done     bitmap
 	doneN    int
 	shards   map[int]*shard     // of its chunks
@@ -105,6 +106,7 @@
 		j.pending--
 	case s == taskPending:
 		j.pending++
+		j.lowest = min(j.lowest, i)
 	}
 	if s == taskDone {
 		j.done.set(i)
--- a/controller/work.go
+++ b/controller/work.go
@@ -139,7 +139,6 @@
 	if len(got) == 0 {
 		return
 	}
-	next := 0
 	number := o.nextNumber()
 	if j.Gang {
 		o.setGang(j, gangPlacing)
@@ -147,13 +146,10 @@
 	for _, as := range got {
 		m := o.machines[as.Machine.Name]
 		for n := 0; n < as.Count; n++ {
-			for j.task(next) != taskPending {
-				next++
-			}
-			o.attach(j, next, number, m, attemptProposed)
-			if !j.Gang {
-				number = o.nextNumber()
+			for j.task(j.lowest) != taskPending {
+				j.lowest++
 			}
+			o.attach(j, j.lowest, number, m, attemptProposed)
 		}
 		o.touch(m)
 		as.Machine.Free = as.Machine.Free.Sub(j.Need.Times(as.Count))
