--- a/config/tuning.go
+++ b/config/tuning.go
@@ -24,6 +24,7 @@
 	DomainList    int           // domains tried for one gang at a time
 	ROIThreshold  float64       // ROIs that differ by less count as equal
 	MaxMachines   int           // never rent above this many; 0: no bound of ours
+	StarveAfter   micros.Micros // a job that has not begun after this comes first
 	SpotLoss      float64       // losses of a spot machine an hour, until its own are seen
 	SpreadTeams   bool          // part teams among all controllers
 }
@@ -43,6 +44,7 @@
 		DomainList:    4,
 		ROIThreshold:  0.05,
 		MaxMachines:   0,
+		StarveAfter:   100 * micros.Second,
 		SpotLoss:      2,
 		SpreadTeams:   false,
 	}
@@ -107,6 +109,7 @@
 	"machine.most":          {"most machines rented at once, 0 for no bound", count(func(t *Tuning) *int { return &t.MaxMachines }, 0, 100000)},
 	"rental.queue_target_s": {"waiting work that justifies no further machine", seconds(func(t *Tuning) *micros.Micros { return &t.QueueTarget }, 0, 3600)},
 	"rental.retry_s":        {"pause after a refusal for want of capacity", seconds(func(t *Tuning) *micros.Micros { return &t.RentalRetry }, 1, 600)},
+	"jobs.starve_s":         {"wait after which a job that has not begun comes first", seconds(func(t *Tuning) *micros.Micros { return &t.StarveAfter }, 1, 86400)},
 	"spot.losses_per_h":     {"losses of a spot machine an hour, until enough are seen", number(func(t *Tuning) *float64 { return &t.SpotLoss }, 0, 1000)},
 	"teams.spread":          {"part the teams among all controllers instead of gathering them", yesNo(func(t *Tuning) *bool { return &t.SpreadTeams })},
 	"preempt.hold_s":        {"how long freed machines are held after the last stop", seconds(func(t *Tuning) *micros.Micros { return &t.HoldWait }, 1, 600)},
--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -340,6 +340,7 @@
 // claimed takes the revision of a commit as a machine's token.
 func (o *owner) claimed(m *machine, rev uint64) {
 	m.token, m.synced = rev, false
+	m.shown = max(m.shown, o.c.now)
 	if m.fence == fenceWanted {
 		o.setFence(m, fenceRaised)
 	}
@@ -452,6 +453,7 @@
 			continue // completed: the record was not written since
 		}
 		a := o.attach(j, t.index, t.number, m, attemptOrdered)
+		j.began = true
 		if j.Gang {
 			o.setGang(j, gangStarting)
 		}
@@ -628,6 +630,7 @@
 			j.setTask(i, taskDone)
 		}
 	}
+	j.began = true
 	if j.doneN == j.Tasks {
 		o.setJob(j, jobFinishing)
 	}
--- a/controller/budget.go
+++ b/controller/budget.go
@@ -13,13 +13,13 @@
 const (
 	forOwnership purpose = iota // leases, leadership, claims
 	forUsers                    // accepting, cancelling
-	forReads                    // answering
 	forWork                     // placements and completions
+	forReads                    // answering
 	forTidying                  // deleting what nobody reads any more
 )
 
 // reserve is the part of a limit that a purpose must leave to more urgent ones.
-var reserve = map[purpose]float64{forOwnership: 0, forUsers: 0, forReads: 0.25, forWork: 0.2, forTidying: 0.6}
+var reserve = map[purpose]float64{forOwnership: 0, forUsers: 0, forWork: 0.1, forReads: 0.4, forTidying: 0.6}
 
 // userWrites is the part of the write limit that all nodes share for accepting and
 // cancelling; the rest is for owners, who record placements and completions.
--- a/controller/gangs.go
+++ b/controller/gangs.go
@@ -327,11 +327,11 @@
 
 // keepForGangs keeps machines from other work: for each gang that waits as many as it
 // needs, those with room first, then those that will have it the soonest; and what is to
-// be ready for gangs to come. Only types that the gang depends on are kept; without that,
-// small tasks would fill every gap first.
+// be ready for gangs to come. Only types that the gang depends on are kept, but for a gang
+// that starves; without that, small tasks would fill every gap first.
 func (o *owner) keepForGangs(view []*sched.Machine) {
 	ready := o.readyOffers()
-	for _, j := range o.queue {
+	for _, j := range o.inTurn() {
 		if !j.Gang || j.state != jobActive || j.gang != gangNone || o.holds[j.ID] != nil || o.c.now < j.notUntil {
 			continue
 		}
@@ -353,11 +353,12 @@
 		fits int
 		wait micros.Micros
 	}
+	starves := o.starves(j)
 	byZone := map[string][]option{}
 	slots := map[string]int{}
 	for _, v := range view {
 		m := o.machines[v.Name]
-		if v.Kept || !v.Scarce || !j.Allows(v.Type, v.Zone, v.Spot) || o.reserved(v.Name) {
+		if v.Kept || !v.Scarce && !starves || !j.Allows(v.Type, v.Zone, v.Spot) || o.reserved(v.Name) {
 			continue // what a hold keeps is spoken for
 		}
 		fits := j.Need.Count(m.size, j.Tasks)
@@ -391,7 +392,7 @@
 	slices.SortStableFunc(list, func(a, b option) int { return cmp.Compare(a.wait, b.wait) })
 	for n, i := 0, 0; i < len(list) && n < j.Tasks; i++ {
 		list[i].v.Kept = true
-		if o.c.day-j.accepted > gangPatience {
+		if starves || o.c.day-j.accepted > gangPatience {
 			list[i].v.For = j.ID
 		}
 		n += list[i].fits
--- a/controller/job.go
+++ b/controller/job.go
@@ -49,6 +49,7 @@
 	failedOn  map[string]bool
 	writing   bool          // its final record is being written
 	unsure    bool          // its record did not match: nothing is placed until that is cleared up
+	began     bool          // some of it was placed
 	evictAt   micros.Micros // room may be made for it again from then on
 	evictions int           // in vain, in a row
 }
--- a/controller/lookups.go
+++ b/controller/lookups.go
@@ -52,7 +52,7 @@
 		return
 	}
 	l := &c.asked
-	if len(l.waiting)+l.open >= maxLookups {
+	if len(l.waiting)+l.open >= maxLookups || c.storeDown() {
 		done(lookupFailed, "", 0)
 		return
 	}
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -57,6 +57,7 @@
 	verifying bool
 	rented    micros.Micros
 	heard     micros.Micros // last report, or when we began to wait for one
+	shown     micros.Micros // when it last showed our token, or we began to wait for that
 	expected  bool          // was another owner's: it is up, or boots since we do not know when
 	listed    bool
 	unlisted  int // lists in a row without it
@@ -108,7 +109,7 @@
 	m.state = s
 	switch s {
 	case machineUp:
-		m.idleSince = o.c.now
+		m.idleSince, m.shown = o.c.now, max(m.shown, o.c.now)
 		o.wantSchedule = true
 	case machineReleasing:
 		o.wantRelease = true
@@ -150,7 +151,6 @@
 
 func (o *owner) report(req uint64, rep *wire.Report) {
 	c := o.c
-	o.lastHeard = c.now
 	if o.state != ownerActive {
 		c.refuse(req, 503, "taking over")
 		return
@@ -172,7 +172,12 @@
 		return
 	}
 	if m.token == 0 {
-		// Its record is not ours yet: the answer waits for that commit.
+		// Its record is not ours yet: the answer waits for that commit. A late copy must
+		// not take the place of a newer report.
+		if m.held != 0 && older(rep.Session, rep.Seq, m.heldReport.Session, m.heldReport.Seq) {
+			c.refuse(req, 503, "superseded")
+			return
+		}
 		if m.held != 0 {
 			c.refuse(m.held, 503, "superseded")
 		}
@@ -184,7 +189,9 @@
 
 func (o *owner) answer(m *machine, req uint64, rep *wire.Report) {
 	if rep.Token > m.token {
-		o.c.refuse(req, 503, "not the owner")
+		// Another owns the machine by now. Its worker drops what we answer and would stay
+		// here until its lease ends: it is let go at once.
+		o.c.respond(req, 421, wire.Redirect{ReportTo: o.c.claimant(m.name)})
 		o.resync("a machine has seen a higher token")
 		return
 	}
@@ -200,8 +207,11 @@
 // shows that starts in the response to the report before were executed or dropped,
 // while the answer to a direct command may have overtaken that response.
 func (o *owner) takeReport(m *machine, rep *wire.Report, regular bool) bool {
-	if rep.Session < m.session || rep.Session == m.session && rep.Seq <= m.seq {
-		return false
+	if !older(m.session, m.seq, rep.Session, rep.Seq) {
+		return false // a late copy tells nothing, not even that the machine lives
+	}
+	if regular {
+		o.lastHeard = o.c.now
 	}
 	if rep.Session > m.session && m.session != 0 {
 		o.setFence(m, fenceNone)
@@ -209,7 +219,9 @@
 	m.session, m.seq, m.seen = rep.Session, rep.Seq, rep.Tasks
 	m.heard = max(m.heard, o.c.now) // after a takeover it has longer
 	m.endpoint = cmp.Or(rep.Endpoint, m.endpoint)
-	m.synced = rep.Token == m.token
+	if m.synced = rep.Token == m.token; m.synced {
+		m.shown = max(m.shown, o.c.now)
+	}
 	if m.synced && m.fence == fenceRaised {
 		o.setFence(m, fenceNone)
 	}
@@ -251,6 +263,11 @@
 	return true
 }
 
+// older tells whether a report comes before another.
+func older(session, seq, thanSession, thanSeq uint64) bool {
+	return session < thanSession || session == thanSession && seq < thanSeq
+}
+
 func (o *owner) sawTask(a *attempt, t *wire.TaskReport) {
 	a.seen, a.phase = true, t.Phase
 	switch a.state {
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -220,6 +220,7 @@
 		m := b.machines[0]
 		delete(o.foreign, m.name)
 		m.token, m.dirty, m.expected, b.dirty = e.Version, false, true, false
+		m.shown = o.c.now
 		o.c.log.Info("machine received", "machine", m.name, "type", m.kind, "zone", m.zone)
 	})
 }
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -332,6 +332,7 @@
 func (o *owner) activate() {
 	for _, m := range o.list {
 		m.heard, m.expected = o.c.now+o.c.cfg.Tuning.TakeoverGrace, true
+		m.shown = m.heard
 	}
 	o.since = o.c.now
 	o.wantSchedule = true
--- a/controller/rental.go
+++ b/controller/rental.go
@@ -190,6 +190,18 @@
 	})
 }
 
+// isDeaf tells that a machine's reports arrive while nothing reaches it: it has not shown
+// our token for long. What runs there goes on until its lease ends; then it is idle and
+// paid for.
+func (o *owner) isDeaf(m *machine) bool {
+	return m.token != 0 && m.state >= machineUp && m.state <= machineMoving && !m.synced &&
+		o.c.now-m.shown > o.c.cfg.Tuning.SilentAfter+2*o.c.cfg.ReportEvery
+}
+
+// mostDeaf is how many deaf machines are taken for such at the same time. With more of
+// them the fault is likely on this side: answers that come too late are dropped too.
+func (o *owner) mostDeaf() int { return max(2, len(o.list)/10) }
+
 // findSilent gives up machines that do not report, and returns empty ones that are to
 // go. If no worker at all is heard, the fault is likely on this side. The decision is
 // recorded before the cloud is asked: a controller that was cut off, and so hears no
@@ -198,6 +210,12 @@
 func (o *owner) findSilent() {
 	t := &o.c.cfg.Tuning
 	alone := o.c.now-max(o.lastHeard, o.since) > 2*o.c.cfg.ReportEvery
+	deaf := 0
+	for _, m := range o.list {
+		if o.isDeaf(m) {
+			deaf++
+		}
+	}
 	for _, m := range o.list {
 		silent := o.c.now - m.heard
 		switch m.state {
@@ -225,6 +243,8 @@
 			case silent > limit && (!alone || silent > 3*limit):
 				o.noteSpotLost(m)
 				o.setMachine(m, machineCondemned, "is silent")
+			case o.isDeaf(m) && (deaf <= o.mostDeaf() || o.c.now-m.shown > 4*t.SilentAfter):
+				o.setMachine(m, machineCondemned, "reports, but hears nothing")
 			case m.state == machineDraining && len(m.attempts) == 0 && m.token != 0:
 				o.setMachine(m, machineCondemned, "is empty")
 			}
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -69,7 +69,7 @@
 		Teams:       []config.Team{team("red"), team("blue")},
 		ReportEvery: 3 * micros.Second, Lease: 15 * micros.Second, GangWait: 30 * micros.Second,
 		GangPeer: 5 * micros.Second, CancelIn: 45 * micros.Second,
-		StateRPS: 150, WriteRPS: 40, ValueBytes: 8 << 10, TxnOps: 12, CloudRPS: 5, ListLag: 6 * micros.Second,
+		StateRPS: argNumber(t, d, "rps", 150), WriteRPS: argNumber(t, d, "writes", 40), ValueBytes: 8 << 10, TxnOps: 12, CloudRPS: 5, ListLag: 6 * micros.Second,
 		Tuning: config.DefaultTuning(),
 	}
 	cfg.Tuning.MaxMachines = arg(t, d, "most", 0)
@@ -157,6 +157,40 @@
 	case "state-down":
 		w.state.Down = true
 		during(func() { w.state.Down = false })
+	case "isolate-node":
+		n := node()
+		n.alone = true
+		during(func() { n.alone = false })
+	case "late-copies":
+		w.copies, w.copyBy = argNumber(t, d, "share", 0), argSeconds(t, d, "by", 20)
+	case "calm":
+		w.calm = w.now
+	case "up":
+		return w.get(t, node(), "/up")
+	case "ask":
+		return w.get(t, node(), "/api/jobs/"+id)
+	case "damaged":
+		return w.damaged(node())
+	case "jobs":
+		for i := range arg(t, d, "count", 10) {
+			submitCommand(t, w, d, fmt.Sprintf("req-%06d", arg(t, d, "from", 1)+i))
+		}
+	case "until-began":
+		for limit := w.now + argSeconds(t, d, "s", 240); w.now < limit && w.began[id] == 0; {
+			w.run(micros.Second)
+		}
+		if w.began[id] == 0 {
+			return "not begun"
+		}
+		return "begun"
+	case "done-of":
+		from, n := arg(t, d, "from", 1), 0
+		for i := range arg(t, d, "count", 10) {
+			if w.told[fmt.Sprintf("req-%06d", from+i)] == wire.JobDone {
+				n++
+			}
+		}
+		return fmt.Sprint(n >= arg(t, d, "least", 1))
 	case "state-compact":
 		w.state.Compact = true
 	case "cloud-down":
@@ -237,6 +271,9 @@
 	case d.HasArg("cut"):
 		k.Cut = true
 		during(func() { k.Cut = false })
+	case d.HasArg("deaf"):
+		k.Deaf = true
+		during(func() { k.Deaf = false })
 	case d.HasArg("sick"):
 		k.Sick = true
 		during(func() { k.Sick = false })
@@ -252,6 +289,38 @@
 	}
 }
 
+// get asks a node and returns the status of its answer.
+func (w *world) get(t *testing.T, n *simNode, path string) string {
+	t.Helper()
+	status, since, took := -1, w.now, micros.Micros(0)
+	w.ask(n, Request{Method: "GET", Path: path}, 5*micros.Second, func(r Respond) {
+		status, took = r.Status, w.now-since
+	})
+	for status < 0 {
+		w.run(worldStep)
+	}
+	if took > 500*micros.Millisecond {
+		return fmt.Sprintf("%d late", status)
+	}
+	return fmt.Sprint(status)
+}
+
+// damaged sends a node messages that cannot be read, and tells how they are answered.
+func (w *world) damaged(n *simNode) string {
+	seen := map[int]int{}
+	for i, body := range [][]byte{nil, {0xff}, {0xa1, 0x61}, []byte("hello"), wire.Encode([]int{1}), wire.Encode(map[string]any{"berth": 7, "shift": "x"})} {
+		for _, r := range []Request{
+			{Method: "POST", Path: "/hello", Body: body},
+			{Method: "POST", Path: "/api/jobs", Body: body},
+			{Peer: true, Method: "POST", Path: "/peer", Body: append([]byte{byte(i)}, body...)},
+		} {
+			w.ask(n, r, micros.Second, func(r Respond) { seen[r.Status]++ })
+		}
+	}
+	w.run(2 * micros.Second)
+	return fmt.Sprint(seen)
+}
+
 // countCommand prints a figure of the world.
 func countCommand(t *testing.T, w *world, d *datadriven.TestData) string {
 	switch what := arg(t, d, "what", "running"); what {
--- a/controller/store.go
+++ b/controller/store.go
@@ -113,6 +113,27 @@
 	return c.route.state == routeDirect && c.route.failures < routeFailures
 }
 
+// storeDown tells that the state service answers neither this node nor a sibling that
+// could pass on: users are then refused at once. Renewals of the lease go on and show when
+// it answers again.
+func (c *Core) storeDown() bool {
+	return c.route.failures >= 2*routeFailures && c.now-c.route.lastOK >= 2*routeSilence && c.servedSibling() == nil
+}
+
+// isolated tells that this node reaches neither the state service nor any sibling. In an
+// outage of the state service siblings can be reached.
+func (c *Core) isolated() bool {
+	if len(c.cfg.Siblings) == 0 || !c.storeDown() {
+		return false
+	}
+	for _, s := range c.peers {
+		if s.fresh(c.now) {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Core) tickRoute() {
 	r := &c.route
 	if r.state == routeDirect {
@@ -199,6 +220,11 @@
 	page = func(after string) {
 		c.storeWithin(forOwnership, state.List(prefix, after), 2*storeTimeout, func(r storeReply) {
 			var p state.Page
+			if r.outcome == outLimited {
+				// To start over would use up the budget again before the end is reached.
+				c.after(limitedPause, func() { page(after) })
+				return
+			}
 			if r.outcome != outOK || !r.decode(&p) {
 				done(false, nil, 0)
 				return
--- a/controller/users.go
+++ b/controller/users.go
@@ -52,6 +52,9 @@
 	u.order = append(u.order, id)
 }
 
+// storeSilent tells users why they are refused.
+const storeSilent = "state service does not answer"
+
 const (
 	pathJobs   = "/api/jobs"
 	pathReport = "/hello"
@@ -75,7 +78,13 @@
 	id, cancel := strings.CutSuffix(rest, cancelEnd)
 	switch {
 	case r.Path == pathUp:
-		method("GET", func() { c.respond(r.ID, 200, nil) })
+		method("GET", func() {
+			if c.isolated() {
+				c.refuse(r.ID, 503, "reaches neither the state service nor a sibling")
+				return
+			}
+			c.respond(r.ID, 200, nil)
+		})
 	case r.Path == pathReport:
 		method("POST", func() { c.report(r) })
 	case r.Path == pathJobs:
@@ -100,6 +109,10 @@
 		c.refuse(r.ID, 503, "machine types are not known yet")
 		return
 	}
+	if c.storeDown() {
+		c.refuse(r.ID, 503, storeSilent)
+		return
+	}
 	if state.Size(jobRecord{Job: wire.FromJob(j)}) > c.cfg.ValueBytes {
 		c.respond(r.ID, 400, wire.Problem{Error: "description too long"})
 		return
@@ -113,7 +126,7 @@
 			case lookupNone:
 				c.respond(r.ID, 422, wire.Problem{Error: why})
 			default:
-				c.refuse(r.ID, 503, "state service does not answer")
+				c.refuse(r.ID, 503, storeSilent)
 			}
 		})
 		return
@@ -163,7 +176,7 @@
 	kept := u.waiting[:0]
 	for _, a := range u.waiting {
 		if c.now-a.since > acceptWithin {
-			u.finish(c, a, func(id uint64) { c.refuse(id, 503, "state service does not answer") })
+			u.finish(c, a, func(id uint64) { c.refuse(id, 503, storeSilent) })
 			continue
 		}
 		kept = append(kept, a)
@@ -243,7 +256,7 @@
 				c.respond(id, 200, wire.JobState{Ref: a.job.ID, Status: status})
 				return
 			}
-			c.refuse(id, 503, "state service does not answer")
+			c.refuse(id, 503, storeSilent)
 		})
 	})
 }
@@ -274,7 +287,7 @@
 			}
 			c.respond(req, 200, ans)
 		default:
-			c.refuse(req, 503, "state service does not answer")
+			c.refuse(req, 503, storeSilent)
 		}
 	})
 }
@@ -297,11 +310,15 @@
 		c.respond(req, 404, wire.Problem{Error: "no such job"})
 		return
 	}
+	if c.storeDown() {
+		c.refuse(req, 503, storeSilent)
+		return
+	}
 	c.tryCancel(req, id, c.now+acceptWithin)
 }
 
 func (c *Core) tryCancel(req uint64, id string, until micros.Micros) {
-	fail := func() { c.refuse(req, 503, "state service does not answer") }
+	fail := func() { c.refuse(req, 503, storeSilent) }
 	c.get(forUsers, activeKey(id), func(out outcome, e state.Entry) {
 		var rec jobRecord
 		switch {
@@ -344,7 +361,7 @@
 		case (r.outcome == outConflict || r.outcome == outUnknown) && c.now < until:
 			c.tryCancel(req, j.ID, until) // over meanwhile, or perhaps executed
 		default:
-			c.refuse(req, 503, "state service does not answer")
+			c.refuse(req, 503, storeSilent)
 		}
 	})
 }
--- a/controller/work.go
+++ b/controller/work.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 
 	"tamarindlead/internal/state"
@@ -32,7 +34,7 @@
 	o.wantSchedule, o.nextPass = false, o.c.now+passGap
 	view := o.view()
 	o.keepForGangs(view)
-	for i, j := range o.queue {
+	for i, j := range o.inTurn() {
 		if i >= jobsPerPass || o.proposedJobs >= 2*o.c.cfg.TxnOps {
 			break // the guards of a commit are bounded
 		}
@@ -46,6 +48,9 @@
 		if j.Gang && want < j.Tasks {
 			continue
 		}
+		if !j.Gang && o.starves(j) {
+			want = min(want, max(1, j.pending/beginShare)) // it must begin; the rest waits its turn
+		}
 		if h := o.holds[j.ID]; h != nil {
 			if h.state == holdWaiting {
 				o.propose(j, sched.Place(j.Job, o.heldView(h, view), want, nil))
@@ -66,6 +71,35 @@
 	}
 }
 
+// beginShare parts an array that starves: so much of it at a time.
+const beginShare = 8
+
+// starves tells that a job has waited for long and not begun.
+func (o *owner) starves(j *job) bool {
+	return !j.began && j.state == jobActive && o.c.day-j.accepted > o.c.cfg.Tuning.StarveAfter
+}
+
+// inTurn lists the jobs in the order in which they are placed: those that starve first,
+// whatever their priority, so that under lasting overload every job begins.
+func (o *owner) inTurn() []*job {
+	first := []*job{}
+	for _, j := range o.queue {
+		if o.starves(j) {
+			first = append(first, j)
+		}
+	}
+	if len(first) == 0 {
+		return o.queue
+	}
+	slices.SortStableFunc(first, func(a, b *job) int { return cmp.Compare(a.accepted, b.accepted) })
+	for _, j := range o.queue {
+		if !o.starves(j) {
+			first = append(first, j)
+		}
+	}
+	return first
+}
+
 // view is what placement may use now.
 func (o *owner) view() []*sched.Machine {
 	var view []*sched.Machine
@@ -362,6 +396,7 @@
 	}
 	o.setAttempt(a, attemptRecorded)
 	j := a.job
+	j.began = j.began || !j.Gang
 	o.poke(a.machine)
 	if j.state != jobActive {
 		o.stop(a, 0, "job is over")
@@ -376,6 +411,7 @@
 		}
 	}
 	o.setGang(j, gangStarting)
+	j.began = true
 	for _, b := range j.attempts {
 		o.poke(b.machine)
 	}
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -34,6 +34,9 @@
 	loss    float64 // a message gets lost
 	late    float64 // a request is executed long after it was given up
 	dup     float64 // a request is executed twice, the second time late
+	copies  float64 // a copy of a report comes late
+	copyBy  micros.Micros
+	calm    micros.Micros // troubles are over since then, 0: not yet
 
 	infos     map[string]standin.TaskInfo
 	submitted map[string]*sched.Job
@@ -46,7 +49,9 @@
 	running   map[string]string
 	broken    []string
 	starts    int
-	stops     map[string]int // by cause
+	stops     map[string]int           // by cause
+	answered  map[string]micros.Micros // when a question for a job was answered last
+	began     map[string]micros.Micros // when a job's first task, or its whole gang, started
 }
 
 type simNode struct {
@@ -58,6 +63,7 @@
 	cut     bool // no network at all
 	hold    bool // and what it sends meanwhile is delivered afterwards
 	deaf    bool // workers and node do not reach each other
+	alone   bool // reaches workers, but neither state service nor siblings
 	next    micros.Micros
 	pending map[uint64]func(Respond)
 	nextID  uint64
@@ -96,8 +102,9 @@
 		infos: map[string]standin.TaskInfo{}, submitted: map[string]*sched.Job{}, bodies: map[string][]byte{},
 		told: map[string]string{}, accepted: map[string]bool{}, cancelled: map[string]micros.Micros{},
 		wantsEnd: map[string]bool{}, done: map[string]bool{}, running: map[string]string{},
-		stops: map[string]int{},
+		stops: map[string]int{}, answered: map[string]micros.Micros{}, began: map[string]micros.Micros{},
 	}
+	w.state.Ops, w.state.Value = cfg.TxnOps, cfg.ValueBytes
 	w.cloud.Lag = cfg.ListLag
 	for i := range len(cfg.Siblings) + 1 {
 		w.nodes = append(w.nodes, &simNode{index: i})
@@ -241,7 +248,13 @@
 }
 
 func (w *world) execute(n *simNode, c Call, answer func(standin.Reply)) {
+	peer := strings.HasPrefix(c.Addr, "peer:")
+	if peer {
+		i, _ := strconv.Atoi(strings.TrimPrefix(c.Addr, "peer:"))
+		peer = n.alone || w.nodes[i].alone
+	}
 	switch {
+	case peer, n.alone && c.Addr == w.cfg.StateAddr: // lost
 	case c.Addr == w.cfg.StateAddr:
 		w.executeState(n, c, w.now, answer)
 	case c.Addr == w.cfg.CloudAddr:
@@ -258,7 +271,7 @@
 		})
 	default:
 		k := w.workers[strings.TrimPrefix(c.Addr, "worker:")]
-		if k == nil || k.Machine.Gone || k.Cut || n.deaf {
+		if k == nil || k.Machine.Gone || k.Cut || k.Deaf || n.deaf {
 			return
 		}
 		if k.Hung { // it executes when it continues
@@ -371,6 +384,9 @@
 		w.breakRule("ran_cancelled: %s starts", task)
 	}
 	w.running[task] = k.Machine.Name
+	if _, ok := w.began[id]; !ok && (!j.Gang || w.onMachines(id) == j.Tasks) {
+		w.began[id] = w.now
+	}
 	if !j.Allows(k.Machine.Type, k.Machine.Zone, k.Machine.Spot) {
 		w.breakRule("wrong_place: %s on %s", task, k.Machine.Name)
 	}
@@ -385,6 +401,17 @@
 	}
 }
 
+// onMachines counts the tasks of a job that are on machines.
+func (w *world) onMachines(id string) int {
+	n := 0
+	for task := range w.running {
+		if o, _, _ := splitNumbered(task); o == id {
+			n++
+		}
+	}
+	return n
+}
+
 func (w *world) onExit(k *standin.Worker, task string, cause wire.Cause) {
 	w.stops[string(cause)]++
 	if w.running[task] == k.Machine.Name {
@@ -449,11 +476,21 @@
 	session := k.Session
 	node := w.nodes[k.Node]
 	body := wire.Encode(k.Report())
+	if w.rng.Float64() < w.copies {
+		copyTo := w.nodes[w.rng.IntN(len(w.nodes))]
+		w.after(micros.Micros(w.rng.Int64N(int64(w.copyBy))), func() {
+			w.ask(copyTo, Request{Method: "POST", Path: "/hello", Body: body}, micros.Second, func(Respond) {})
+		})
+	}
 	if node.deaf || w.rng.Float64() < w.loss {
 		w.after(4*micros.Second, func() { k.Answered(w.now, 0, nil, session, w.nodeOf, len(w.nodes)) })
 		return
 	}
 	w.ask(node, Request{Method: "POST", Path: "/hello", Body: body}, 4*micros.Second, func(r Respond) {
+		if k.Deaf {
+			w.after(4*micros.Second, func() { k.Answered(w.now, 0, nil, session, w.nodeOf, len(w.nodes)) })
+			return
+		}
 		if k.Cut || k.Hung || k.Machine.Gone {
 			r = Respond{}
 		}
@@ -484,6 +521,15 @@
 			w.breakRule("quota: %s uses %g", t.Name, used[t.Name])
 		}
 	}
+	if w.state.Invalid > 0 {
+		w.breakRule("limits: a commit was too large")
+	}
+	// Once troubles are over, a job about which no question is answered is forgotten.
+	for id := range w.accepted {
+		if w.calm > 0 && w.told[id] == "" && w.now-max(w.answered[id], w.calm) > 75*micros.Second {
+			w.breakRule("forgotten: nobody answers about %s", id)
+		}
+	}
 	w.broken = w.broken[:min(len(w.broken), 10)]
 }
 
@@ -506,7 +552,7 @@
 		w.breakRule("invented: %s", id)
 		return
 	}
-	w.accepted[id] = true
+	w.accepted[id], w.answered[id] = true, w.now
 	var st wire.JobState
 	wire.Decode(r.Body, &st)
 	if was, ok := w.told[id]; ok && was != st.Status {
@@ -554,7 +600,7 @@
 
 // poll asks for a job now and then until it is over.
 func (w *world) poll(id string, node int) {
-	w.user(node, "GET", "/api/jobs/"+id, nil, func(r Respond) {
+	w.ask(w.nodes[node], Request{Method: "GET", Path: "/api/jobs/" + id}, 2*micros.Second, func(r Respond) {
 		w.noteAnswer(id, r)
 		if w.told[id] == "" {
 			w.after(5*micros.Second, func() { w.poll(id, (node+1)%len(w.nodes)) })
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,7 +22,8 @@
 
 // Sizes of the stages before and after the core.
 const (
-	spareSockets = 96      // kept free for outbound connections
+	outShare     = 0.25    // of the sockets, for outbound connections
+	idleShare    = 0.1     // of the sockets, for those of them that idle
 	maxPeerBody  = 1 << 20 // bodies from siblings
 	idleLimit    = 90 * micros.Second
 	partialLimit = 10 * micros.Second
@@ -61,7 +62,7 @@
 	}
 	n := &node{
 		cfg: cfg, log: log, start: time.Now(),
-		client: reactor.NewClient(wire.ContentType, keepIdle),
+		client: reactor.NewClient(wire.ContentType, keepIdle, max(8, int(idleShare*float64(cfg.Sockets)))),
 		open:   map[uint64]*reactor.Exchange{},
 	}
 	n.core = controller.New(cfg, binary.LittleEndian.Uint64(seed[:]), log, n.now(), n.day())
@@ -69,7 +70,7 @@
 	go func() {
 		served <- reactor.Serve(ctx, reactor.Options{
 			Addrs:    []string{cfg.Listen, cfg.PeerListen},
-			MaxConns: cfg.Sockets - min(spareSockets, cfg.Sockets/2),
+			MaxConns: cfg.Sockets - int(outShare*float64(cfg.Sockets)),
 			MaxBody:  n.maxBody,
 			Idle:     idleLimit, Partial: partialLimit,
 			Handle: n.take, Log: log,
--- a/internal/reactor/client.go
+++ b/internal/reactor/client.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,9 +34,12 @@
 type Client struct {
 	contentType string
 	keep        int // idle connections kept for each address
+	most        int // and for all: hundreds of machines must not use up the sockets
 
-	mu   sync.Mutex
-	idle map[string][]idleConn
+	mu    sync.Mutex
+	idle  map[string][]idleConn
+	count int      // of idle connections
+	order []string // addresses of idle connections, the longest idle first; some are in use again
 }
 
 type idleConn struct {
@@ -46,9 +50,10 @@
 // idleLife is how long a connection is kept without use; servers may drop older ones.
 const idleLife = 20 * time.Second
 
-// NewClient returns a client that keeps a few idle connections for each address.
-func NewClient(contentType string, keep int) *Client {
-	return &Client{contentType: contentType, keep: keep, idle: map[string][]idleConn{}}
+// NewClient returns a client that keeps a few idle connections for each address, and so
+// many in all.
+func NewClient(contentType string, keep, most int) *Client {
+	return &Client{contentType: contentType, keep: keep, most: most, idle: map[string][]idleConn{}}
 }
 
 // Do makes the call and returns by its deadline.
@@ -111,6 +116,7 @@
 	for list := c.idle[addr]; len(list) > 0; list = c.idle[addr] {
 		last := list[len(list)-1]
 		c.idle[addr] = list[:len(list)-1]
+		c.count--
 		if time.Since(last.since) < idleLife {
 			return last.conn, true
 		}
@@ -127,7 +133,21 @@
 		conn.Close()
 		return
 	}
+	for len(c.order) > 0 && c.count >= c.most {
+		oldest := c.order[0]
+		c.order = c.order[1:]
+		if list := c.idle[oldest]; len(list) > 0 {
+			list[0].conn.Close()
+			c.idle[oldest] = list[1:]
+			c.count--
+		}
+	}
 	c.idle[addr] = append(c.idle[addr], idleConn{conn, time.Now()})
+	c.count++
+	c.order = append(c.order, addr)
+	if len(c.order) > 4*c.most {
+		c.sweep()
+	}
 }
 
 // Sweep closes connections that were idle for too long, also those to addresses
@@ -135,6 +155,16 @@
 func (c *Client) Sweep() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sweep()
+}
+
+func (c *Client) sweep() {
+	c.count, c.order = 0, nil
+	type put struct {
+		addr  string
+		since time.Time
+	}
+	var left []put
 	for addr, list := range c.idle {
 		var kept []idleConn
 		for _, ic := range list {
@@ -149,5 +179,13 @@
 		} else {
 			c.idle[addr] = kept
 		}
+		for _, ic := range kept {
+			left = append(left, put{addr, ic.since})
+		}
+	}
+	slices.SortFunc(left, func(a, b put) int { return a.since.Compare(b.since) })
+	for _, p := range left {
+		c.order = append(c.order, p.addr)
 	}
+	c.count = len(left)
 }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -4,6 +4,8 @@
 package standin
 
 import (
+	"encoding/json"
+	"fmt"
 	"net/url"
 	"sort"
 	"strconv"
@@ -43,6 +45,9 @@
 	Refused  map[string]bool // answers 503 to these callers
 	Writes   int
 	Compact  bool // forgets all history: watches get 410 once
+	Ops      int  // puts and deletes in one commit, 0 for no limit
+	Value    int  // bytes of a value in JSON, 0 for no limit
+	Invalid  int  // commits that were refused for their size
 	revision uint64
 	keys     map[string]kvEntry
 	leases   map[uint64]*stateLease
@@ -222,6 +227,36 @@
 	return reply(200, map[string]any{"ledger": s.revision, "events": events}), true
 }
 
+// jsonSize is the size of a message in the form in which the limits count it.
+func jsonSize(data []byte) int {
+	var v any
+	if wire.Decode(data, &v) != nil {
+		return 0
+	}
+	text, err := json.Marshal(plain(v))
+	if err != nil {
+		return 0
+	}
+	return len(text)
+}
+
+// plain turns decoded CBOR into what can be written as JSON.
+func plain(v any) any {
+	switch v := v.(type) {
+	case map[any]any:
+		m := map[string]any{}
+		for k, x := range v {
+			m[fmt.Sprint(k)] = plain(x)
+		}
+		return m
+	case []any:
+		for i := range v {
+			v[i] = plain(v[i])
+		}
+	}
+	return v
+}
+
 func (s *State) commit(body []byte) Reply {
 	var req struct {
 		Guards []struct {
@@ -238,7 +273,15 @@
 	if wire.Decode(body, &req) != nil {
 		return reply(400, wire.Problem{Error: "commit"})
 	}
+	if s.Ops > 0 && (len(req.Writes) > s.Ops || len(req.Guards) > 4*s.Ops) || jsonSize(body) > 64<<10 {
+		s.Invalid++
+		return reply(400, wire.Problem{Error: "too large"})
+	}
 	for _, w := range req.Writes {
+		if s.Value > 0 && w.Put != "" && jsonSize(w.Value) > s.Value {
+			s.Invalid++
+			return reply(400, wire.Problem{Error: "value too large"})
+		}
 		if w.Lease != 0 && s.leases[w.Lease] == nil {
 			return reply(400, wire.Problem{Error: "no such lease"})
 		}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -37,6 +37,7 @@
 	Hung      bool // executes nothing, answers nothing
 	Cut       bool // runs, but nothing reaches it or leaves it
 	Sick      bool // fails every task
+	Deaf      bool // its reports arrive, but nothing reaches it
 	Session   uint64
 	Seq       uint64
 	Token     uint64
