--- /dev/null
+++ b/controller/bench_test.go
@@ -0,0 +1,143 @@
+package controller
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+
+	"tamarindlead/config"
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// The size at which the hot paths are measured.
+const (
+	benchMachines = 1000
+	benchTasks    = 10 // running on each machine
+)
+
+// benchOwner is an owner of many machines on which tasks of 100 jobs run, with room for
+// two more on each and jobs that wait.
+func benchOwner() *owner {
+	cfg := &config.Settings{
+		Node: "n0", Zone: "a", StateAddr: "state", CloudAddr: "cloud", Zones: []string{"a", "b"},
+		Teams:       []config.Team{{Name: "red"}},
+		ReportEvery: 3 * micros.Second, Lease: 15 * micros.Second,
+		StateRPS: 1e6, WriteRPS: 1e6, ValueBytes: 8 << 10, TxnOps: 16, CloudRPS: 5, ListLag: 6 * micros.Second,
+		Tuning: config.DefaultTuning(),
+	}
+	c := New(cfg, 1, slog.New(slog.NewTextHandler(io.Discard, &slog.HandlerOptions{Level: slog.LevelError})), micros.Hour, micros.Hour)
+	c.types.list = []sched.MachineType{{Name: "mid", Size: sched.NewResources(24, 0, 96), Price: 1, SpotPrice: 0.3, Zones: cfg.Zones}}
+	c.cluster.teams["red"] = teamView{teamRecord{Owner: "n0", Life: c.life}, 1}
+	c.cluster.watching = true
+	c.member = membership{state: memberIn, lease: 1, version: 1, renewAt: 1 << 60}
+	o := newOwner(c, c.cluster.teams)
+	c.owner, o.state = o, ownerActive
+	for i := range 160 {
+		o.jobRecord(activeKey(fmt.Sprintf("req-%06d", i)), wire.Encode(jobRecord{Job: wire.FromJob(&sched.Job{
+			ID: fmt.Sprintf("req-%06d", i), Class: "render", Team: "red", Priority: sched.Normal, Tasks: 150,
+			Need: sched.NewResources(2, 0, 2), Image: fmt.Sprint("img", i%20), Spot: true, Estimate: 30 * micros.Second,
+		})}), uint64(i+1))
+	}
+	for i := range benchMachines {
+		m := o.newMachine(fmt.Sprintf("m-%06d", i), "mid", cfg.Zones[i%2], i%3 == 0, "worker")
+		m.token, m.session, m.synced, m.shown, m.heard, m.state = 1, 1, true, c.now, c.now, machineUp
+		for n := range benchTasks {
+			at := i*benchTasks + n
+			j := o.queue[at/100]
+			o.attach(j, at%100, 7, m, attemptLive).seen = true
+		}
+	}
+	o.poked = nil
+	return o
+}
+
+func benchReport(m *machine, seq uint64) []byte {
+	r := wire.Report{Machine: m.name, Endpoint: m.endpoint, Type: m.kind, Zone: m.zone, Spot: m.spot, Session: 1, Seq: seq, Token: 1}
+	for _, a := range m.sorted() {
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: numbered(a.job.ID, a.index), Attempt: a.number, Phase: wire.PhaseRunning})
+	}
+	return wire.Encode(r)
+}
+
+// BenchmarkReport handles one report, with all that follows every event.
+func BenchmarkReport(b *testing.B) {
+	o := benchOwner()
+	var bodies [][]byte
+	for _, m := range o.list {
+		bodies = append(bodies, benchReport(m, 1<<40))
+	}
+	o.wantSchedule, o.flushing = false, true // a commit is under way
+	for i := 0; b.Loop(); i++ {
+		m := o.list[i%benchMachines]
+		m.seq = 0
+		o.c.Handle(o.c.now, o.c.now, Request{ID: uint64(i), Method: "POST", Path: "/hello", Body: bodies[i%benchMachines]})
+	}
+	if o.c.owner != o {
+		b.Fatal("it owns no longer")
+	}
+}
+
+// BenchmarkPlace looks for places for all waiting jobs, on machines with room for 2,000
+// tasks, and takes the proposals back.
+func BenchmarkPlace(b *testing.B) {
+	o := benchOwner()
+	for b.Loop() {
+		o.wantSchedule, o.nextPass = true, 0
+		o.schedule()
+		b.StopTimer()
+		n := 0
+		for _, j := range o.queue {
+			for _, a := range j.sorted() {
+				if a.state == attemptProposed {
+					o.setAttempt(a, attemptClosed)
+					n++
+				}
+			}
+		}
+		if n == 0 {
+			b.Fatal("nothing was placed")
+		}
+		b.StartTimer()
+	}
+}
+
+// BenchmarkTick passes the time to an owner with nothing else to do.
+func BenchmarkTick(b *testing.B) {
+	o := benchOwner()
+	o.wantSchedule, o.flushing = false, true
+	for b.Loop() {
+		o.c.nextSlow = 0
+		o.c.Handle(o.c.now, o.c.now, Tick{})
+	}
+	if o.c.owner != o {
+		b.Fatal("it owns no longer")
+	}
+}
+
+// BenchmarkTakeover builds machines and attempts from the records of an earlier owner.
+func BenchmarkTakeover(b *testing.B) {
+	o := benchOwner()
+	var entries []state.Entry
+	for _, bl := range o.blocks {
+		t := &txn{guards: map[string]uint64{}}
+		o.writeBlock(t, bl, 16)
+		for _, w := range t.writes {
+			entries = append(entries, state.Entry{Key: w.Put, Value: wire.Encode(w.Value), Version: 5})
+		}
+	}
+	for b.Loop() {
+		fresh := newOwner(o.c, o.c.cluster.teams)
+		fresh.jobs, fresh.queue = map[string]*job{}, nil
+		for _, j := range o.queue {
+			fresh.jobRecord(activeKey(j.ID), wire.Encode(jobRecord{Job: wire.FromJob(j.Job)}), j.version)
+		}
+		fresh.buildMachines(entries)
+		if len(fresh.list) != benchMachines {
+			b.Fatal("machines are missing")
+		}
+	}
+}
--- a/sched/place.go
+++ b/sched/place.go
@@ -87,22 +87,41 @@
 // order sorts by preference: not scarce, cheap (so that the dear ones become idle and
 // can be returned), image present, busy before idle, then the tightest.
 func order(j *Job, machines []*Machine) {
-	rank := func(b bool) int {
-		if b {
-			return 1
+	type option struct {
+		m     *Machine
+		image bool
+	}
+	// This runs for every waiting job over hundreds of machines: images are looked up once,
+	// and no more is compared than is needed.
+	options := make([]option, len(machines))
+	for i, m := range machines {
+		options[i] = option{m, slices.Contains(m.Images, j.Image)}
+	}
+	first := func(is bool) int {
+		if is {
+			return -1
 		}
-		return 0
+		return 1
 	}
-	slices.SortStableFunc(machines, func(a, b *Machine) int {
-		return cmp.Or(
-			cmp.Compare(rank(a.Scarce), rank(b.Scarce)),
-			cmp.Compare(a.Price, b.Price),
-			-cmp.Compare(rank(slices.Contains(a.Images, j.Image)), rank(slices.Contains(b.Images, j.Image))),
-			cmp.Compare(rank(a.Idle), rank(b.Idle)),
-			cmp.Compare(a.Free.CPU, b.Free.CPU),
-			cmp.Compare(a.Name, b.Name),
-		)
+	slices.SortFunc(options, func(x, y option) int {
+		a, b := x.m, y.m
+		switch {
+		case a.Scarce != b.Scarce:
+			return first(b.Scarce)
+		case a.Price != b.Price:
+			return cmp.Compare(a.Price, b.Price)
+		case x.image != y.image:
+			return first(x.image)
+		case a.Idle != b.Idle:
+			return first(b.Idle)
+		case a.Free.CPU != b.Free.CPU:
+			return cmp.Compare(a.Free.CPU, b.Free.CPU)
+		}
+		return cmp.Compare(a.Name, b.Name)
 	})
+	for i, o := range options {
+		machines[i] = o.m
+	}
 }
 
 func fill(j *Job, machines []*Machine, want int, inZone map[string]int, zone string) ([]Assignment, int) {
