--- a/sched/place.go
+++ b/sched/place.go
@@ -103,7 +103,7 @@
 		}
 		return 1
 	}
-	slices.SortFunc(options, func(x, y option) int {
+	slices.SortStableFunc(options, func(x, y option) int {
 		a, b := x.m, y.m
 		switch {
 		case a.Scarce != b.Scarce:
