--- a/controller/owner.go
+++ b/controller/owner.go
@@ -54,7 +54,6 @@
 	proposed     int // attempts that are not recorded yet
 	proposedJobs int // jobs with such
 	nextPass     micros.Micros
-	nextInspect  micros.Micros
 	wantSchedule bool
 	wantRelease  bool
 	flushing     bool
--- a/controller/records.go
+++ b/controller/records.go
@@ -62,8 +62,8 @@
 	Accepted int64           `cbor:"at"` // time of day, in microseconds
 }
 
-// finalRecord is kept forever. What a task takes is kept too, since tasks of a
-// cancelled job count against the team until they are gone.
+// finalRecord is kept forever. What a task takes is kept too, for whoever looks into the
+// records by hand.
 type finalRecord struct {
 	Status string `cbor:"s"`
 	Tasks  int    `cbor:"n"`
@@ -77,10 +77,6 @@
 	return finalRecord{status, j.Tasks, j.Team, j.Need.CPU, j.Need.GPU, j.Need.Mem}
 }
 
-func (f finalRecord) job(id string) *sched.Job {
-	return &sched.Job{ID: id, Team: f.Team, Tasks: f.Tasks, Need: sched.Resources{CPU: f.CPU, GPU: f.GPU, Mem: f.Mem}}
-}
-
 // blockRecord holds some machines of one owner. Writes are scarce, so the entries of
 // several machines share a record; each has a token of its own, which only grows.
 type blockRecord struct {
