--- a/controller/records.go
+++ b/controller/records.go
@@ -8,7 +8,6 @@
 	"strings"
 
 	"tamarindlead/internal/wire"
-	"tamarindlead/sched"
 )
 
 // Keys in the state service. What each record says is told in docs/design.md.
@@ -62,19 +61,9 @@
 	Accepted int64           `cbor:"at"` // time of day, in microseconds
 }
 
-// finalRecord is kept forever. What a task takes is kept too, for whoever looks into the
-// records by hand.
+// finalRecord is kept forever.
 type finalRecord struct {
 	Status string `cbor:"s"`
-	Tasks  int    `cbor:"n"`
-	Team   string `cbor:"t"`
-	CPU    int64  `cbor:"c"`
-	GPU    int64  `cbor:"g"`
-	Mem    int64  `cbor:"m"`
-}
-
-func finalOf(j *sched.Job, status string) finalRecord {
-	return finalRecord{status, j.Tasks, j.Team, j.Need.CPU, j.Need.GPU, j.Need.Mem}
 }
 
 // blockRecord holds some machines of one owner. Writes are scarce, so the entries of
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -367,9 +367,10 @@
 }
 
 // How much longer work waits before an ordinary machine is rented for it than before a
-// spot machine is, in proportion to what it costs more.
+// spot machine is. It grows with the square of the price: the dearer the machine, the more
+// waiting is worth, and the more likely cheap ones come free meanwhile.
 const (
-	dearPatience = 0.9 // for each time that it costs what a spot machine costs
+	dearPatience = 0.2 // for a machine at the price of a spot machine
 	dearMost     = 5   // times the price beyond which nothing changes any more
 )
 
@@ -407,7 +408,8 @@
 			}
 			if !best.spot {
 				// A dear machine must be worth it: it comes late and costs a minute.
-				patience := dearPatience * best.price / max(o.spotPrice(g.first), best.price/dearMost)
+				ratio := best.price / max(o.spotPrice(g.first), best.price/dearMost)
+				patience := dearPatience * ratio * ratio
 				wait := patience * max(o.c.cfg.Tuning.QueueTarget.Seconds(), 1)
 				short = (g.waiting-g.low)/wait + g.low/max(wait, g.lowWait.Seconds()) - g.capacity
 			}
--- a/controller/users.go
+++ b/controller/users.go
@@ -349,7 +349,7 @@
 func (c *Core) commitCancel(req uint64, j *sched.Job, version uint64, until micros.Micros) {
 	guards := []state.Guard{{Key: activeKey(j.ID), Version: version}}
 	writes := []state.Write{
-		{Put: finalKey(j.ID), Value: finalOf(j, wire.JobCancelled)},
+		{Put: finalKey(j.ID), Value: finalRecord{wire.JobCancelled}},
 		{Delete: activeKey(j.ID)},
 	}
 	c.store(forUsers, state.Commit(guards, writes), func(r storeReply) {
--- a/controller/work.go
+++ b/controller/work.go
@@ -458,7 +458,7 @@
 		j.writing = true
 		t.guards[activeKey(j.ID)] = j.version
 		t.writes = append(t.writes, state.Write{Delete: activeKey(j.ID)})
-		t.put(finalKey(j.ID), finalOf(j.Job, wire.JobDone))
+		t.put(finalKey(j.ID), finalRecord{wire.JobDone})
 		t.results = append(t.results, func(ok bool, _ uint64) {
 			j.writing = false
 			if !ok || j.state == jobEnded {
