--- a/controller/scale.go
+++ b/controller/scale.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -34,24 +35,45 @@
 const sizesKept = 40
 
 func (o *owner) noteClass(j *job) {
-	var types []string
-	for _, t := range o.c.types.list {
-		if (j.Types == nil || slices.Contains(j.Types, t.Name)) && j.Need.Fits(t.Size) {
-			types = append(types, t.Name)
-		}
-	}
 	c := o.classes[j.Class]
 	if c == nil {
 		c = &classNeed{factor: 1}
 		o.classes[j.Class] = c
 	}
-	c.types, c.key, c.seen, c.first = types, strings.Join(types, " "), o.c.now, j
+	c.seen, c.first = o.c.now, j
+	o.classTypes(c)
 	if j.Gang {
 		c.sizes = append(c.sizes, j.Tasks)
 		c.sizes = c.sizes[max(0, len(c.sizes)-sizesKept):]
 	}
 }
 
+// classTypes finds the machine types that a class fits.
+func (o *owner) classTypes(c *classNeed) {
+	c.types = nil
+	for _, t := range o.c.types.list {
+		if (c.first.Types == nil || slices.Contains(c.first.Types, t.Name)) && c.first.Need.Fits(t.Size) {
+			c.types = append(c.types, t.Name)
+		}
+	}
+	c.key = strings.Join(c.types, " ")
+}
+
+// forgetClasses drops classes that no job has named for long: users choose the names, and
+// nothing may grow with the age of the service.
+func (o *owner) forgetClasses() {
+	used := map[string]bool{}
+	for _, j := range o.queue {
+		used[j.Class] = true
+	}
+	maps.DeleteFunc(o.classes, func(class string, c *classNeed) bool {
+		if len(c.types) == 0 {
+			o.classTypes(c) // the types were not known when its job came
+		}
+		return !used[class] && o.c.now-c.seen > classMemory
+	})
+}
+
 // Learning how far estimates are off: the weight of one task, and bounds.
 const (
 	factorWeight = 0.03
@@ -97,6 +119,7 @@
 	o.nextScale = o.c.now + scaleEvery
 	o.wantSchedule = true // pauses of jobs end without an event
 	o.noteRisk()
+	o.forgetClasses()
 	groups := o.demands()
 	o.growth(groups)
 	o.replace(groups)
--- a/controller/work.go
+++ b/controller/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 
@@ -100,6 +101,18 @@
 	return first
 }
 
+// alikeWithin is how far prices may differ and still count as the same for placement:
+// where a task's image is then matters more.
+const alikeWithin = 1.5
+
+// priceClass puts prices that are about the same into one class.
+func priceClass(price float64) float64 {
+	if price <= 0 {
+		return 0
+	}
+	return math.Round(math.Log(price) / math.Log(alikeWithin))
+}
+
 // view is what placement may use now.
 func (o *owner) view() []*sched.Machine {
 	var view []*sched.Machine
@@ -111,7 +124,7 @@
 		view = append(view, &sched.Machine{
 			Name: m.name, Type: m.kind, Zone: m.zone, Spot: m.spot,
 			Free: o.machineSize(m).Sub(m.used).Sub(o.held(m.name)), Slots: o.slotsOf(m),
-			Idle: len(m.attempts) == 0, Scarce: o.scarce(m.kind), Price: o.pricePerCPU(m.kind, m.spot), Images: m.images,
+			Idle: len(m.attempts) == 0, Scarce: o.scarce(m.kind), Price: priceClass(o.pricePerCPU(m.kind, m.spot)), Images: m.images,
 		})
 	}
 	return view
