--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -24,6 +24,7 @@
 	blockUsed    = 0.8  // of a value, when a block is filled with machines
 	blockFull    = 0.92 // of a value, when machines are filled with tasks
 	adoptedBlock = "x-" // prefix of the block of a machine that nobody expected
+	givenPrefix  = "g-" // and of one that another owner gave
 )
 
 // block is a record of machines at their owner.
@@ -34,6 +35,7 @@
 	dirty    bool
 	since    micros.Micros // dirty
 	writing  bool
+	left     []*block // of machines that came from these, until the record says so
 	// taskBytes is what a task takes, with its part of the names of jobs.
 	taskBytes float64
 }
@@ -43,7 +45,7 @@
 func (o *owner) blockFor(kind, zone string) *block {
 	for _, b := range o.blocks {
 		if n := len(b.machines); n > 0 && n < o.blockRoom() && b.machines[0].kind == kind && b.machines[0].zone == zone &&
-			!strings.HasPrefix(b.name, adoptedBlock) {
+			!b.single() {
 			return b
 		}
 	}
@@ -67,6 +69,30 @@
 	return min(int(left/each)/min(3, len(m.block.machines)), recordSlots-len(m.attempts))
 }
 
+// single tells a block that was made for one machine by its name.
+func (b *block) single() bool {
+	return strings.HasPrefix(b.name, adoptedBlock) || strings.HasPrefix(b.name, givenPrefix)
+}
+
+// gather moves a machine that was given out of its block of its own: hundreds of such would
+// use up the writes. The old record goes only after the new one is written; should both be
+// found, the newer holds. The block of an adopted machine stays, since other owners' first
+// claims are guarded against its name.
+func (o *owner) gather(b *block) {
+	if !strings.HasPrefix(b.name, givenPrefix) || len(b.machines) != 1 || b.writing {
+		return
+	}
+	m := b.machines[0]
+	to := o.blockFor(m.kind, m.zone)
+	if m.token == 0 || m.fence != fenceNone || m.verifying || to.writing || m.state >= machineMoving {
+		return
+	}
+	b.machines, b.dirty = nil, false
+	to.add(m)
+	to.left = append(to.left, b)
+	o.touch(m)
+}
+
 func (o *owner) newBlock(name string) *block {
 	b := &block{name: name}
 	i, _ := slices.BinarySearchFunc(o.blocks, name, func(b *block, n string) int { return cmp.Compare(b.name, n) })
@@ -136,6 +162,11 @@
 		n int
 	}
 	var due []entry
+	if !claims {
+		for _, b := range slices.Clone(o.blocks) {
+			o.gather(b)
+		}
+	}
 	for _, b := range o.blocks {
 		if b.dirty && !b.writing {
 			if !claims || b.claims() {
@@ -256,6 +287,8 @@
 	}
 	maps.Copy(t.guards, guards)
 	b.writing, b.dirty = true, false
+	left := b.left
+	b.left = nil
 	key := prefixMachine + b.name
 	if len(kept) == 0 {
 		t.writes = append(t.writes, state.Write{Delete: key})
@@ -273,12 +306,16 @@
 		b.writing = false
 		if !ok {
 			o.soil(b)
+			b.left = append(b.left, left...)
 			for _, m := range b.machines {
 				m.dirty = true
 			}
 			return
 		}
 		b.version = rev
+		for _, old := range left {
+			o.soil(old) // empty by now: its record is deleted
+		}
 		o.blockWritten(b, ch, rev)
 	})
 }
@@ -392,6 +429,9 @@
 
 // buildMachines rebuilds machines and attempts from the blocks.
 func (o *owner) buildMachines(entries []state.Entry) {
+	// A machine that changed its block may be in both: the newer record holds.
+	entries = slices.Clone(entries)
+	slices.SortStableFunc(entries, func(a, b state.Entry) int { return cmp.Compare(b.Version, a.Version) })
 	for _, e := range entries {
 		var rec blockRecord
 		err := wire.Decode(e.Value, &rec)
@@ -425,12 +465,12 @@
 }
 
 func (o *owner) buildMachine(b *block, d *blockData, e *blockMachine) {
-	k := d.Kinds[e.Kind]
-	m := o.machines[e.Name]
-	if m == nil {
-		m = o.newMachineIn(b, e.Name, k.Type, k.Zone, k.Spot, e.Endpoint)
-		m.rented = micros.Micros(e.Rented + d.Since)
+	if o.machines[e.Name] != nil {
+		return
 	}
+	k := d.Kinds[e.Kind]
+	m := o.newMachineIn(b, e.Name, k.Type, k.Zone, k.Spot, e.Endpoint)
+	m.rented = micros.Micros(e.Rented + d.Since)
 	if e.Condemned {
 		o.setMachine(m, machineReleasing, "condemned by an earlier owner")
 	}
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -178,7 +178,7 @@
 }
 
 // givenBlock names the block in which a machine is given away.
-func givenBlock(m *machine) string { return "g-" + m.name + "-" + numberName(m.token) }
+func givenBlock(m *machine) string { return givenPrefix + m.name + "-" + numberName(m.token) }
 
 // writeMove gives an empty machine away, in a block of its own.
 func (o *owner) writeMove(t *txn, m *machine) {
