--- a/controller/lookups.go
+++ b/controller/lookups.go
@@ -132,17 +132,24 @@
 			}
 			return
 		}
+		var again []*lookup
 		for _, q := range known {
 			key := activeKey(q.id)
-			if failed[key] {
+			switch {
+			case failed[key]:
 				if c.index.versions[q.id] == guards[key] {
 					delete(c.index.versions, q.id)
 				}
 				c.read(q)
-				continue
+			case len(failed) > 0:
+				// Nothing says that all that failed are listed: the rest is compared again.
+				c.asked.open--
+				again = append(again, q)
+			default:
+				c.finish(q, lookupFound, wire.JobQueued, guards[key])
 			}
-			c.finish(q, lookupFound, wire.JobQueued, guards[key])
 		}
+		c.asked.waiting = append(again, c.asked.waiting...)
 	})
 }
 
