--- a/controller/assign.go
+++ b/controller/assign.go
@@ -63,7 +63,7 @@
 	}
 	guards[keyLeader] = l.term
 	l.assigning = true
-	c.store(forOwnership, state.Commit(guardList(guards), writes), func(r storeReply) {
+	c.store(forLeading, state.Commit(guardList(guards), writes), func(r storeReply) {
 		// Whatever the outcome, the watch tells what holds.
 		l.assigning = false
 		l.assignAt = c.now + 2*slowTick
--- a/controller/budget.go
+++ b/controller/budget.go
@@ -11,7 +11,8 @@
 type purpose int
 
 const (
-	forOwnership purpose = iota // leases, leadership, claims
+	forLeading   purpose = iota // leases, leadership, who owns what
+	forOwnership                // reading the records, claims
 	forUsers                    // accepting, cancelling
 	forWork                     // placements and completions
 	forReads                    // answering
@@ -19,31 +20,48 @@
 )
 
 // reserve is the part of a limit that a purpose must leave to more urgent ones.
-var reserve = map[purpose]float64{forOwnership: 0, forUsers: 0, forWork: 0.1, forReads: 0.4, forTidying: 0.6}
+var reserve = map[purpose]float64{forLeading: 0, forOwnership: 0, forUsers: 0, forWork: 0.1, forReads: 0.4, forTidying: 0.6}
 
-// userWrites is the part of the write limit that all nodes share for accepting and
-// cancelling; the rest is for owners, who record placements and completions.
-const userWrites = 0.2
+// userWrites is the part of the write limit that owners, who record placements and
+// completions, leave to accepting and cancelling. userMost is what all nodes together may
+// use for that: users come in bursts, and what is too much then is refused by the service
+// and tried again.
+const (
+	userWrites = 0.2
+	userMost   = 0.4
+)
 
 // budget keeps this node within its part of the state service's limits.
 type budget struct {
 	requests *rate.Limiter
 	writes   *rate.Limiter
+	role     role
 }
 
 func (b *budget) init(cfg *config.Settings) {
 	// A node starts with its whole burst: it must read the records at once.
-	requests, writes := shares(cfg, false, 1)
+	requests, writes := shares(cfg, role{nodes: len(cfg.Siblings) + 1, owners: 1})
 	b.requests = rate.NewLimiter(rate.Limit(requests), burst(requests))
 	b.writes = rate.NewLimiter(rate.Limit(writes), writeBurst(cfg, writes))
 }
 
-// shares tells this node's part of the limits for requests and writes.
-func shares(cfg *config.Settings, owns bool, owners int) (requests, writes float64) {
-	n := float64(len(cfg.Siblings) + 1)
-	requests, writes = cfg.StateRPS/n, cfg.WriteRPS*userWrites/n
-	if owns {
-		writes += cfg.WriteRPS * (1 - userWrites) / float64(owners)
+// role is what the limits are shared by.
+type role struct {
+	nodes  int // that live, this one among them
+	owners int // of them own teams
+	owns   bool
+}
+
+// shares tells this node's part of the limits for requests and writes. What nodes that
+// are down do not use goes to the others: a lone survivor serves all users.
+func shares(cfg *config.Settings, r role) (requests, writes float64) {
+	n := float64(max(1, r.nodes))
+	requests, writes = cfg.StateRPS/n, cfg.WriteRPS*userMost/n
+	switch {
+	case r.owns:
+		writes = cfg.WriteRPS * (userWrites/n + (1-userWrites)/float64(max(1, r.owners)))
+	case r.owners == 0:
+		writes = cfg.WriteRPS / n // nobody records anything else
 	}
 	return requests, writes
 }
@@ -57,9 +75,13 @@
 	return max(burst(limit), int(cfg.WriteRPS/4))
 }
 
-// setRole parts the limits anew when this node starts or stops owning teams.
-func (b *budget) setRole(cfg *config.Settings, owns bool, owners int, now micros.Micros) {
-	requests, writes := shares(cfg, owns, owners)
+// setRole parts the limits anew when nodes come or go, or when owners do.
+func (b *budget) setRole(cfg *config.Settings, r role, now micros.Micros) {
+	if b.role == r {
+		return
+	}
+	b.role = r
+	requests, writes := shares(cfg, r)
 	set := func(l *rate.Limiter, v float64, burst int) {
 		l.SetLimitAt(now.Time(), rate.Limit(v))
 		l.SetBurstAt(now.Time(), burst)
@@ -79,12 +101,17 @@
 
 // take takes one request with some writes, and tells whether that was granted.
 func (b *budget) take(p purpose, writes int, now micros.Micros) bool {
-	if !enough(b.requests, p, 1, now) || writes > 0 && !enough(b.writes, p, writes, now) {
+	if !enough(b.requests, p, 1, now) {
+		return false
+	}
+	// A lone survivor that spends all it has on accepting jobs must still be able to lead:
+	// the few writes that this takes are owed.
+	if writes > 0 && p != forLeading && !enough(b.writes, p, writes, now) {
 		return false
 	}
 	b.requests.AllowN(now.Time(), 1)
 	if writes > 0 {
-		b.writes.AllowN(now.Time(), writes)
+		b.writes.ReserveN(now.Time(), writes)
 	}
 	return true
 }
--- a/controller/cluster.go
+++ b/controller/cluster.go
@@ -48,7 +48,7 @@
 func (c *Core) readCluster() {
 	cl := &c.cluster
 	cl.watching = true
-	c.store(forOwnership, state.List(prefixCluster, ""), func(r storeReply) {
+	c.store(forLeading, state.List(prefixCluster, ""), func(r storeReply) {
 		var p state.Page
 		if r.outcome != outOK || !r.decode(&p) {
 			cl.watching = false
@@ -64,12 +64,13 @@
 			c.leaderGone(p.Revision)
 		}
 		c.checkOwnership()
+		c.shareLimits()
 		c.watchCluster(p.Revision)
 	})
 }
 
 func (c *Core) watchCluster(after uint64) {
-	c.storeWithin(forOwnership, state.Watch(prefixCluster, after, watchWait), watchTimeout, func(r storeReply) {
+	c.storeWithin(forLeading, state.Watch(prefixCluster, after, watchWait), watchTimeout, func(r storeReply) {
 		var ch state.Changes
 		if r.outcome != outOK || !r.decode(&ch) {
 			c.cluster.watching = false // read again with the next tick
@@ -90,6 +91,7 @@
 		}
 		if len(ch.Events) > 0 {
 			c.checkOwnership()
+			c.shareLimits()
 		}
 		c.watchCluster(max(after, ch.Revision))
 	})
@@ -179,12 +181,12 @@
 		m.pauseTo = c.now + joinRetry
 		c.setMember(memberOut, "could not join")
 	}
-	c.get(forOwnership, memberKey(c.cfg.Node), func(out outcome, e state.Entry) {
+	c.get(forLeading, memberKey(c.cfg.Node), func(out outcome, e state.Entry) {
 		if out != outOK && out != outMissing {
 			fail()
 			return
 		}
-		c.store(forOwnership, state.Grant(c.cfg.Tuning.LeaderTTL), func(r storeReply) {
+		c.store(forLeading, state.Grant(c.cfg.Tuning.LeaderTTL), func(r storeReply) {
 			var g state.Granted
 			if r.outcome != outOK || !r.decode(&g) {
 				fail()
@@ -192,7 +194,7 @@
 			}
 			guards := []state.Guard{{Key: memberKey(c.cfg.Node), Version: e.Version}}
 			writes := []state.Write{{Put: memberKey(c.cfg.Node), Lease: g.Lease, Value: memberRecord{c.life}}}
-			c.store(forOwnership, state.Commit(guards, writes), func(r storeReply) {
+			c.store(forLeading, state.Commit(guards, writes), func(r storeReply) {
 				var done state.Committed
 				if r.outcome != outOK || !r.decode(&done) {
 					fail()
@@ -213,7 +215,7 @@
 	}
 	m.renewing = true
 	lease := m.lease
-	c.store(forOwnership, state.Renew(lease), func(r storeReply) {
+	c.store(forLeading, state.Renew(lease), func(r storeReply) {
 		m.renewing = false
 		if m.state != memberIn || m.lease != lease {
 			return
@@ -237,7 +239,7 @@
 	m := &c.member
 	c.log.Warn("leaving: workers reach a sibling but not this node")
 	m.pauseTo = c.now + leavePause
-	c.store(forOwnership, state.Revoke(m.lease), func(storeReply) {})
+	c.store(forLeading, state.Revoke(m.lease), func(storeReply) {})
 	c.setMember(memberOut, "workers do not reach it")
 }
 
@@ -275,7 +277,25 @@
 		c.owner.dropAll()
 	}
 	c.owner = o
-	c.budget.setRole(c.cfg, o != nil, c.owners(), c.now)
+	c.shareLimits()
+}
+
+// shareLimits sets this node's part of the state service's limits by who lives.
+func (c *Core) shareLimits() {
+	r := role{nodes: len(c.cluster.members), owns: c.owner != nil}
+	if _, ok := c.cluster.members[c.cfg.Node]; !ok {
+		r.nodes++
+	}
+	owners := map[string]bool{}
+	for _, t := range c.cluster.teams {
+		if c.lives(ownerID(t.Owner, t.Life)) {
+			owners[t.Owner] = true
+		}
+	}
+	if r.owners = len(owners); r.owns && r.owners == 0 {
+		r.owners = 1
+	}
+	c.budget.setRole(c.cfg, r, c.now)
 }
 
 // owners counts the nodes that own teams.
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -130,7 +130,7 @@
 		{Key: keyLeader, Version: l.term}, {Key: memberKey(c.cfg.Node), Version: c.member.version},
 	}
 	writes := []state.Write{{Put: keyLeader, Lease: c.member.lease, Value: leaderRecord{c.cfg.Node, c.life}}}
-	c.store(forOwnership, state.Commit(guards, writes), func(r storeReply) {
+	c.store(forLeading, state.Commit(guards, writes), func(r storeReply) {
 		var done state.Committed
 		if r.outcome != outOK || !r.decode(&done) || l.state != leadCampaigning {
 			c.campaignFailed()
@@ -150,7 +150,7 @@
 	}
 	l.pauseTo = max(l.pauseTo, c.now+2*campaignJitter)
 	c.setLead(leadVacant)
-	c.store(forOwnership, state.Get(keyLeader), func(r storeReply) {
+	c.store(forLeading, state.Get(keyLeader), func(r storeReply) {
 		var e state.Entry
 		switch {
 		case r.outcome == outOK && r.decode(&e):
@@ -170,7 +170,7 @@
 	}
 	t.asking, t.next = true, c.now+2*micros.Second
 	if len(t.list) == 0 {
-		c.get(forOwnership, keyTypes, func(out outcome, e state.Entry) {
+		c.get(forLeading, keyTypes, func(out outcome, e state.Entry) {
 			t.asking = false
 			var m wire.MachineTypes
 			if out == outOK && wire.Decode(e.Value, &m) == nil && len(t.list) == 0 {
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -184,13 +184,9 @@
 		}
 		return "begun"
 	case "done-of":
-		from, n := arg(t, d, "from", 1), 0
-		for i := range arg(t, d, "count", 10) {
-			if w.told[fmt.Sprintf("req-%06d", from+i)] == wire.JobDone {
-				n++
-			}
-		}
-		return fmt.Sprint(n >= arg(t, d, "least", 1))
+		return atLeast(t, d, func(id string) bool { return w.told[id] == wire.JobDone })
+	case "accepted":
+		return atLeast(t, d, func(id string) bool { return w.accepted[id] })
 	case "state-compact":
 		w.state.Compact = true
 	case "cloud-down":
@@ -217,6 +213,20 @@
 	return ""
 }
 
+// atLeast tells whether something holds for enough of a row of jobs.
+func atLeast(t *testing.T, d *datadriven.TestData, holds func(id string) bool) string {
+	from, n := arg(t, d, "from", 1), 0
+	for i := range arg(t, d, "count", 10) {
+		if holds(fmt.Sprintf("req-%06d", from+i)) {
+			n++
+		}
+	}
+	if n >= arg(t, d, "least", 1) {
+		return "true"
+	}
+	return fmt.Sprint(n)
+}
+
 func submitCommand(t *testing.T, w *world, d *datadriven.TestData, id string) string {
 	run := argSeconds(t, d, "run", 10)
 	j := &sched.Job{
