Workers connect anew for each report when many are connected; direct commands are bounded

Beyond 80% of the inbound part, the answer to a report ends its connection; when all are taken, the longest idle worker's is ended for a newcomer; direct commands use an eighth of the sockets.

--- a/controller/machine.go
+++ b/controller/machine.go
@@ -495,7 +495,7 @@
 // inspectSome asks a few machines that were taken over and have not reported. Most find
 // this node by themselves, and to ask all at once would starve their reports.
 func (o *owner) inspectSome() {
-	if o.c.now-o.since < inspectAfter {
+	if o.c.now-o.since < inspectAfter || o.ordersFull() {
 		return
 	}
 	n := 0
@@ -516,9 +516,11 @@
 	if m.endpoint == "" || m.session != 0 || m.sending {
 		return
 	}
+	o.ordering++
 	o.c.call(Call{
 		Addr: m.endpoint, Method: "GET", Target: "/inspect", Timeout: orderTimeout, MaxBody: wire.MaxBody,
 	}, func(e CallDone) {
+		o.ordering--
 		rep, err := wire.DecodeReport(e.Body)
 		if o.over() || o.machines[m.name] != m || e.Status != 200 || err != nil || rep.Token > m.token {
 			return
@@ -540,12 +542,26 @@
 	}
 }
 
+// orderShare is the part of the sockets that direct commands may use at a time: while many
+// machines hang, each keeps one until it is given up.
+const orderShare = 0.125
+
+// ordersFull tells that no further command can be sent directly now. What waits goes with
+// the answers to reports.
+func (o *owner) ordersFull() bool {
+	return o.ordering >= max(4, int(orderShare*float64(o.c.cfg.Sockets)))
+}
+
 // pushAll sends what waits to the machines that were poked. One that cannot be sent to
 // now is poked again when that changes.
 func (o *owner) pushAll() {
 	list := o.poked
 	o.poked = nil
-	for _, m := range list {
+	for i, m := range list {
+		if o.ordersFull() {
+			o.poked = append(list[i:len(list):len(list)], o.poked...)
+			return
+		}
 		m.poked = false
 		if m.wantPush && o.machines[m.name] == m {
 			o.push(m)
@@ -568,10 +584,12 @@
 // order sends commands to a machine's worker.
 func (o *owner) order(m *machine, cmds []wire.Command) {
 	m.sending = true
+	o.ordering++
 	o.c.call(Call{
 		Addr: m.endpoint, Method: "POST", Target: "/orders", Timeout: orderTimeout, MaxBody: wire.MaxBody,
 		Body: wire.Encode(wire.Orders{Token: m.token, Session: m.session, Commands: cmds}),
 	}, func(e CallDone) {
+		o.ordering--
 		if o.over() || o.machines[m.name] != m {
 			return
 		}
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -51,6 +51,7 @@
 	wantAt       micros.Micros // machines may be asked for again
 	arrayWantAt  micros.Micros // and for arrays
 	poked        []*machine
+	ordering     int // direct commands and questions to machines under way
 	proposed     int // attempts that are not recorded yet
 	proposedJobs int // jobs with such
 	nextPass     micros.Micros
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -69,6 +70,7 @@
 		Teams:       []config.Team{team("red"), team("blue")},
 		ReportEvery: 3 * micros.Second, Lease: 15 * micros.Second, GangWait: 30 * micros.Second,
 		GangPeer: 5 * micros.Second, CancelIn: 45 * micros.Second,
+		Sockets:  arg(t, d, "sockets", 400),
 		StateRPS: argNumber(t, d, "rps", 150), WriteRPS: argNumber(t, d, "writes", 40), ValueBytes: 8 << 10, TxnOps: 12, CloudRPS: 5, ListLag: 6 * micros.Second,
 		Tuning: config.DefaultTuning(),
 	}
@@ -263,6 +265,14 @@
 func machineCommand(t *testing.T, w *world, d *datadriven.TestData, during func(func())) {
 	names := w.workerNames()
 	which := arg(t, d, "name", names[0])
+	if which == "all" {
+		for _, n := range names {
+			one := *d
+			one.CmdArgs = append([]datadriven.CmdArg{{Key: "name", Vals: []string{n}}}, slices.DeleteFunc(slices.Clone(d.CmdArgs), func(a datadriven.CmdArg) bool { return a.Key == "name" })...)
+			machineCommand(t, w, &one, during)
+		}
+		return
+	}
 	if which == "busiest" {
 		for _, n := range names {
 			if !w.workers[n].Machine.Gone && (which == "busiest" || len(w.workers[n].Tasks) > len(w.workers[which].Tasks)) {
--- a/controller/users.go
+++ b/controller/users.go
@@ -56,12 +56,14 @@
 const storeSilent = "state service does not answer"
 
 const (
-	pathJobs   = "/api/jobs"
-	pathReport = "/hello"
-	pathUp     = "/up"
-	cancelEnd  = "/cancel"
+	pathJobs  = "/api/jobs"
+	pathUp    = "/up"
+	cancelEnd = "/cancel"
 )
 
+// PathReport is where workers report.
+const PathReport = "/hello"
+
 func (c *Core) request(r Request) {
 	if r.Peer {
 		c.peerRequest(r)
@@ -85,7 +87,7 @@
 			}
 			c.respond(r.ID, 200, nil)
 		})
-	case r.Path == pathReport:
+	case r.Path == PathReport:
 		method("POST", func() { c.report(r) })
 	case r.Path == pathJobs:
 		method("POST", func() { c.submit(r) })
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -67,6 +67,7 @@
 	next    micros.Micros
 	pending map[uint64]func(Respond)
 	nextID  uint64
+	open    int // outbound calls of this life
 }
 
 type delivery struct {
@@ -129,7 +130,7 @@
 	}
 	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug})).With("node", cfg.Node)
 	n.life++
-	n.up, n.pending, n.nextID = true, map[uint64]func(Respond){}, 0
+	n.up, n.pending, n.nextID, n.open = true, map[uint64]func(Respond){}, 0, 0
 	n.core = New(&cfg, w.rng.Uint64(), log, w.now, w.now)
 }
 
@@ -199,11 +200,15 @@
 
 func (w *world) call(n *simNode, life int, c Call) {
 	answered := false
+	if n.open++; n.open > w.cfg.Sockets/4 {
+		w.breakRule("sockets: node %d has %d calls under way", n.index, n.open)
+	}
 	finish := func(r standin.Reply, sent bool) {
 		if answered || n.life != life {
 			return
 		}
 		answered = true
+		n.open--
 		w.feed(n, CallDone{ID: c.ID, Status: r.Status, Body: r.Body, Sent: sent})
 	}
 	w.after(c.Timeout, func() { finish(standin.Reply{}, true) })
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,7 @@
 // Sizes of the stages before and after the core.
 const (
 	outShare     = 0.25    // of the sockets, for outbound connections
+	keepShare    = 0.8     // of the others: with more, workers connect anew for each report
 	idleShare    = 0.1     // of the sockets, for those of them that idle
 	maxPeerBody  = 1 << 20 // bodies from siblings
 	idleLimit    = 90 * micros.Second
@@ -67,12 +68,15 @@
 	}
 	n.core = controller.New(cfg, binary.LittleEndian.Uint64(seed[:]), log, n.now(), n.day())
 	served := make(chan error, 1)
+	inbound := cfg.Sockets - int(outShare*float64(cfg.Sockets))
 	go func() {
 		served <- reactor.Serve(ctx, reactor.Options{
-			Addrs:    []string{cfg.Listen, cfg.PeerListen},
-			MaxConns: cfg.Sockets - int(outShare*float64(cfg.Sockets)),
-			MaxBody:  n.maxBody,
-			Idle:     idleLimit, Partial: partialLimit,
+			Addrs:     []string{cfg.Listen, cfg.PeerListen},
+			MaxConns:  inbound,
+			KeepConns: int(keepShare * float64(inbound)),
+			Spare:     func(r *httpwire.Request) bool { return r.Path == controller.PathReport },
+			MaxBody:   n.maxBody,
+			Idle:      idleLimit, Partial: partialLimit,
 			Handle: n.take, Log: log,
 		})
 	}()
--- a/internal/reactor/server.go
+++ b/internal/reactor/server.go
@@ -10,6 +10,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -25,6 +27,7 @@
 	Request  httpwire.Request
 	conn     gnet.Conn
 	state    *connState
+	server   *server
 }
 
 // Loop proves that its holder runs on the event loop, where responses are written at
@@ -35,9 +38,13 @@
 type Options struct {
 	Addrs    []string
 	MaxConns int
-	MaxBody  func(listener string) int
-	Idle     micros.Micros // a connection without a request for this long is closed
-	Partial  micros.Micros // a request must be whole after this long
+	// KeepConns is how many connections may be open before those that Spare chooses by
+	// their request are ended with the response, so that others never find all taken.
+	KeepConns int
+	Spare     func(*httpwire.Request) bool
+	MaxBody   func(listener string) int
+	Idle      micros.Micros // a connection without a request for this long is closed
+	Partial   micros.Micros // a request must be whole after this long
 	// Handle takes a request on the event loop; it must not block, and Reply must follow
 	// once. While it runs, the next requests wait in the kernel.
 	Handle func(*Exchange, *Loop)
@@ -47,6 +54,7 @@
 type connState struct {
 	listener string
 	busy     bool // a request waits for its response
+	spare    bool // its latest request was of those that may lose their connection
 	closing  bool // no more requests are taken
 	gone     bool // the connection has ended
 	since    time.Time
@@ -57,9 +65,19 @@
 	gnet.BuiltinEventEngine
 	opts  Options
 	conns map[gnet.Conn]*connState
+	open  atomic.Int64 // how many these are, for other goroutines
+	idle  []idleSpare  // the longest idle first; some are in use again, or gone
+	now   gnet.Conn    // the connection whose request is being handled
 	eng   gnet.Engine
 }
 
+// idleSpare is a connection that may be ended for another one, unless it was used since.
+type idleSpare struct {
+	conn  gnet.Conn
+	state *connState
+	since time.Time
+}
+
 // Serve runs until ctx ends. Should the event loop fail, it is started again: a
 // controller does not end because of one bad descriptor.
 func Serve(ctx context.Context, opts Options) error {
@@ -98,20 +116,50 @@
 }
 
 func (s *server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	if len(s.conns) >= s.opts.MaxConns {
+	if len(s.conns) >= s.opts.MaxConns && !s.endSpare() {
 		return httpwire.AppendResponse(nil, 503, "", nil, 1, true), gnet.Close
 	}
 	st := &connState{listener: c.LocalAddr().String(), since: time.Now()}
 	s.conns[c] = st
+	s.open.Store(int64(len(s.conns)))
 	c.SetContext(st)
 	return nil, gnet.None
 }
 
+// endSpare ends the connection that has been idle for the longest of those that may be
+// ended: a herd of them must not crowd out users, siblings and health checks.
+func (s *server) endSpare() bool {
+	for len(s.idle) > 0 {
+		i := s.idle[0]
+		s.idle = s.idle[1:]
+		if i.valid() {
+			i.state.closing, i.state.gone = true, true
+			delete(s.conns, i.conn)
+			i.conn.Close()
+			return true
+		}
+	}
+	return false
+}
+
+func (i idleSpare) valid() bool {
+	return !i.state.gone && !i.state.busy && !i.state.partial && i.state.since.Equal(i.since)
+}
+
+// spared notes that a connection which may be ended is idle.
+func (s *server) spared(c gnet.Conn, st *connState) {
+	if len(s.idle) > 4*s.opts.MaxConns {
+		s.idle = slices.DeleteFunc(s.idle, func(i idleSpare) bool { return !i.valid() })
+	}
+	s.idle = append(s.idle, idleSpare{c, st, st.since})
+}
+
 func (s *server) OnClose(c gnet.Conn, _ error) gnet.Action {
 	if st := s.conns[c]; st != nil {
 		st.gone = true
 	}
 	delete(s.conns, c)
+	s.open.Store(int64(len(s.conns)))
 	return gnet.None
 }
 
@@ -150,7 +198,13 @@
 	}
 	c.Discard(n)
 	st.busy, st.partial, st.since = true, false, time.Now()
-	s.opts.Handle(&Exchange{Listener: st.listener, Request: req, conn: c, state: st}, &Loop{})
+	st.spare = s.opts.Spare(&req)
+	s.now = c
+	s.opts.Handle(&Exchange{Listener: st.listener, Request: req, conn: c, state: st, server: s}, &Loop{})
+	s.now = nil
+	if st.closing && !st.busy {
+		return gnet.Close
+	}
 	return gnet.None
 }
 
@@ -171,6 +225,9 @@
 // Reply answers an exchange, once. It may be called from any goroutine, with nil for
 // loop, or on the event loop.
 func (e *Exchange) Reply(loop *Loop, status int, contentType string, body []byte, retryAfter int) {
+	if e.state.spare && (status != 200 || e.server.open.Load() > int64(e.server.opts.KeepConns)) {
+		e.Request.Close = true
+	}
 	data := httpwire.AppendResponse(nil, status, contentType, body, retryAfter, e.Request.Close)
 	if loop == nil {
 		e.conn.AsyncWrite(data, func(c gnet.Conn, err error) error { return e.replied(err) })
@@ -191,9 +248,14 @@
 		return nil
 	case e.Request.Close || err != nil:
 		e.state.closing = true
+		if e.conn == e.server.now {
+			return nil // it is closed once its request has been handled
+		}
 		return e.conn.Close()
 	case e.conn.InboundBuffered() > 0:
 		return e.conn.Wake(nil)
+	case e.state.spare:
+		e.server.spared(e.conn, e.state)
 	}
 	return nil
 }
