--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -15,8 +15,8 @@
 
 // The size at which the hot paths are measured.
 const (
-	benchMachines = 1000
-	benchTasks    = 10 // running on each machine
+	benchMachines = 2000
+	benchTasks    = 12 // running on each machine
 )
 
 // benchOwner is an owner of many machines on which tasks of 100 jobs run, with room for
@@ -30,13 +30,13 @@
 		Tuning: config.DefaultTuning(),
 	}
 	c := New(cfg, 1, slog.New(slog.NewTextHandler(io.Discard, &slog.HandlerOptions{Level: slog.LevelError})), micros.Hour, micros.Hour)
-	c.types.list = []sched.MachineType{{Name: "mid", Size: sched.NewResources(24, 0, 96), Price: 1, SpotPrice: 0.3, Zones: cfg.Zones}}
+	c.types.list = []sched.MachineType{{Name: "mid", Size: sched.NewResources(28, 0, 112), Price: 1, SpotPrice: 0.3, Zones: cfg.Zones}}
 	c.cluster.teams["red"] = teamView{teamRecord{Owner: "n0", Life: c.life}, 1}
 	c.cluster.watching = true
 	c.member = membership{state: memberIn, lease: 1, version: 1, renewAt: 1 << 60}
 	o := newOwner(c, c.cluster.teams)
 	c.owner, o.state = o, ownerActive
-	for i := range 160 {
+	for i := range 300 {
 		o.jobRecord(activeKey(fmt.Sprintf("req-%06d", i)), wire.Encode(jobRecord{Job: wire.FromJob(&sched.Job{
 			ID: fmt.Sprintf("req-%06d", i), Class: "render", Team: "red", Priority: sched.Normal, Tasks: 150,
 			Need: sched.NewResources(2, 0, 2), Image: fmt.Sprint("img", i%20), Spot: true, Estimate: 30 * micros.Second,
