Denser records of machines; arrays use what gangs leave of their machines

Entries now hold steps between indexes and are squeezed: 59 machines share a block instead of 29. Ruled out: processor time (0.2 of the share), the cloud. A block that outgrows a value is split, TestSplit; TestPack.

--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -17,12 +17,12 @@
 
 // Bounds of a block. Its size is bounded by the settings; these keep it below.
 const (
-	blockMost    = 48   // machines
-	entryBytes   = 60   // of a machine without tasks, as a rule
-	taskBytes    = 10   // of a task in an entry, as a rule
+	blockMost    = 64   // machines
+	entryBytes   = 32   // of a machine without tasks, as a rule
+	taskBytes    = 4    // of a task in an entry, as a rule
 	blockTasks   = 16   // for each machine, when a block is filled with machines
-	blockUsed    = 0.8  // of a value, when a block is filled with machines
-	blockFull    = 0.92 // of a value, when machines are filled with tasks
+	blockUsed    = 0.7  // of a value, when a block is filled with machines
+	blockFull    = 0.85 // of a value, when machines are filled with tasks
 	adoptedBlock = "x-" // prefix of the block of a machine that nobody expected
 	givenPrefix  = "g-" // and of one that another owner gave
 )
@@ -36,6 +36,7 @@
 	since    micros.Micros // dirty
 	writing  bool
 	left     []*block // of machines that came from these, until the record says so
+	behind   bool     // machines left it whose new record is not written yet: it must wait
 	// taskBytes is what a task takes, with its part of the names of jobs.
 	taskBytes float64
 }
@@ -168,7 +169,7 @@
 		}
 	}
 	for _, b := range o.blocks {
-		if b.dirty && !b.writing {
+		if b.dirty && !b.writing && !b.behind {
 			if !claims || b.claims() {
 				n := o.urgency(b)
 				due = append(due, entry{b, n})
@@ -243,7 +244,7 @@
 			ch.condemned = append(ch.condemned, m)
 		}
 		var tasks []blockTask
-		for _, a := range m.sorted() {
+		for _, a := range m.inRecord() {
 			switch a.state {
 			case attemptLeaving:
 				ch.leaving = append(ch.leaving, a)
@@ -282,6 +283,10 @@
 		}
 		return
 	}
+	if rec.size() > o.c.cfg.ValueBytes && len(b.machines) > 1 {
+		o.split(b)
+		return
+	}
 	if !t.takes(guards, rec.size(), o.c.cfg.TxnOps) {
 		return
 	}
@@ -314,12 +319,28 @@
 		}
 		b.version = rev
 		for _, old := range left {
-			o.soil(old) // empty by now: its record is deleted
+			old.behind = false
+			o.soil(old) // without them now; if it is empty, its record is deleted
 		}
 		o.blockWritten(b, ch, rev)
 	})
 }
 
+// split moves half of the machines of a block that has outgrown a value to a new one. As
+// with gather, the old record is written again only after the new one holds them.
+func (o *owner) split(b *block) {
+	half := len(b.machines) / 2
+	moved := slices.Clone(b.machines[half:])
+	b.machines, b.dirty, b.behind = b.machines[:half:half], false, true
+	o.c.log.Info("block split", "block", b.name, "machines", half, "moved", len(moved))
+	to := o.newBlock(numberName(o.nextNumber()))
+	for _, m := range moved {
+		to.add(m)
+		o.touch(m)
+	}
+	to.left = append(to.left, b)
+}
+
 // guardFirst adds the guards of a machine's first claim: all teams of this owner, so
 // that it owns them still, and, where others own too, that nobody adopted the machine.
 func (o *owner) guardFirst(m *machine, guards map[string]uint64) {
--- /dev/null
+++ b/controller/blocks_test.go
@@ -0,0 +1,123 @@
+package controller
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// TestPack guards against entries that do not come back as they were written, and against
+// damaged ones.
+func TestPack(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		d := &blockData{Base: 1 << 40, Kinds: []blockKind{{Type: "mid", Zone: "a"}}}
+		var want []blockTask
+		for job := range rng.IntN(4) {
+			d.Jobs = append(d.Jobs, blockJob{ID: numbered("req", job)})
+			for number := range rng.IntN(3) {
+				for index := range 20 {
+					if rng.IntN(2) == 0 {
+						want = append(want, blockTask{job, index * 7, d.Base + uint64(number)})
+					}
+				}
+			}
+		}
+		d.Machines = []blockMachine{{Name: "m-000001"}}
+		d.pack(&d.Machines[0], want)
+		back, err := d.record("n0/1").data()
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := back.unpack(&back.Machines[0])
+		if err != nil || !slices.Equal(got, want) {
+			t.Fatalf("got %v (%v), want %v", got, err, want)
+		}
+		if n := len(back.Machines[0].Tasks); n > 0 {
+			back.Machines[0].Tasks[0] = 99
+			if _, err := back.unpack(&back.Machines[0]); err == nil {
+				t.Fatal("a damaged entry was read")
+			}
+		}
+	}
+	if _, err := (blockRecord{Data: "AAAA"}).data(); err == nil {
+		t.Fatal("a damaged record was read")
+	}
+}
+
+// TestSplit guards against a block that outgrows a value: it would be refused for ever. Its
+// machines' entries must be in some record at every moment.
+func TestSplit(t *testing.T) {
+	o := benchOwner()
+	b := o.blocks[0]
+	o.c.cfg.ValueBytes = 400
+	stored := map[string][]string{} // block -> machines, as the store has them
+	for _, bl := range o.blocks {
+		for _, m := range bl.machines {
+			stored[bl.name] = append(stored[bl.name], m.name)
+		}
+	}
+	names := slices.Clone(stored[b.name])
+	before := len(o.blocks)
+	o.touch(b.machines[0])
+	for range 200 {
+		for _, m := range b.machines { // changes go on meanwhile
+			o.touch(m)
+		}
+		tx := &txn{guards: map[string]uint64{}}
+		o.flushBlocks(tx, func() int { return o.c.cfg.TxnOps - len(tx.writes) }, false)
+		for _, w := range tx.writes {
+			name := (w.Put + w.Delete)[len(prefixMachine):]
+			delete(stored, name)
+			if w.Put == "" {
+				continue
+			}
+			rec := w.Value.(blockRecord)
+			if rec.size() > o.c.cfg.ValueBytes {
+				t.Fatalf("%s has %d bytes", w.Put, rec.size())
+			}
+			d, err := rec.data()
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, m := range d.Machines {
+				stored[name] = append(stored[name], m.Name)
+			}
+		}
+		o.settle(tx, true, 10)
+		all := map[string]bool{}
+		for _, list := range stored {
+			for _, name := range list {
+				all[name] = true
+			}
+		}
+		for _, name := range names {
+			if !all[name] {
+				t.Fatalf("%s is in no record", name)
+			}
+		}
+	}
+	if len(o.blocks) == before {
+		t.Fatal("no block was split")
+	}
+	for _, bl := range o.blocks {
+		if bl.behind {
+			t.Fatalf("block %s waits for ever", bl.name)
+		}
+	}
+}
+
+// BenchmarkBlock writes the record of a full block, and reads it.
+func BenchmarkBlock(b *testing.B) {
+	o := benchOwner()
+	for b.Loop() {
+		t := &txn{guards: map[string]uint64{}}
+		bl := o.blocks[0]
+		bl.writing = false
+		o.writeBlock(t, bl, 16)
+		if _, err := t.writes[0].Value.(blockRecord).data(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(o.blocks)), "blocks")
+}
--- a/controller/gangs.go
+++ b/controller/gangs.go
@@ -341,12 +341,72 @@
 		return
 	}
 	for _, v := range view {
-		if !v.Kept && v.Idle && v.Scarce && ready.takes(o, o.machines[v.Name]) {
+		if m := o.machines[v.Name]; !v.Kept && v.Scarce && o.onlySlack(m) && ready.takes(o, m) {
 			v.Kept = true
 		}
 	}
 }
 
+// dependents is what a task of the jobs that fit one machine type only takes, by type.
+func (o *owner) dependents() map[string]sched.Resources {
+	needs := map[string]sched.Resources{}
+	for _, class := range sortedKeys(o.classes) {
+		c := o.classes[class]
+		if len(c.types) == 1 && o.c.now-c.seen < classMemory && needs[c.types[0]].CPU < c.first.Need.CPU {
+			needs[c.types[0]] = c.first.Need
+		}
+	}
+	return needs
+}
+
+// slack is what is left of a machine once it is full of tasks of that size.
+func (m *machine) slack(need sched.Resources) sched.Resources {
+	return m.size.Sub(need.Times(need.Count(m.size, recordSlots)))
+}
+
+// onlySlack tells that no job which depends on the machine's type has tasks on it.
+func (o *owner) onlySlack(m *machine) bool {
+	for _, a := range m.attempts {
+		if !a.freed && o.dependent(a.job) {
+			return false
+		}
+	}
+	return true
+}
+
+// addSlack adds to the view what gangs leave on the machines that they use: the part that
+// no other task of theirs could use is paid for in any case, so short work goes there
+// first, and it never stands in a gang's way.
+func (o *owner) addSlack(view []*sched.Machine) []*sched.Machine {
+	needs := o.dependents()
+	if len(needs) == 0 {
+		return view
+	}
+	for _, v := range view {
+		m := o.machines[v.Name]
+		need, ok := needs[v.Type]
+		if !ok || v.Slots <= 0 || o.onlySlack(m) || o.reserved(v.Name) {
+			continue
+		}
+		left := m.slack(need)
+		for _, a := range m.attempts {
+			if !a.freed && !o.dependent(a.job) {
+				left = left.Sub(a.job.Need)
+			}
+		}
+		left = sched.Resources{CPU: min(left.CPU, v.Free.CPU), GPU: min(left.GPU, v.Free.GPU), Mem: min(left.Mem, v.Free.Mem)}
+		if left.CPU <= 0 || left.Mem < 0 || left.GPU < 0 {
+			continue
+		}
+		part := *v
+		part.Free, part.Slack, part.Scarce, part.Kept, part.For, part.Price = left, true, false, false, "", 0
+		part.Slots = v.Slots / 2
+		v.Free, v.Slots = v.Free.Sub(left), v.Slots-part.Slots
+		view = append(view, &part)
+	}
+	return view
+}
+
 func (o *owner) keepFor(j *job, view []*sched.Machine) {
 	type option struct {
 		v    *sched.Machine
@@ -358,7 +418,7 @@
 	slots := map[string]int{}
 	for _, v := range view {
 		m := o.machines[v.Name]
-		if v.Kept || !v.Scarce && !starves || !j.Allows(v.Type, v.Zone, v.Spot) || o.reserved(v.Name) {
+		if v.Slack || v.Kept || !v.Scarce && !starves || !j.Allows(v.Type, v.Zone, v.Spot) || o.reserved(v.Name) {
 			continue // what a hold keeps is spoken for
 		}
 		fits := j.Need.Count(m.size, j.Tasks)
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -434,6 +434,15 @@
 	return list
 }
 
+// inRecord lists a machine's attempts in the order in which its entry holds them.
+func (m *machine) inRecord() []*attempt {
+	list := slices.Collect(maps.Values(m.attempts))
+	slices.SortFunc(list, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(a.job.ID, b.job.ID), cmp.Compare(a.number, b.number), cmp.Compare(a.index, b.index))
+	})
+	return list
+}
+
 // commands tells what a machine must do, given its latest report, and notes starts
 // as ordered.
 func (o *owner) commands(m *machine) []wire.Command {
--- a/controller/records.go
+++ b/controller/records.go
@@ -1,11 +1,15 @@
 package controller
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/base64"
 	"fmt"
+	"io"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 
 	"tamarindlead/internal/wire"
 )
@@ -70,7 +74,7 @@
 // several machines share a record; each has a token of its own, which only grows.
 type blockRecord struct {
 	Owner string `cbor:"o"`
-	Data  string `cbor:"d"` // blockData in CBOR and base64: values must be text
+	Data  string `cbor:"d"` // blockData in CBOR, squeezed, in base64: values must be text
 }
 
 // blockData names each job and each kind of machine once.
@@ -112,23 +116,26 @@
 	Tasks     []uint64
 }
 
-// blockTask is a task in a machine's entry: job, number of tasks, then a task and its
-// attempt for each.
+// blockTask is a task in a machine's entry. There, tasks of one job and number are kept
+// together: job, number, how many, then the steps from index to index.
 type blockTask struct {
 	job    int
 	index  int
 	number uint64
 }
 
+// pack writes the tasks of a machine, which come in the order of job, number and index.
+// Tasks that were placed together differ little in their indexes: only steps are kept.
 func (d *blockData) pack(m *blockMachine, tasks []blockTask) {
 	for i := 0; i < len(tasks); {
 		n := i
-		for n < len(tasks) && tasks[n].job == tasks[i].job {
+		for n < len(tasks) && tasks[n].job == tasks[i].job && tasks[n].number == tasks[i].number {
 			n++
 		}
-		m.Tasks = append(m.Tasks, uint64(tasks[i].job), uint64(n-i))
-		for ; i < n; i++ {
-			m.Tasks = append(m.Tasks, uint64(tasks[i].index), tasks[i].number-d.Base)
+		m.Tasks = append(m.Tasks, uint64(tasks[i].job), tasks[i].number-d.Base, uint64(n-i))
+		for at := 0; i < n; i++ {
+			m.Tasks = append(m.Tasks, uint64(tasks[i].index-at))
+			at = tasks[i].index
 		}
 	}
 }
@@ -136,20 +143,49 @@
 func (d *blockData) unpack(m *blockMachine) ([]blockTask, error) {
 	var out []blockTask
 	for list := m.Tasks; len(list) > 0; {
-		if len(list) < 2 || list[0] >= uint64(len(d.Jobs)) || list[1] > uint64(len(list)-2)/2 {
+		if len(list) < 3 || list[0] >= uint64(len(d.Jobs)) || list[2] > uint64(len(list)-3) {
 			return nil, fmt.Errorf("tasks of %s cannot be read", m.Name)
 		}
-		job, n := int(list[0]), int(list[1])
-		for i := range n {
-			out = append(out, blockTask{job, int(list[2+2*i]), list[3+2*i] + d.Base})
+		job, number, n := int(list[0]), list[1]+d.Base, int(list[2])
+		at := 0
+		for _, step := range list[3 : 3+n] {
+			at += int(step)
+			out = append(out, blockTask{job, at, number})
 		}
-		list = list[2+2*n:]
+		list = list[3+n:]
 	}
 	return out, nil
 }
 
+// squeezers are kept, since each takes much memory to make.
+var squeezers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is a constant
+	}
+	return w
+}}
+
+// mostUnsqueezed bounds what a record may become: a damaged one must not fill the memory.
+const mostUnsqueezed = 4 << 20
+
+func squeeze(data []byte) []byte {
+	var out bytes.Buffer
+	w := squeezers.Get().(*flate.Writer)
+	w.Reset(&out)
+	w.Write(data) // a buffer takes all
+	w.Close()
+	squeezers.Put(w)
+	return out.Bytes()
+}
+
+func unsqueeze(data []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(data))
+	return io.ReadAll(io.LimitReader(r, mostUnsqueezed))
+}
+
 func (d *blockData) record(owner string) blockRecord {
-	return blockRecord{owner, base64.RawStdEncoding.EncodeToString(wire.Encode(d))}
+	return blockRecord{owner, base64.RawStdEncoding.EncodeToString(squeeze(wire.Encode(d)))}
 }
 
 func (r blockRecord) data() (*blockData, error) {
@@ -157,6 +193,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if raw, err = unsqueeze(raw); err != nil {
+		return nil, err
+	}
 	var d blockData
 	if err := wire.Decode(raw, &d); err != nil {
 		return nil, err
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -558,6 +558,11 @@
 // that are kept ready for gangs.
 func (o *owner) returnIdle() {
 	ready := o.readyOffers()
+	for _, m := range o.list { // what still finishes short work is ready too
+		if m.state == machineUp && len(m.attempts) > 0 && o.scarce(m.kind) && o.onlySlack(m) {
+			ready.takes(o, m)
+		}
+	}
 	idle := slices.DeleteFunc(slices.Clone(o.list), func(m *machine) bool {
 		return m.state != machineUp || len(m.attempts) > 0 || m.token == 0 || o.reserved(m.name)
 	})
--- a/controller/work.go
+++ b/controller/work.go
@@ -33,8 +33,7 @@
 		return
 	}
 	o.wantSchedule, o.nextPass = false, o.c.now+passGap
-	view := o.view()
-	o.keepForGangs(view)
+	view := o.placeView()
 	for i, j := range o.inTurn() {
 		if i >= jobsPerPass || o.proposedJobs >= 2*o.c.cfg.TxnOps {
 			break // the guards of a commit are bounded
@@ -61,8 +60,7 @@
 		got := sched.Place(j.Job, view, want, j.zones())
 		if len(got) == 0 {
 			if o.makeRoom(j) {
-				view = o.view() // without what is held now
-				o.keepForGangs(view)
+				view = o.placeView() // without what is held now
 			} else {
 				view = o.reserve(j, view)
 			}
@@ -130,6 +128,14 @@
 	return view
 }
 
+// placeView is the view with what is kept for gangs, and with the slack of machines that
+// gangs use.
+func (o *owner) placeView() []*sched.Machine {
+	view := o.view()
+	o.keepForGangs(view)
+	return o.addSlack(view)
+}
+
 // withinTeam tells how many tasks of a job its team's limit leaves room for.
 func (o *owner) withinTeam(j *job) int {
 	t := o.teams[j.Team]
@@ -165,7 +171,7 @@
 	best, soonest := -1, micros.Micros(0)
 	for i, v := range view {
 		m := o.machines[v.Name]
-		if !j.Allows(m.kind, m.zone, m.spot) || !j.Need.Fits(m.size) {
+		if v.Slack || !j.Allows(m.kind, m.zone, m.spot) || !j.Need.Fits(m.size) {
 			continue
 		}
 		wait := micros.Micros(0)
--- a/sched/place.go
+++ b/sched/place.go
@@ -18,6 +18,7 @@
 	Scarce bool
 	Price  float64 // per processor and hour
 	Images []string
+	Slack  bool   // only what the jobs that fit this type alone cannot use
 	Kept   bool   // kept for gangs
 	For    string // the gang for which it is kept from all others, or ""
 }
