A zone that is cut off works on: its gangs are kept, and nothing is rented there

Now a zone in which all is silent while others are heard is dark: no rentals there, machines with gangs wait (machine.dark_s), others are given up as before. A node in the dark that owns nothing repeats a worker's own token, so leases go on; never for jobs that are over, and not when it is cut off alone. Ruled out: takeovers (0.5 s), writes. Scenarios zone_dark (owner inside) and zone_dark_outside fail without either part.

--- a/config/tuning.go
+++ b/config/tuning.go
@@ -15,6 +15,7 @@
 	LeaderTTL     micros.Micros // life of the leader's lease in the state service
 	SilentAfter   micros.Micros // a machine unheard for this long is given up
 	TakeoverGrace micros.Micros // what is added to it after a takeover
+	DarkPatience  micros.Micros // one with a gang, while its whole zone is silent
 	IdleReturn    micros.Micros // an idle machine is returned after this
 	QueueTarget   micros.Micros // waiting work that justifies no further machine
 	BootPatience  float64       // times the nominal boot time until a machine is given up
@@ -35,6 +36,7 @@
 		LeaderTTL:     3 * micros.Second,
 		SilentAfter:   10 * micros.Second,
 		TakeoverGrace: 8 * micros.Second,
+		DarkPatience:  90 * micros.Second,
 		IdleReturn:    30 * micros.Second,
 		QueueTarget:   20 * micros.Second,
 		BootPatience:  3,
@@ -103,6 +105,7 @@
 	"leader.ttl_s":          {"life of the leader's lease", seconds(func(t *Tuning) *micros.Micros { return &t.LeaderTTL }, 1, 60)},
 	"machine.silent_s":      {"silence after which a machine is given up", seconds(func(t *Tuning) *micros.Micros { return &t.SilentAfter }, 2, 600)},
 	"machine.takeover_s":    {"added to machine.silent_s after a takeover", seconds(func(t *Tuning) *micros.Micros { return &t.TakeoverGrace }, 0, 600)},
+	"machine.dark_s":        {"the same for a machine with a gang whose whole zone is silent", seconds(func(t *Tuning) *micros.Micros { return &t.DarkPatience }, 0, 3600)},
 	"machine.idle_s":        {"idle time after which a machine is returned", seconds(func(t *Tuning) *micros.Micros { return &t.IdleReturn }, 0, 3600)},
 	"machine.boot_patience": {"times the nominal boot time until a machine is given up", number(func(t *Tuning) *float64 { return &t.BootPatience }, 1, 20)},
 	"machine.sick_after":    {"failures in a row that set a machine aside", count(func(t *Tuning) *int { return &t.SickAfter }, 1, 100)},
--- a/controller/core.go
+++ b/controller/core.go
@@ -45,8 +45,10 @@
 	timers    []timer
 	cloudRate *rate.Limiter
 
-	heard    []micros.Micros // arrivals of workers' reports, latest last
-	nextSlow micros.Micros
+	heard []micros.Micros // arrivals of workers' reports, latest last
+	// elsewhereAt is when a worker of another zone reported last.
+	elsewhereAt micros.Micros
+	nextSlow    micros.Micros
 }
 
 // New returns the core of a node that has just started.
--- a/controller/gangs.go
+++ b/controller/gangs.go
@@ -300,7 +300,7 @@
 			}
 			op := option{zone: z, fits: free.zone(z).fits(j)}
 			for _, spot := range []bool{false, true} {
-				if j.Allows(t.Name, z, spot) && o.c.now >= o.noCapacity[offer{t.Name, z, spot}] {
+				if j.Allows(t.Name, z, spot) && o.onOffer(offer{t.Name, z, spot}) {
 					op.more = 1
 				}
 			}
--- a/controller/hold.go
+++ b/controller/hold.go
@@ -141,7 +141,7 @@
 		}
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
-				if j.Allows(t.Name, z, spot) && o.c.now >= o.noCapacity[offer{t.Name, z, spot}] {
+				if j.Allows(t.Name, z, spot) && o.onOffer(offer{t.Name, z, spot}) {
 					return true
 				}
 			}
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -57,6 +57,7 @@
 	verifying bool
 	rented    micros.Micros
 	heard     micros.Micros // last report, or when we began to wait for one
+	spared    micros.Micros // silence counts from then on, after its zone was cut off
 	shown     micros.Micros // when it last showed our token, or we began to wait for that
 	expected  bool          // was another owner's: it is up, or boots since we do not know when
 	listed    bool
@@ -142,11 +143,48 @@
 	if len(c.heard) < 256 {
 		c.heard = append(c.heard, c.now)
 	}
-	if c.owner == nil {
-		c.respond(r.ID, 421, wire.Redirect{ReportTo: c.reportTo(rep.Machine)})
+	if c.owner != nil {
+		c.owner.report(r.ID, rep)
 		return
 	}
-	c.owner.report(r.ID, rep)
+	if c.keeps(rep) {
+		c.respond(r.ID, 200, wire.ReportAnswer{Token: rep.Token})
+		return
+	}
+	c.respond(r.ID, 421, wire.Redirect{ReportTo: c.reportTo(rep.Machine)})
+}
+
+// elsewhereFor is how long a node must have heard no worker of another zone to take its own
+// for cut off.
+const elsewhereFor = 10 * micros.Second
+
+// keeps tells that a worker with tasks keeps its lease although this node owns nothing: the
+// node's zone is cut off, so a worker of the zone that comes here has lost its owner in the
+// same cut. The answer repeats the worker's own token and has no commands: it decides
+// nothing. Only tasks of jobs that were not over when this node last followed the records
+// are kept; of those that were cancelled since, whoever owns the machine now sees to it that
+// it is deleted in time. A node that is cut off alone hears workers of other zones too, and
+// sends all on.
+func (c *Core) keeps(rep *wire.Report) bool {
+	if rep.Zone != c.cfg.Zone {
+		c.elsewhereAt = c.now
+		return false
+	}
+	if rep.Token == 0 || len(rep.Tasks) == 0 || !c.storeDown() || c.now-c.elsewhereAt < elsewhereFor ||
+		c.now-c.route.lastOK > c.cfg.Tuning.DarkPatience {
+		return false
+	}
+	for _, s := range c.peers {
+		if s.Zone != c.cfg.Zone && s.fresh(c.now) {
+			return false
+		}
+	}
+	for _, t := range rep.Tasks {
+		if id, _, ok := splitNumbered(t.Task); !ok || t.Phase != wire.PhaseExited && c.index.versions[id] == 0 {
+			return false
+		}
+	}
+	return true
 }
 
 func (o *owner) report(req uint64, rep *wire.Report) {
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -63,6 +63,7 @@
 	nextShed     micros.Micros
 	listing      cloudList
 	noCapacity   map[offer]micros.Micros
+	dark         map[string]micros.Micros // zones that are cut off, since when
 	classes      map[string]*classNeed
 	releasing    bool
 	releaseAt    micros.Micros
@@ -85,6 +86,7 @@
 		holds:      map[string]*hold{},
 		tombs:      map[string]micros.Micros{},
 		noCapacity: map[offer]micros.Micros{},
+		dark:       map[string]micros.Micros{},
 		classes:    map[string]*classNeed{},
 		foreign:    map[string]micros.Micros{},
 		strange:    map[string]micros.Micros{},
--- a/controller/rental.go
+++ b/controller/rental.go
@@ -216,8 +216,9 @@
 			deaf++
 		}
 	}
+	o.findDark()
 	for _, m := range o.list {
-		silent := o.c.now - m.heard
+		silent := o.c.now - max(m.heard, m.spared)
 		switch m.state {
 		case machineBooting:
 			boot := micros.Minute
@@ -225,6 +226,9 @@
 				boot = k.Boot
 			}
 			// After a takeover the machine may have been up all the while.
+			if o.worksOn(m, silent) {
+				continue
+			}
 			if m.failed || o.c.day-m.rented > micros.Micros(t.BootPatience*float64(boot))+t.SilentAfter && silent > t.SilentAfter {
 				o.setMachine(m, machineCondemned, "never came up")
 			}
@@ -240,6 +244,7 @@
 			case m.unlisted >= 2 && silent > 2*o.c.cfg.ReportEvery:
 				o.noteSpotLost(m)
 				o.setMachine(m, machineCondemned, "is not listed any more")
+			case silent > limit && o.worksOn(m, silent):
 			case silent > limit && (!alone || silent > 3*limit):
 				o.noteSpotLost(m)
 				o.setMachine(m, machineCondemned, "is silent")
@@ -252,6 +257,67 @@
 	}
 }
 
+// A zone is dark when of at least darkLeast machines all but darkShare are silent, while
+// some elsewhere are heard.
+const (
+	darkLeast = 4
+	darkShare = 0.15
+)
+
+// findDark finds zones that are cut off: nothing is rented there, and machines on which
+// gangs run are not given up at once, for what runs there goes on (see worksOn).
+func (o *owner) findDark() {
+	silent, heard, all := map[string]int{}, map[string]int{}, 0
+	zones := map[string]bool{}
+	for _, m := range o.list {
+		zones[m.zone] = true
+		if m.state < machineUp && !(m.expected && len(m.attempts) > 0) || m.state > machineMoving {
+			continue
+		}
+		if o.c.now-m.heard > 2*o.c.cfg.ReportEvery {
+			silent[m.zone]++
+		} else if m.session != 0 {
+			heard[m.zone]++
+			all++
+		}
+	}
+	for _, zone := range sortedKeys(zones) {
+		n, h := silent[zone], heard[zone]
+		dark := n+h >= darkLeast && float64(h) <= darkShare*float64(n+h) && all > h
+		if dark == (o.dark[zone] != 0) {
+			continue
+		}
+		o.c.log.Warn("zone", "zone", zone, "dark", dark, "silent", n, "heard", h)
+		if dark {
+			o.dark[zone] = o.c.now
+			continue
+		}
+		delete(o.dark, zone)
+		for _, m := range o.list { // its workers need time to find this node
+			if m.zone == zone {
+				m.spared = o.c.now + o.c.cfg.Tuning.TakeoverGrace
+			}
+		}
+	}
+}
+
+// worksOn tells that a silent machine in a dark zone is kept: a gang runs on it, which
+// would lose its work and find no other machine. Not one with tasks of a job that is over,
+// which must be gone in time.
+func (o *owner) worksOn(m *machine, silent micros.Micros) bool {
+	if o.dark[m.zone] == 0 || silent > o.c.cfg.Tuning.DarkPatience || m.failed || m.notice != 0 {
+		return false
+	}
+	gang := false
+	for _, a := range m.attempts {
+		if a.job.state == jobEnded {
+			return false
+		}
+		gang = gang || a.job.Gang
+	}
+	return gang
+}
+
 // cloudList is a reading of the cloud's list, page by page.
 type cloudList struct {
 	asking bool
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -500,6 +500,12 @@
 	return o.cheapestOf(j, true, among)
 }
 
+// onOffer tells that a rental may get machines of use: it was not refused lately, and the
+// zone is not cut off.
+func (o *owner) onOffer(of offer) bool {
+	return o.c.now >= o.noCapacity[of] && o.dark[of.zone] == 0
+}
+
 func (o *owner) cheapestOf(j *job, avoided bool, among func(offer) bool) *choice {
 	var best *choice
 	for _, t := range o.c.types.list {
@@ -514,7 +520,7 @@
 				if spot {
 					price = t.SpotPrice
 				}
-				if cpus == 0 || price <= 0 || o.c.now < o.noCapacity[of] || !among(of) {
+				if cpus == 0 || price <= 0 || !o.onOffer(of) || !among(of) {
 					continue
 				}
 				c := &choice{of, cpus, price / cpus}
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -74,6 +74,9 @@
 		StateRPS: argNumber(t, d, "rps", 150), WriteRPS: argNumber(t, d, "writes", 40), ValueBytes: 8 << 10, TxnOps: 12, CloudRPS: 5, ListLag: 6 * micros.Second,
 		Tuning: config.DefaultTuning(),
 	}
+	if d.HasArg("lease") {
+		cfg.Lease = argSeconds(t, d, "lease", 15)
+	}
 	cfg.Tuning.MaxMachines = arg(t, d, "most", 0)
 	cfg.Tuning.SpreadTeams = d.HasArg("spread")
 	w := newWorld(uint64(arg(t, d, "seed", 1)), cfg)
@@ -148,6 +151,9 @@
 		n := node()
 		n.cut, n.hold = true, d.HasArg("hold")
 		during(func() { n.cut = false })
+	case "cut-zone":
+		w.dark = arg(t, d, "zone", "b")
+		during(func() { w.dark = "" })
 	case "deafen-node":
 		n := node()
 		n.deaf = true
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -36,6 +36,7 @@
 	dup     float64 // a request is executed twice, the second time late
 	copies  float64 // a copy of a report comes late
 	copyBy  micros.Micros
+	dark    string        // a zone that is cut off from everything else
 	calm    micros.Micros // troubles are over since then, 0: not yet
 
 	infos     map[string]standin.TaskInfo
@@ -115,13 +116,23 @@
 
 func nodeName(i int) string { return fmt.Sprintf("n%d", i) }
 
+// nodeZone is where a node is: the zones take turns.
+func (w *world) nodeZone(i int) string { return w.cfg.Zones[i%len(w.cfg.Zones)] }
+
+// parted tells that a cut lies between two zones; "" is where state service, cloud and
+// users are.
+func (w *world) parted(a, b string) bool {
+	return w.dark != "" && (a == w.dark) != (b == w.dark)
+}
+
 func (w *world) start(n *simNode) {
 	cfg := *w.cfg
+	cfg.Zone = w.nodeZone(n.index)
 	cfg.Node = nodeName(n.index)
 	cfg.Siblings = nil
 	for i := range w.nodes {
 		if i != n.index {
-			cfg.Siblings = append(cfg.Siblings, config.Sibling{Node: nodeName(i), Endpoint: "peer:" + strconv.Itoa(i)})
+			cfg.Siblings = append(cfg.Siblings, config.Sibling{Node: nodeName(i), Zone: w.nodeZone(i), Endpoint: "peer:" + strconv.Itoa(i)})
 		}
 	}
 	out := io.Discard
@@ -256,10 +267,11 @@
 	peer := strings.HasPrefix(c.Addr, "peer:")
 	if peer {
 		i, _ := strconv.Atoi(strings.TrimPrefix(c.Addr, "peer:"))
-		peer = n.alone || w.nodes[i].alone
+		peer = n.alone || w.nodes[i].alone || w.parted(w.nodeZone(n.index), w.nodeZone(i))
 	}
+	outside := c.Addr == w.cfg.StateAddr || c.Addr == w.cfg.CloudAddr
 	switch {
-	case peer, n.alone && c.Addr == w.cfg.StateAddr: // lost
+	case peer, n.alone && c.Addr == w.cfg.StateAddr, outside && w.parted(w.nodeZone(n.index), ""): // lost
 	case c.Addr == w.cfg.StateAddr:
 		w.executeState(n, c, w.now, answer)
 	case c.Addr == w.cfg.CloudAddr:
@@ -276,7 +288,7 @@
 		})
 	default:
 		k := w.workers[strings.TrimPrefix(c.Addr, "worker:")]
-		if k == nil || k.Machine.Gone || k.Cut || k.Deaf || n.deaf {
+		if k == nil || k.Machine.Gone || k.Cut || k.Deaf || n.deaf || w.parted(w.nodeZone(n.index), k.Machine.Zone) {
 			return
 		}
 		if k.Hung { // it executes when it continues
@@ -487,7 +499,7 @@
 			w.ask(copyTo, Request{Method: "POST", Path: "/hello", Body: body}, micros.Second, func(Respond) {})
 		})
 	}
-	if node.deaf || w.rng.Float64() < w.loss {
+	if node.deaf || w.parted(w.nodeZone(k.Node), k.Machine.Zone) || w.rng.Float64() < w.loss {
 		w.after(4*micros.Second, func() { k.Answered(w.now, 0, nil, session, w.nodeOf, len(w.nodes)) })
 		return
 	}
@@ -540,6 +552,10 @@
 
 // user sends a user's request to a node and checks the answer against the rules.
 func (w *world) user(node int, method, path string, body []byte, done func(Respond)) {
+	if w.parted(w.nodeZone(node), "") {
+		w.after(500*micros.Millisecond, func() { done(Respond{}) })
+		return
+	}
 	w.ask(w.nodes[node], Request{Method: method, Path: path, Body: body}, 5*micros.Second, done)
 }
 
