--- a/controller/rental.go
+++ b/controller/rental.go
@@ -302,13 +302,13 @@
 }
 
 // worksOn tells that a silent machine in a dark zone is kept: a gang runs on it, which
-// would lose its work and find no other machine. Not one with tasks of a job that is over,
-// which must be gone in time.
+// would lose its work and find no other machine, or gangs will want it as soon as there is
+// light. Not one with tasks of a job that is over, which must be gone in time.
 func (o *owner) worksOn(m *machine, silent micros.Micros) bool {
 	if o.dark[m.zone] == 0 || silent > o.c.cfg.Tuning.DarkPatience || m.failed || m.notice != 0 {
 		return false
 	}
-	gang := false
+	gang := len(m.attempts) == 0 && o.scarce(m.kind) && m.state <= machineUp
 	for _, a := range m.attempts {
 		if a.job.state == jobEnded {
 			return false
