--- a/controller/gangs.go
+++ b/controller/gangs.go
@@ -385,10 +385,13 @@
 	for _, v := range view {
 		m := o.machines[v.Name]
 		need, ok := needs[v.Type]
-		if !ok || v.Slots <= 0 || o.onlySlack(m) || o.reserved(v.Name) {
+		if !ok || v.Slots <= 0 || v.Free.CPU <= 0 {
 			continue
 		}
 		left := m.slack(need)
+		if left.CPU <= 0 || o.onlySlack(m) || o.reserved(v.Name) {
+			continue
+		}
 		for _, a := range m.attempts {
 			if !a.freed && !o.dependent(a.job) {
 				left = left.Sub(a.job.Need)
--- a/controller/hold.go
+++ b/controller/hold.go
@@ -104,15 +104,7 @@
 // teamUse is what a team uses and will go on using: what is being stopped already must
 // not be counted as surplus once more.
 func (o *owner) teamUse(t *team) sched.TeamUse {
-	use := sched.TeamUse{Used: t.used, Guarantee: t.Guarantee}
-	for _, m := range o.list {
-		for _, a := range m.attempts {
-			if a.job.Team == t.Name && (a.state == attemptStopping || a.state == attemptLeaving || a.state == attemptFinished) {
-				use.Used = use.Used.Sub(a.job.Need)
-			}
-		}
-	}
-	return use
+	return sched.TeamUse{Used: t.used.Sub(t.stopping), Guarantee: t.Guarantee}
 }
 
 // withinGuarantee tells whether the gang fits into what is guaranteed to its team.
--- a/controller/job.go
+++ b/controller/job.go
@@ -189,6 +189,14 @@
 		o.countProposed(a.job, -1)
 	}
 	a.count(s == attemptLive && a.counted)
+	if t := o.teams[a.job.Team]; t != nil {
+		switch attemptStopping {
+		case s:
+			t.stopping = t.stopping.Add(a.job.Need)
+		case was:
+			t.stopping = t.stopping.Sub(a.job.Need)
+		}
+	}
 	switch s {
 	case attemptLeaving:
 		o.free(a)
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -71,8 +71,9 @@
 
 // team is a team that this node owns.
 type team struct {
-	view teamView
-	used sched.Resources
+	view     teamView
+	used     sched.Resources
+	stopping sched.Resources // the part of it that is being stopped
 	config.Team
 }
 
@@ -255,7 +256,7 @@
 	clear(o.rentals)
 	clear(o.holds)
 	for _, t := range o.teams {
-		t.used = sched.Resources{}
+		t.used, t.stopping = sched.Resources{}, sched.Resources{}
 	}
 	o.queue = nil
 	step := func(prefix string, next func([]state.Entry, uint64)) func() {
--- a/controller/work.go
+++ b/controller/work.go
@@ -153,9 +153,12 @@
 	return j.Need.Count(free, j.pending)
 }
 
-// zones counts a job's tasks by zone.
+// zones counts a job's tasks by zone, if its place depends on that.
 func (j *job) zones() map[string]int {
 	in := map[string]int{}
+	if !j.OneZone && !j.Spread {
+		return in
+	}
 	for _, a := range j.attempts {
 		in[a.machine.zone]++
 	}
@@ -431,6 +434,8 @@
 	}
 	o.setGang(j, gangStarting)
 	j.began = true
+	o.c.log.Info("gang placed", "job", j.ID, "class", j.Class, "tasks", j.Tasks, "ordinary", j.Ordinary,
+		"since_accepted_s", math.Round((o.c.day - j.accepted).Seconds()))
 	for _, b := range j.attempts {
 		o.poke(b.machine)
 	}
--- a/sched/place.go
+++ b/sched/place.go
@@ -1,9 +1,6 @@
 package sched
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
 // Machine is what placement knows of a machine.
 type Machine struct {
@@ -37,17 +34,26 @@
 		return nil
 	}
 	fits := make([]*Machine, 0, len(machines))
+	room, in := 0, map[string]int{} // how many tasks there is room for at the most
 	for _, m := range machines {
 		if m.Kept && !j.Gang || m.For != "" && m.For != j.ID {
 			continue
 		}
 		if m.Slots > 0 && j.Allows(m.Type, m.Zone, m.Spot) && j.Need.Fits(m.Free) {
 			fits = append(fits, m)
+			if j.Gang {
+				n := j.Need.Count(m.Free, min(want, m.Slots))
+				room += n
+				in[m.Zone] += n
+			}
 		}
 	}
-	order(j, fits)
+	if j.Gang && room < want || len(fits) == 0 {
+		return nil
+	}
+	list := newSequence(j, fits)
 	if !j.OneZone {
-		got, n := fill(j, fits, want, inZone, "")
+		got, n := fill(j, list, want, inZone, "")
 		if j.Gang && n < want {
 			return nil
 		}
@@ -66,7 +72,7 @@
 	}
 	if len(zones) == 0 {
 		for _, m := range fits {
-			if !slices.Contains(zones, m.Zone) {
+			if !slices.Contains(zones, m.Zone) && (!j.Gang || in[m.Zone] >= want) {
 				zones = append(zones, m.Zone)
 			}
 		}
@@ -75,7 +81,7 @@
 	var best []Assignment
 	most := 0
 	for _, z := range zones {
-		if got, n := fill(j, fits, want, inZone, z); n > most {
+		if got, n := fill(j, list, want, inZone, z); n > most {
 			best, most = got, n
 		}
 	}
@@ -85,47 +91,88 @@
 	return best
 }
 
-// order sorts by preference: not scarce, cheap (so that the dear ones become idle and
-// can be returned), image present, busy before idle, then the tightest.
-func order(j *Job, machines []*Machine) {
-	type option struct {
-		m     *Machine
-		image bool
-	}
-	// This runs for every waiting job over hundreds of machines: images are looked up once,
-	// and no more is compared than is needed.
-	options := make([]option, len(machines))
+// sequence hands out machines by preference: not scarce, cheap (so that the dear ones
+// become idle and can be returned), image present, busy before idle, then the tightest,
+// then as given. Most jobs need few of thousands of machines, so these are sorted only as
+// far as they are asked for (a heap), and all that is compared is put into one number.
+type sequence struct {
+	heap []option
+	out  []*Machine // handed out so far
+}
+
+type option struct {
+	key uint64
+	at  int
+	m   *Machine
+}
+
+func (a *option) before(b *option) bool {
+	return a.key < b.key || a.key == b.key && a.at < b.at
+}
+
+func newSequence(j *Job, machines []*Machine) *sequence {
+	var prices []float64 // few: one for each type and kind
+	for _, m := range machines {
+		if !slices.Contains(prices, m.Price) {
+			prices = append(prices, m.Price)
+		}
+	}
+	slices.Sort(prices)
+	bit := func(set bool) uint64 {
+		if set {
+			return 1
+		}
+		return 0
+	}
+	const cpuBits, rankBits = 48, 12
+	s := &sequence{heap: make([]option, len(machines))}
 	for i, m := range machines {
-		options[i] = option{m, slices.Contains(m.Images, j.Image)}
-	}
-	first := func(is bool) int {
-		if is {
-			return -1
-		}
-		return 1
-	}
-	slices.SortStableFunc(options, func(x, y option) int {
-		a, b := x.m, y.m
-		switch {
-		case a.Scarce != b.Scarce:
-			return first(b.Scarce)
-		case a.Price != b.Price:
-			return cmp.Compare(a.Price, b.Price)
-		case x.image != y.image:
-			return first(x.image)
-		case a.Idle != b.Idle:
-			return first(b.Idle)
-		case a.Free.CPU != b.Free.CPU:
-			return cmp.Compare(a.Free.CPU, b.Free.CPU)
-		}
-		return cmp.Compare(a.Name, b.Name)
-	})
-	for i, o := range options {
-		machines[i] = o.m
+		key := bit(m.Scarce)
+		key = key<<rankBits | uint64(min(slices.Index(prices, m.Price), 1<<rankBits-1))
+		key = key<<1 | bit(!slices.Contains(m.Images, j.Image))
+		key = key<<1 | bit(m.Idle)
+		key = key<<cpuBits | uint64(min(max(m.Free.CPU, 0), 1<<cpuBits-1))
+		s.heap[i] = option{key, i, m}
+	}
+	for i := len(s.heap)/2 - 1; i >= 0; i-- {
+		s.sink(i)
 	}
+	return s
 }
 
-func fill(j *Job, machines []*Machine, want int, inZone map[string]int, zone string) ([]Assignment, int) {
+func (s *sequence) sink(i int) {
+	for {
+		least := 2*i + 1
+		if least >= len(s.heap) {
+			return
+		}
+		if next := least + 1; next < len(s.heap) && s.heap[next].before(&s.heap[least]) {
+			least = next
+		}
+		if s.heap[i].before(&s.heap[least]) {
+			return
+		}
+		s.heap[i], s.heap[least] = s.heap[least], s.heap[i]
+		i = least
+	}
+}
+
+// at returns the machine in a place of the sequence, or nil past its end.
+func (s *sequence) at(i int) *Machine {
+	for len(s.out) <= i {
+		if len(s.heap) == 0 {
+			return nil
+		}
+		s.out = append(s.out, s.heap[0].m)
+		last := len(s.heap) - 1
+		s.heap[0] = s.heap[last]
+		s.heap = s.heap[:last]
+		s.sink(0)
+	}
+	return s.out[i]
+}
+
+func fill(j *Job, list *sequence, want int, inZone map[string]int, zone string) ([]Assignment, int) {
 	var got []Assignment
 	total := 0
 	used := map[string]int{}
@@ -133,7 +180,11 @@
 	if j.Gang {
 		spots = want - j.Ordinary
 	}
-	for _, m := range machines {
+	for i := 0; ; i++ {
+		m := list.at(i)
+		if m == nil {
+			break
+		}
 		if zone != "" && m.Zone != zone {
 			continue
 		}
