--- a/config/config.go
+++ b/config/config.go
@@ -68,6 +68,18 @@
 	Tuning      Tuning
 }
 
+// SilentAfter is the silence after which a machine is given up: never less than two
+// reports, since one may be lost.
+func (s *Settings) SilentAfter() micros.Micros {
+	return max(s.Tuning.SilentAfter, 2*s.ReportEvery)
+}
+
+// TakeoverGrace is added to it after a takeover: a worker that tries nodes that are down
+// needs a second report's time at least.
+func (s *Settings) TakeoverGrace() micros.Micros {
+	return max(s.Tuning.TakeoverGrace, s.ReportEvery*8/5)
+}
+
 // Team finds a team by its name.
 func (s *Settings) Team(name string) (Team, bool) {
 	for _, t := range s.Teams {
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -120,3 +120,14 @@
 		}
 	}
 }
+
+// TestPatienceFollowsReports guards against giving up machines whose reports come too
+// seldom for the defaults.
+func TestPatienceFollowsReports(t *testing.T) {
+	for _, c := range []struct{ report, silent, grace float64 }{{3, 10, 8}, {5, 10, 8}, {10, 20, 16}} {
+		s := Settings{ReportEvery: micros.FromSeconds(c.report), Tuning: DefaultTuning()}
+		if s.SilentAfter() != micros.FromSeconds(c.silent) || s.TakeoverGrace() != micros.FromSeconds(c.grace) {
+			t.Errorf("reports every %g s: %v and %v", c.report, s.SilentAfter(), s.TakeoverGrace())
+		}
+	}
+}
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -154,9 +154,9 @@
 	c.respond(r.ID, 421, wire.Redirect{ReportTo: c.reportTo(rep.Machine)})
 }
 
-// elsewhereFor is how long a node must have heard no worker of another zone to take its own
-// for cut off.
-const elsewhereFor = 10 * micros.Second
+// elsewhereFor is how many reports' time a node must have heard no worker of another zone
+// to take its own for cut off.
+const elsewhereFor = 2
 
 // keeps tells that a worker with tasks keeps its lease although this node owns nothing: the
 // node's zone is cut off, so a worker of the zone that comes here has lost its owner in the
@@ -170,7 +170,7 @@
 		c.elsewhereAt = c.now
 		return false
 	}
-	if rep.Token == 0 || len(rep.Tasks) == 0 || !c.storeDown() || c.now-c.elsewhereAt < elsewhereFor ||
+	if rep.Token == 0 || len(rep.Tasks) == 0 || !c.storeDown() || c.now-c.elsewhereAt < elsewhereFor*c.cfg.ReportEvery ||
 		c.now-c.route.lastOK > c.cfg.Tuning.DarkPatience {
 		return false
 	}
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -204,9 +204,9 @@
 		latest = max(latest, heard)
 		n++
 	}
-	limit := deafAfter
+	limit := max(deafAfter, o.c.cfg.ReportEvery*5/4)
 	if n == 1 { // more likely it is the machine; it is given up before then
-		limit = o.c.cfg.Tuning.SilentAfter + o.c.cfg.ReportEvery
+		limit = o.c.cfg.SilentAfter() + o.c.cfg.ReportEvery
 	}
 	return o.state == ownerActive && n > 0 && o.c.now-latest > limit
 }
@@ -334,7 +334,7 @@
 
 func (o *owner) activate() {
 	for _, m := range o.list {
-		m.heard, m.expected = o.c.now+o.c.cfg.Tuning.TakeoverGrace, true
+		m.heard, m.expected = o.c.now+o.c.cfg.TakeoverGrace(), true
 		m.shown = m.heard
 	}
 	o.since = o.c.now
--- a/controller/rental.go
+++ b/controller/rental.go
@@ -195,7 +195,7 @@
 // paid for.
 func (o *owner) isDeaf(m *machine) bool {
 	return m.token != 0 && m.state >= machineUp && m.state <= machineMoving && !m.synced &&
-		o.c.now-m.shown > o.c.cfg.Tuning.SilentAfter+2*o.c.cfg.ReportEvery
+		o.c.now-m.shown > o.c.cfg.SilentAfter()+2*o.c.cfg.ReportEvery
 }
 
 // mostDeaf is how many deaf machines are taken for such at the same time. With more of
@@ -229,11 +229,11 @@
 			if o.worksOn(m, silent) {
 				continue
 			}
-			if m.failed || o.c.day-m.rented > micros.Micros(t.BootPatience*float64(boot))+t.SilentAfter && silent > t.SilentAfter {
+			if m.failed || o.c.day-m.rented > micros.Micros(t.BootPatience*float64(boot))+o.c.cfg.SilentAfter() && silent > o.c.cfg.SilentAfter() {
 				o.setMachine(m, machineCondemned, "never came up")
 			}
 		case machineUp, machineDraining, machineMoving:
-			limit := t.SilentAfter
+			limit := o.c.cfg.SilentAfter()
 			if m.notice != 0 && o.c.now > m.notice {
 				limit = o.c.cfg.ReportEvery * 3 / 2
 			}
@@ -248,7 +248,7 @@
 			case silent > limit && (!alone || silent > 3*limit):
 				o.noteSpotLost(m)
 				o.setMachine(m, machineCondemned, "is silent")
-			case o.isDeaf(m) && (deaf <= o.mostDeaf() || o.c.now-m.shown > 4*t.SilentAfter):
+			case o.isDeaf(m) && (deaf <= o.mostDeaf() || o.c.now-m.shown > 4*o.c.cfg.SilentAfter()):
 				o.setMachine(m, machineCondemned, "reports, but hears nothing")
 			case m.state == machineDraining && len(m.attempts) == 0 && m.token != 0:
 				o.setMachine(m, machineCondemned, "is empty")
@@ -295,7 +295,7 @@
 		delete(o.dark, zone)
 		for _, m := range o.list { // its workers need time to find this node
 			if m.zone == zone {
-				m.spared = o.c.now + o.c.cfg.Tuning.TakeoverGrace
+				m.spared = o.c.now + o.c.cfg.TakeoverGrace()
 			}
 		}
 	}
