--- a/controller/scale.go
+++ b/controller/scale.go
@@ -352,7 +352,7 @@
 		if j.Gang {
 			j.Ordinary = o.ordinaryFor(j)
 		}
-		n := min(j.pending, o.withinTeam(j))
+		n := min(j.pending, o.withinTeam(j, sched.Resources{}))
 		if n > 0 && o.c.now+5*micros.Second >= j.notUntil {
 			work := float64(n) * max(j.Need.CPUs(), 0.01) * max(o.estimate(j).Seconds(), 1)
 			g.waiting += work
--- a/controller/status.go
+++ b/controller/status.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"tamarindlead/micros"
+	"tamarindlead/sched"
 )
 
 // statusEvery is how often the counters go to the log.
@@ -71,7 +72,7 @@
 	}
 	jobs, gangs, tasks := 0, 0, 0
 	for _, j := range o.queue {
-		if n := min(j.pending, o.withinTeam(j)); n > 0 && j.state == jobActive {
+		if n := min(j.pending, o.withinTeam(j, sched.Resources{})); n > 0 && j.state == jobActive {
 			jobs++
 			tasks += n
 			if j.Gang {
--- a/controller/work.go
+++ b/controller/work.go
@@ -34,6 +34,7 @@
 	}
 	o.wantSchedule, o.nextPass = false, o.c.now+passGap
 	view := o.placeView()
+	kept := keptLimits{}
 	for i, j := range o.inTurn() {
 		if i >= jobsPerPass || o.proposedJobs >= 2*o.c.cfg.TxnOps {
 			break // the guards of a commit are bounded
@@ -44,8 +45,9 @@
 		if j.Gang && j.gang != gangNone {
 			continue
 		}
-		want := o.withinTeam(j)
+		want := o.withinTeam(j, o.keptFrom(kept, j))
 		if j.Gang && want < j.Tasks {
+			kept[j.Team] = append(kept[j.Team], j)
 			continue
 		}
 		if !j.Gang && o.starves(j) {
@@ -70,6 +72,22 @@
 	}
 }
 
+// keptLimits are gangs that wait for their teams' limits. What comes free of a limit must
+// not go to work that comes later, a task at a time: the gang would wait for all of it.
+type keptLimits map[string][]*job
+
+// keptFrom is what of its team's limit is kept from a job: for gangs of higher priority, and
+// for all that have waited for long.
+func (o *owner) keptFrom(k keptLimits, j *job) sched.Resources {
+	var sum sched.Resources
+	for _, g := range k[j.Team] {
+		if g.Priority > j.Priority || o.c.day-g.accepted > gangPatience {
+			sum = sum.Add(g.Need.Times(g.Tasks))
+		}
+	}
+	return sum
+}
+
 // beginShare parts an array that starves: so much of it at a time.
 const beginShare = 8
 
@@ -136,13 +154,14 @@
 	return o.addSlack(view)
 }
 
-// withinTeam tells how many tasks of a job its team's limit leaves room for.
-func (o *owner) withinTeam(j *job) int {
+// withinTeam tells how many tasks of a job its team's limit leaves room for, less what is
+// kept for others.
+func (o *owner) withinTeam(j *job, kept sched.Resources) int {
 	t := o.teams[j.Team]
 	if t == nil {
 		return 0
 	}
-	free := t.Limit.Sub(t.used)
+	free := t.Limit.Sub(t.used).Sub(kept)
 	if t.Limit.CPU == 0 {
 		free.CPU = 1 << 60
 	}
