Gangs keep no more spot machines than they may use, and none when out of reach

Now only the first gang that is short keeps machines, and spot ones only as its mix allows. Ruled out: sick machines (set aside within 4 s), spot losses learnt too high (10 an hour is right).

--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -22,20 +22,7 @@
 // benchOwner is an owner of many machines on which tasks of 100 jobs run, with room for
 // two more on each and jobs that wait.
 func benchOwner() *owner {
-	cfg := &config.Settings{
-		Node: "n0", Zone: "a", StateAddr: "state", CloudAddr: "cloud", Zones: []string{"a", "b"},
-		Teams:       []config.Team{{Name: "red"}},
-		ReportEvery: 3 * micros.Second, Lease: 15 * micros.Second,
-		StateRPS: 1e6, WriteRPS: 1e6, ValueBytes: 8 << 10, TxnOps: 16, CloudRPS: 5, ListLag: 6 * micros.Second,
-		Tuning: config.DefaultTuning(),
-	}
-	c := New(cfg, 1, slog.New(slog.NewTextHandler(io.Discard, &slog.HandlerOptions{Level: slog.LevelError})), micros.Hour, micros.Hour)
-	c.types.list = []sched.MachineType{{Name: "mid", Size: sched.NewResources(28, 0, 112), Price: 1, SpotPrice: 0.3, Zones: cfg.Zones}}
-	c.cluster.teams["red"] = teamView{teamRecord{Owner: "n0", Life: c.life}, 1}
-	c.cluster.watching = true
-	c.member = membership{state: memberIn, lease: 1, version: 1, renewAt: 1 << 60}
-	o := newOwner(c, c.cluster.teams)
-	c.owner, o.state = o, ownerActive
+	o := testOwner()
 	for i := range 300 {
 		o.jobRecord(activeKey(fmt.Sprintf("req-%06d", i)), wire.Encode(jobRecord{Job: wire.FromJob(&sched.Job{
 			ID: fmt.Sprintf("req-%06d", i), Class: "render", Team: "red", Priority: sched.Normal, Tasks: 150,
@@ -43,8 +30,8 @@
 		})}), uint64(i+1))
 	}
 	for i := range benchMachines {
-		m := o.newMachine(fmt.Sprintf("m-%06d", i), "mid", cfg.Zones[i%2], i%3 == 0, "worker")
-		m.token, m.session, m.synced, m.shown, m.heard, m.state = 1, 1, true, c.now, c.now, machineUp
+		m := o.newMachine(fmt.Sprintf("m-%06d", i), "mid", o.c.cfg.Zones[i%2], i%3 == 0, "worker")
+		m.token, m.session, m.synced, m.shown, m.heard, m.state = 1, 1, true, o.c.now, o.c.now, machineUp
 		for n := range benchTasks {
 			at := i*benchTasks + n
 			j := o.queue[at/100]
@@ -55,6 +42,25 @@
 	return o
 }
 
+// testOwner is an owner of one team without machines and jobs.
+func testOwner() *owner {
+	cfg := &config.Settings{
+		Node: "n0", Zone: "a", StateAddr: "state", CloudAddr: "cloud", Zones: []string{"a", "b"},
+		Teams:       []config.Team{{Name: "red"}},
+		ReportEvery: 3 * micros.Second, Lease: 15 * micros.Second,
+		StateRPS: 1e6, WriteRPS: 1e6, ValueBytes: 8 << 10, TxnOps: 16, CloudRPS: 5, ListLag: 6 * micros.Second,
+		Tuning: config.DefaultTuning(),
+	}
+	c := New(cfg, 1, slog.New(slog.NewTextHandler(io.Discard, &slog.HandlerOptions{Level: slog.LevelError})), micros.Hour, micros.Hour)
+	c.types.list = []sched.MachineType{{Name: "mid", Size: sched.NewResources(28, 0, 112), Price: 1, SpotPrice: 0.3, Zones: cfg.Zones}}
+	c.cluster.teams["red"] = teamView{teamRecord{Owner: "n0", Life: c.life}, 1}
+	c.cluster.watching = true
+	c.member = membership{state: memberIn, lease: 1, version: 1, renewAt: 1 << 60}
+	o := newOwner(c, c.cluster.teams)
+	c.owner, o.state = o, ownerActive
+	return o
+}
+
 func benchReport(m *machine, seq uint64) []byte {
 	r := wire.Report{Machine: m.name, Endpoint: m.endpoint, Type: m.kind, Zone: m.zone, Spot: m.spot, Session: 1, Seq: seq, Token: 1}
 	for _, a := range m.sorted() {
--- a/controller/gangs.go
+++ b/controller/gangs.go
@@ -331,11 +331,15 @@
 // that starves; without that, small tasks would fill every gap first.
 func (o *owner) keepForGangs(view []*sched.Machine) {
 	ready := o.readyOffers()
+	short := false
 	for _, j := range o.inTurn() {
 		if !j.Gang || j.state != jobActive || j.gang != gangNone || o.holds[j.ID] != nil || o.c.now < j.notUntil {
 			continue
 		}
-		o.keepFor(j, view)
+		// Of the gangs that the machines there are do not suffice for, only the first keeps
+		// what there is: it waits for machines that boot. What the others kept would stand
+		// idle while smaller gangs wait.
+		short = !o.keepFor(j, view, short) || short
 	}
 	if len(ready) == 0 {
 		return
@@ -410,7 +414,9 @@
 	return view
 }
 
-func (o *owner) keepFor(j *job, view []*sched.Machine) {
+// keepFor keeps machines for a gang and tells whether they will do. With whole, it keeps
+// none unless they do.
+func (o *owner) keepFor(j *job, view []*sched.Machine, whole bool) bool {
 	type option struct {
 		v    *sched.Machine
 		fits int
@@ -453,11 +459,29 @@
 	}
 	list := byZone[zone]
 	slices.SortStableFunc(list, func(a, b option) int { return cmp.Compare(a.wait, b.wait) })
-	for n, i := 0, 0; i < len(list) && n < j.Tasks; i++ {
-		list[i].v.Kept = true
+	n, spots := 0, j.Tasks-j.Ordinary
+	var kept []*sched.Machine
+	for _, op := range list {
+		if n >= j.Tasks {
+			break
+		}
+		if op.v.Spot {
+			if spots <= 0 {
+				continue // more of them than the gang may use would stand idle
+			}
+			spots -= op.fits
+		}
+		kept = append(kept, op.v)
+		n += op.fits
+	}
+	if whole && n < j.Tasks {
+		return false
+	}
+	for _, v := range kept {
+		v.Kept = true
 		if starves || o.c.day-j.accepted > gangPatience {
-			list[i].v.For = j.ID
+			v.For = j.ID
 		}
-		n += list[i].fits
 	}
+	return n >= j.Tasks
 }
