--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -147,3 +147,32 @@
 		}
 	}
 }
+
+// BenchmarkLookup answers users' questions for 50 jobs, which one comparison confirms.
+func BenchmarkLookup(b *testing.B) {
+	o := benchOwner()
+	c := o.c
+	o.wantSchedule, o.flushing = false, true
+	var id uint64
+	for b.Loop() {
+		answered := 0
+		for i := range 50 {
+			id++
+			c.Handle(c.now, c.now, Request{ID: id, Method: "GET", Path: pathJobs + "/" + o.queue[i].ID})
+		}
+		for _, e := range c.Handle(c.now+lookupGap, c.now, Tick{}) {
+			call, ok := e.(Call)
+			if !ok || call.Target != "/commit" {
+				continue
+			}
+			for _, e := range c.Handle(c.now, c.now, CallDone{ID: call.ID, Status: 200, Body: wire.Encode(state.Committed{Revision: 1}), Sent: true}) {
+				if r, ok := e.(Respond); ok && r.Status == 200 {
+					answered++
+				}
+			}
+		}
+		if answered != 50 {
+			b.Fatalf("%d questions were answered", answered)
+		}
+	}
+}
