Shards wait their turn among blocks; blocks sized by type; idle machines stay while work waits

Ruled out: processor time, report latency, cloud limits. Also: spot machines of a type on which only jobs without spot depend are not kept from others.

--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -20,7 +20,7 @@
 	blockMost    = 64   // machines
 	entryBytes   = 32   // of a machine without tasks, as a rule
 	taskBytes    = 4    // of a task in an entry, as a rule
-	blockTasks   = 16   // for each machine, when a block is filled with machines
+	blockTasks   = 16   // for each machine, when a block is filled with machines and no job is known
 	blockUsed    = 0.7  // of a value, when a block is filled with machines
 	blockFull    = 0.85 // of a value, when machines are filled with tasks
 	adoptedBlock = "x-" // prefix of the block of a machine that nobody expected
@@ -45,7 +45,7 @@
 // zone share blocks: a gang is then recorded by few writes.
 func (o *owner) blockFor(kind, zone string) *block {
 	for _, b := range o.blocks {
-		if n := len(b.machines); n > 0 && n < o.blockRoom() && b.machines[0].kind == kind && b.machines[0].zone == zone &&
+		if n := len(b.machines); n > 0 && n < o.blockRoom(kind) && b.machines[0].kind == kind && b.machines[0].zone == zone &&
 			!b.single() {
 			return b
 		}
@@ -53,10 +53,25 @@
 	return o.newBlock(numberName(o.nextNumber()))
 }
 
-// blockRoom is how many machines share a block: as many as fit, each with a good number
-// of tasks.
-func (o *owner) blockRoom() int {
-	return min(max(1, int(float64(o.c.cfg.ValueBytes)*blockUsed)/(entryBytes+blockTasks*taskBytes)), blockMost)
+// blockRoom is how many machines of a type share a block: as many as fit, each with the
+// tasks that it may get.
+func (o *owner) blockRoom(kind string) int {
+	tasks := blockTasks
+	if t := o.c.types.find(kind); t != nil {
+		if n := o.tasksOn(t.Size); n > 0 {
+			tasks = n
+		}
+	}
+	return min(max(1, int(float64(o.c.cfg.ValueBytes)*blockUsed)/(entryBytes+tasks*taskBytes)), blockMost)
+}
+
+// tasksOn is how many tasks of a usual job a machine takes at the most.
+func (o *owner) tasksOn(size sched.Resources) int {
+	n := 0
+	for _, c := range o.classes {
+		n = max(n, c.usual.Count(size, recordSlots))
+	}
+	return n
 }
 
 // slotsOf is how many more tasks a machine's entry can hold: a part of what is left in
@@ -125,6 +140,7 @@
 	machineWeight = 20
 	gangWeight    = 8  // a gang waits for its last task
 	waitWeight    = 20 // for each second that a block has waited: none may starve
+	shardWeight   = 4  // and for each that a shard has
 )
 
 // urgency orders blocks that must be written.
@@ -155,36 +171,67 @@
 	return n
 }
 
-// flushBlocks writes blocks, the most urgent first; claims tells whether only those with
-// machines that must be claimed.
-func (o *owner) flushBlocks(t *txn, room func() int, claims bool) {
-	type entry struct {
-		b *block
-		n int
-	}
-	var due []entry
-	if !claims {
-		for _, b := range slices.Clone(o.blocks) {
-			o.gather(b)
+// flushClaims writes the blocks with machines that must be claimed, the most urgent first.
+func (o *owner) flushClaims(t *txn, room func() int) {
+	var due []record
+	for _, b := range o.blocks {
+		if b.due() && b.claims() {
+			due = append(due, record{block: b, n: o.urgency(b)})
 		}
 	}
+	o.flushDue(t, due, room)
+}
+
+// flushRecords writes blocks and shards, the most urgent first.
+func (o *owner) flushRecords(t *txn, room func() int) {
+	for _, b := range slices.Clone(o.blocks) {
+		o.gather(b)
+	}
+	var due []record
 	for _, b := range o.blocks {
-		if b.dirty && !b.writing && !b.behind {
-			if !claims || b.claims() {
-				n := o.urgency(b)
-				due = append(due, entry{b, n})
-			}
+		if b.due() {
+			due = append(due, record{block: b, n: o.urgency(b)})
 		}
 	}
-	slices.SortStableFunc(due, func(x, y entry) int { return cmp.Compare(y.n, x.n) })
-	for _, e := range due {
+	for _, s := range o.shards {
+		if s.dirty && !s.writing {
+			due = append(due, record{shard: s, n: o.shardUrgency(s)})
+		}
+	}
+	o.flushDue(t, due, room)
+}
+
+// record is a block or a shard that must be written.
+type record struct {
+	block *block
+	shard *shard
+	n     int // urgency
+}
+
+func (o *owner) flushDue(t *txn, due []record, room func() int) {
+	slices.SortStableFunc(due, func(x, y record) int { return cmp.Compare(y.n, x.n) })
+	for _, r := range due {
 		if room() < 1 {
 			return
 		}
-		o.writeBlock(t, e.b, room())
+		if r.shard != nil {
+			o.writeShard(t, r.shard)
+		} else {
+			o.writeBlock(t, r.block, room())
+		}
 	}
 }
 
+// due tells whether the block must and may be written.
+func (b *block) due() bool { return b.dirty && !b.writing && !b.behind }
+
+// shardUrgency orders shards among blocks. A completion waits at no cost: its room is free,
+// and its machine goes on reporting it. Many teams have as many shards, all of which change
+// with every second; written first, they would take all writes from placements.
+func (o *owner) shardUrgency(s *shard) int {
+	return int(shardWeight * (o.c.now - s.since).Seconds())
+}
+
 // claims tells whether machines of the block are not claimed yet.
 func (b *block) claims() bool {
 	return slices.ContainsFunc(b.machines, func(m *machine) bool { return m.token == 0 && !m.verifying })
@@ -532,9 +579,17 @@
 	chunks  map[chunkKey]*job
 	bytes   int
 	dirty   bool
+	since   micros.Micros // dirty
 	writing bool
 }
 
+// soil notes that the shard must be written.
+func (s *shard) soil(now micros.Micros) {
+	if !s.dirty {
+		s.dirty, s.since = true, now
+	}
+}
+
 type chunkKey struct {
 	job   string
 	chunk int
@@ -583,19 +638,7 @@
 	clear(j.shards)
 }
 
-// flushShards records completions of jobs that go on.
-func (o *owner) flushShards(t *txn, room func() int) {
-	for _, s := range o.shards {
-		if !s.dirty || s.writing {
-			continue
-		}
-		if room() < 1 {
-			return
-		}
-		o.writeShard(t, s)
-	}
-}
-
+// writeShard records completions of jobs that go on.
 func (o *owner) writeShard(t *txn, s *shard) {
 	guards := map[string]uint64{s.key(): s.version}
 	rec := doneRecord{Chunks: map[string]string{}}
@@ -616,7 +659,7 @@
 	t.results = append(t.results, func(ok bool, rev uint64) {
 		s.writing = false
 		if !ok {
-			s.dirty = true
+			s.soil(o.c.now)
 			for _, a := range finished {
 				a.job.noteFinished(a)
 			}
--- a/controller/blocks_test.go
+++ b/controller/blocks_test.go
@@ -65,7 +65,7 @@
 			o.touch(m)
 		}
 		tx := &txn{guards: map[string]uint64{}}
-		o.flushBlocks(tx, func() int { return o.c.cfg.TxnOps - len(tx.writes) }, false)
+		o.flushRecords(tx, func() int { return o.c.cfg.TxnOps - len(tx.writes) })
 		for _, w := range tx.writes {
 			name := (w.Put + w.Delete)[len(prefixMachine):]
 			delete(stored, name)
--- a/controller/gangs.go
+++ b/controller/gangs.go
@@ -389,7 +389,7 @@
 	for _, v := range view {
 		m := o.machines[v.Name]
 		need, ok := needs[v.Type]
-		if !ok || v.Slots <= 0 || v.Free.CPU <= 0 {
+		if !ok || !v.Scarce || v.Slots <= 0 || v.Free.CPU <= 0 {
 			continue
 		}
 		left := m.slack(need)
--- a/controller/job.go
+++ b/controller/job.go
@@ -206,7 +206,7 @@
 		a.job.setTask(a.index, taskDone)
 		if !a.job.Gang { // a gang is done as a whole, which its final record tells
 			a.job.noteFinished(a)
-			o.shardFor(a.job, a.index/chunkTasks).dirty = true
+			o.shardFor(a.job, a.index/chunkTasks).soil(o.c.now)
 		}
 	case attemptClosed:
 		o.free(a)
--- a/controller/rental.go
+++ b/controller/rental.go
@@ -308,7 +308,7 @@
 	if o.dark[m.zone] == 0 || silent > o.c.cfg.Tuning.DarkPatience || m.failed || m.notice != 0 {
 		return false
 	}
-	gang := len(m.attempts) == 0 && o.scarce(m.kind) && m.state <= machineUp
+	gang := len(m.attempts) == 0 && o.scarce(m.kind, m.spot) && m.state <= machineUp
 	for _, a := range m.attempts {
 		if a.job.state == jobEnded {
 			return false
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -29,6 +29,21 @@
 	factor float64 // real run time by estimate
 	sizes  []int   // of its latest gangs
 	first  *job    // its latest
+	// usual is what a task of the class takes, on average of its latest jobs.
+	usual sched.Resources
+}
+
+// usualWeight is that of one job in the average.
+const usualWeight = 8
+
+// noteNeed learns what a task of the class takes.
+func (c *classNeed) noteNeed(need sched.Resources) {
+	if c.usual == (sched.Resources{}) {
+		c.usual = need
+		return
+	}
+	step := need.Sub(c.usual)
+	c.usual = c.usual.Add(sched.Resources{CPU: step.CPU / usualWeight, GPU: step.GPU / usualWeight, Mem: step.Mem / usualWeight})
 }
 
 // sizesKept is how many gangs of a class tell what sizes are to be expected.
@@ -41,6 +56,7 @@
 		o.classes[j.Class] = c
 	}
 	c.seen, c.first = o.c.now, j
+	c.noteNeed(j.Need)
 	o.classTypes(c)
 	if j.Gang {
 		c.sizes = append(c.sizes, j.Tasks)
@@ -91,10 +107,11 @@
 	c.factor += factorWeight * (min(max(ratio, factorLeast), factorMost) - c.factor)
 }
 
-// scarce tells that some recent class of jobs fits no other machine type.
-func (o *owner) scarce(kind string) bool {
+// scarce tells that some recent class of jobs fits no other machine type, and may use
+// these: spot machines of a type that only jobs without them depend on are like any others.
+func (o *owner) scarce(kind string, spot bool) bool {
 	for _, c := range o.classes {
-		if len(c.types) == 1 && c.types[0] == kind && o.c.now-c.seen < classMemory {
+		if len(c.types) == 1 && c.types[0] == kind && (c.first.Spot || !spot) && o.c.now-c.seen < classMemory {
 			return true
 		}
 	}
@@ -124,7 +141,7 @@
 	o.growth(groups)
 	o.replace(groups)
 	o.shed(groups)
-	o.returnIdle()
+	o.returnIdle(groups)
 }
 
 // Bounds of replacing and shedding.
@@ -220,7 +237,7 @@
 func (o *owner) dearest(j *job) *machine {
 	var best *machine
 	for _, m := range o.list {
-		if m.state != machineUp || m.spot || o.reserved(m.name) || o.avoids(j, m.kind) ||
+		if m.state != machineUp || m.spot || o.reserved(m.name) || o.avoids(j, m.kind, m.spot) ||
 			o.usable(j, m.kind, m.zone, m.spot) == 0 || o.c.day-m.rented < leastCharged-20*micros.Second {
 			continue
 		}
@@ -367,7 +384,7 @@
 	}
 	for _, g := range list {
 		for _, m := range o.list {
-			if m.state != machineBooting && m.state != machineUp || o.avoids(g.first, m.kind) {
+			if m.state != machineBooting && m.state != machineUp || o.avoids(g.first, m.kind, m.spot) {
 				continue
 			}
 			usable := g.use(o, m)
@@ -376,7 +393,7 @@
 			}
 		}
 		for _, r := range o.rentals {
-			if r.state < rentalGranted && !o.avoids(g.first, r.offer.kind) {
+			if r.state < rentalGranted && !o.avoids(g.first, r.offer.kind, r.offer.spot) {
 				g.capacity += g.useOffer(o, r.offer) * float64(r.number)
 			}
 		}
@@ -385,8 +402,8 @@
 }
 
 // avoids tells that a job takes a machine type only if nothing else is free.
-func (o *owner) avoids(j *job, kind string) bool {
-	return len(o.classes[j.Class].types) > 1 && o.scarce(kind)
+func (o *owner) avoids(j *job, kind string, spot bool) bool {
+	return len(o.classes[j.Class].types) > 1 && o.scarce(kind, spot)
 }
 
 // How much longer work waits before an ordinary machine is rented for it than before a
@@ -509,11 +526,11 @@
 func (o *owner) cheapestOf(j *job, avoided bool, among func(offer) bool) *choice {
 	var best *choice
 	for _, t := range o.c.types.list {
-		if o.avoids(j, t.Name) != avoided {
-			continue
-		}
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
+				if o.avoids(j, t.Name, spot) != avoided {
+					continue
+				}
 				of := offer{t.Name, z, spot}
 				cpus := o.usable(j, t.Name, z, spot)
 				price := t.Price
@@ -562,10 +579,10 @@
 
 // returnIdle returns machines that have had nothing to do for a while, but for those
 // that are kept ready for gangs.
-func (o *owner) returnIdle() {
+func (o *owner) returnIdle(groups []*demand) {
 	ready := o.readyOffers()
 	for _, m := range o.list { // what still finishes short work is ready too
-		if m.state == machineUp && len(m.attempts) > 0 && o.scarce(m.kind) && o.onlySlack(m) {
+		if m.state == machineUp && len(m.attempts) > 0 && o.scarce(m.kind, m.spot) && o.onlySlack(m) {
 			ready.takes(o, m)
 		}
 	}
@@ -581,12 +598,20 @@
 		if !m.spot {
 			limit /= 2
 		}
-		if o.c.now-m.idleSince > limit && o.c.day-m.rented > leastCharged-5*micros.Second && !needed {
+		if o.c.now-m.idleSince > limit && !o.wanted(m, groups) && o.c.day-m.rented > leastCharged-5*micros.Second && !needed {
 			o.setMachine(m, machineDraining, "idle")
 		}
 	}
 }
 
+// wanted tells that work waits which an idle machine could take. Its record waits, not a
+// machine: to return machines and rent others would cost writes, and make it wait longer.
+func (o *owner) wanted(m *machine, groups []*demand) bool {
+	return slices.ContainsFunc(groups, func(g *demand) bool {
+		return g.waiting > 0 && !g.first.Gang && !o.avoids(g.first, m.kind, m.spot) && g.use(o, m) > 0
+	})
+}
+
 // machineSize is what a machine offers, once its type is known.
 func (o *owner) machineSize(m *machine) sched.Resources {
 	if t := o.c.types.find(m.kind); t != nil {
--- a/controller/work.go
+++ b/controller/work.go
@@ -140,7 +140,7 @@
 		view = append(view, &sched.Machine{
 			Name: m.name, Type: m.kind, Zone: m.zone, Spot: m.spot,
 			Free: o.machineSize(m).Sub(m.used).Sub(o.held(m.name)), Slots: o.slotsOf(m),
-			Idle: len(m.attempts) == 0, Scarce: o.scarce(m.kind), Price: priceClass(o.pricePerCPU(m.kind, m.spot)), Images: m.images,
+			Idle: len(m.attempts) == 0, Scarce: o.scarce(m.kind, m.spot), Price: priceClass(o.pricePerCPU(m.kind, m.spot)), Images: m.images,
 		})
 	}
 	return view
@@ -286,12 +286,11 @@
 		return room() < 1 || t.size > commitBytes/2 || len(t.guards) > 2*c.cfg.TxnOps
 	}
 	if most > 0 {
-		o.flushBlocks(t, room, true)
+		o.flushClaims(t, room)
 		o.flushFinals(t, func() bool { return room() < 2 || full() })
 		o.flushRentals(t, func() bool { return room() < 2 || full() })
 		o.flushHolds(t, full)
-		o.flushShards(t, room)
-		o.flushBlocks(t, room, false)
+		o.flushRecords(t, room)
 	}
 	if len(t.writes) == 0 {
 		o.tidy()
