--- a/controller/hold.go
+++ b/controller/hold.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 
 	"tamarindlead/internal/state"
@@ -44,6 +46,10 @@
 	roomRetry = 4 * micros.Second
 )
 
+// stopPatience is how many times the wait of a hold its stops may take: what keeps its room
+// for longer was not among them.
+const stopPatience = 2
+
 func (o *owner) setHold(h *hold, s holdState, why string) {
 	if h.state == s {
 		return
@@ -51,6 +57,8 @@
 	o.c.log.Info("hold", "job", h.job, "from", h.state.String(), "to", s.String(), "machines", len(h.machines), "why", why)
 	h.state = s
 	switch s {
+	case holdStopping:
+		h.until = o.c.now + stopPatience*o.c.cfg.Tuning.HoldWait
 	case holdWaiting:
 		h.until = o.c.now + o.c.cfg.Tuning.HoldWait
 	case holdOver:
@@ -63,14 +71,14 @@
 	if !j.Gang || o.c.now < j.evictAt || o.rentingSuffices(j) || o.comesSoon(j) {
 		return false
 	}
-	machines := o.evictView()
-	plan := o.evictPlan(j.Job, machines, sched.Preempt)
-	if plan == nil && o.withinGuarantee(j) {
-		plan = o.evictPlan(j.Job, machines, sched.Reclaim)
+	machines, covered := o.evictView(), o.guaranteed()
+	plan := o.evictPlan(j.Job, machines, sched.Preempt, covered)
+	if plan == nil && covered[j] {
+		plan = o.evictPlan(j.Job, machines, sched.Reclaim, covered)
 	}
 	if plan == nil {
 		j.evictAt = o.c.now + roomRetry
-		o.want(j.Job, j.Tasks, o.withinGuarantee(j))
+		o.want(j.Job, j.Tasks, covered[j])
 		return false
 	}
 	h := &hold{job: j.ID, machines: map[string]int{}, need: j.Need, stop: plan.Stop}
@@ -88,8 +96,8 @@
 	return true
 }
 
-func (o *owner) evictPlan(j *sched.Job, machines []*sched.Machine, mode sched.Mode) *sched.Plan {
-	victims := o.victims(j, mode)
+func (o *owner) evictPlan(j *sched.Job, machines []*sched.Machine, mode sched.Mode, covered map[*job]bool) *sched.Plan {
+	victims := o.victims(j, mode, covered)
 	if len(victims) == 0 {
 		return nil
 	}
@@ -107,14 +115,24 @@
 	return sched.TeamUse{Used: t.used.Sub(t.stopping), Guarantee: t.Guarantee}
 }
 
-// withinGuarantee tells whether the gang fits into what is guaranteed to its team.
-func (o *owner) withinGuarantee(j *job) bool {
-	t := o.teams[j.Team]
-	if t == nil || t.Guarantee.CPU == 0 && t.Guarantee.GPU == 0 {
-		return false
+// guaranteed finds the jobs that their teams' guarantees cover: each team's earliest
+// unfinished ones, as long as they fit together. By what a team uses at the moment, a gang
+// that was just stopped for another would be covered again and take the room back; two
+// teams would stop each other's gangs in turn (docs/incidents/eyjafold-third-reclaim.md).
+func (o *owner) guaranteed() map[*job]bool {
+	list := slices.Clone(o.queue)
+	slices.SortStableFunc(list, func(a, b *job) int { return cmp.Compare(a.accepted, b.accepted) })
+	covered, sums := map[*job]bool{}, map[string]sched.Resources{}
+	for _, j := range list {
+		t := o.teams[j.Team]
+		if t == nil || j.state != jobActive || t.Guarantee.CPU == 0 && t.Guarantee.GPU == 0 {
+			continue
+		}
+		sum := sums[j.Team].Add(j.Need.Times(j.Tasks - j.doneN))
+		sums[j.Team] = sum
+		covered[j] = sum.CPU <= t.Guarantee.CPU && (sum.GPU <= t.Guarantee.GPU || j.Need.GPU == 0)
 	}
-	with := t.used.Add(j.Need.Times(j.pending))
-	return with.CPU <= t.Guarantee.CPU && (with.GPU <= t.Guarantee.GPU || j.Need.GPU == 0)
+	return covered
 }
 
 // rentingSuffices tells that a machine from the cloud would serve in time (ours): then
@@ -178,7 +196,9 @@
 	view := o.view()
 	for _, v := range view {
 		for _, a := range o.machines[v.Name].attempts {
-			if o.leavingSoon(a) {
+			// What is freed is in the view already: counted twice, it would promise room that
+			// another gang may just have taken, and the hold would wait for it for ever.
+			if !a.freed && o.leavingSoon(a) {
 				v.Free = v.Free.Add(a.job.Need)
 			}
 		}
@@ -186,8 +206,9 @@
 	return view
 }
 
-// victims lists jobs that may be stopped for j.
-func (o *owner) victims(j *sched.Job, mode sched.Mode) []*sched.Victim {
+// victims lists jobs that may be stopped for j. What another team's guarantee covers is not
+// reclaimed: the part that it runs beyond is its later work.
+func (o *owner) victims(j *sched.Job, mode sched.Mode, covered map[*job]bool) []*sched.Victim {
 	var list []*sched.Victim
 	for _, id := range sortedKeys(o.jobs) {
 		v := o.jobs[id]
@@ -195,7 +216,7 @@
 			continue
 		}
 		same := v.Team == j.Team
-		if mode == sched.Preempt && (!same || v.Priority >= j.Priority) || mode == sched.Reclaim && same {
+		if mode == sched.Preempt && (!same || v.Priority >= j.Priority) || mode == sched.Reclaim && (same || covered[v]) {
 			continue
 		}
 		victim := &sched.Victim{Job: id, Team: v.Team, Priority: v.Priority}
@@ -292,6 +313,8 @@
 		case h.state == holdStopping && o.roomFree(h):
 			o.setHold(h, holdWaiting, "all stops have ended")
 			o.wantSchedule = true
+		case h.state == holdStopping && o.c.now > h.until:
+			o.setHold(h, holdOver, "its room does not come free")
 		case h.state == holdWaiting && j.gang == gangNone && o.c.now > h.until:
 			// Each eviction in vain doubles the pause before the next (ours).
 			j.evictAt = o.c.now + o.c.cfg.Tuning.HoldWait<<min(j.evictions, 4)
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -125,7 +125,7 @@
 	if slots > 0 || !w.Reclaim {
 		return
 	}
-	plan := o.evictPlan(j, o.evictView(), sched.Reclaim)
+	plan := o.evictPlan(j, o.evictView(), sched.Reclaim, o.guaranteed())
 	if plan == nil {
 		return
 	}
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -592,24 +592,42 @@
 	slices.SortStableFunc(idle, func(a, b *machine) int { // what is kept ready should cost little
 		return cmp.Compare(o.pricePerCPU(a.kind, a.spot), o.pricePerCPU(b.kind, b.spot))
 	})
+	waiting := map[*demand]int{} // tasks of gangs that wait
+	for _, g := range groups {
+		for _, j := range g.gangs {
+			waiting[g] += j.Tasks
+		}
+	}
 	for _, m := range idle {
-		needed := ready.takes(o, m)
+		needed := ready.takes(o, m) || o.wanted(m, groups, waiting)
 		limit := o.c.cfg.Tuning.IdleReturn
 		if !m.spot {
 			limit /= 2
 		}
-		if o.c.now-m.idleSince > limit && !o.wanted(m, groups) && o.c.day-m.rented > leastCharged-5*micros.Second && !needed {
+		if o.c.now-m.idleSince > limit && o.c.day-m.rented > leastCharged-5*micros.Second && !needed {
 			o.setMachine(m, machineDraining, "idle")
 		}
 	}
 }
 
-// wanted tells that work waits which an idle machine could take. Its record waits, not a
-// machine: to return machines and rent others would cost writes, and make it wait longer.
-func (o *owner) wanted(m *machine, groups []*demand) bool {
-	return slices.ContainsFunc(groups, func(g *demand) bool {
-		return g.waiting > 0 && !g.first.Gang && !o.avoids(g.first, m.kind, m.spot) && g.use(o, m) > 0
-	})
+// wanted tells that work waits which an idle machine could take: for its record to be
+// written, or for more machines that a gang needs. To return machines and rent others would
+// cost writes and boot times, and make it wait longer.
+func (o *owner) wanted(m *machine, groups []*demand, waiting map[*demand]int) bool {
+	for _, g := range groups {
+		if g.use(o, m) == 0 {
+			continue
+		}
+		if !g.first.Gang {
+			if g.waiting > 0 && !o.avoids(g.first, m.kind, m.spot) {
+				return true
+			}
+		} else if waiting[g] > 0 {
+			waiting[g] -= g.first.Need.Count(o.machineSize(m), recordSlots)
+			return true
+		}
+	}
+	return false
 }
 
 // machineSize is what a machine offers, once its type is known.
