--- a/controller/scale.go
+++ b/controller/scale.go
@@ -414,6 +414,9 @@
 	dearMost     = 5   // times the price beyond which nothing changes any more
 )
 
+// alikeOffer is how far the prices of offers may differ to be asked for at the same time.
+const alikeOffer = 1.1
+
 // spotPrice is what a processor of the cheapest spot machine for a job costs an hour,
 // whether there is one now or not.
 func (o *owner) spotPrice(j *job) float64 {
@@ -442,9 +445,9 @@
 		}
 		short := g.waiting/max(o.c.cfg.Tuning.QueueTarget.Seconds(), 1) - g.capacity
 		for short > 0 && o.asked() < mostRentals {
-			best := o.cheapest(g.first, o.notAsked)
-			if best == nil {
-				break
+			best, least := o.cheapest(g.first, o.notAsked), o.cheapest(g.first, o.anyOffer)
+			if best == nil || best.price > least.price*alikeOffer {
+				break // what is asked for already will tell whether there is more of the cheaper
 			}
 			if !best.spot {
 				// A dear machine must be worth it: it comes late and costs a minute.
--- a/controller/work.go
+++ b/controller/work.go
@@ -96,25 +96,34 @@
 	return !j.began && j.state == jobActive && o.c.day-j.accepted > o.c.cfg.Tuning.StarveAfter
 }
 
-// inTurn lists the jobs in the order in which they are placed: those that starve first,
-// whatever their priority, so that under lasting overload every job begins.
+// inTurn lists the jobs in the order in which they are placed. Those that starve come first,
+// whatever their priority, so that under lasting overload every job begins; then, of equal
+// priority, those that their teams' guarantees cover, which need not wait for other teams;
+// then who came first.
 func (o *owner) inTurn() []*job {
-	first := []*job{}
-	for _, j := range o.queue {
-		if o.starves(j) {
-			first = append(first, j)
-		}
-	}
-	if len(first) == 0 {
-		return o.queue
-	}
-	slices.SortStableFunc(first, func(a, b *job) int { return cmp.Compare(a.accepted, b.accepted) })
-	for _, j := range o.queue {
-		if !o.starves(j) {
-			first = append(first, j)
-		}
+	covered := o.guaranteed()
+	list := slices.Clone(o.queue)
+	slices.SortStableFunc(list, func(a, b *job) int {
+		x, y := o.starves(a), o.starves(b)
+		switch {
+		case x != y:
+			return first(x)
+		case x:
+			return cmp.Compare(a.accepted, b.accepted)
+		case a.Priority == b.Priority && covered[a] != covered[b]:
+			return first(covered[a])
+		}
+		return queueOrder(a, b)
+	})
+	return list
+}
+
+// first orders what has something before what has not.
+func first(has bool) int {
+	if has {
+		return -1
 	}
-	return first
+	return 1
 }
 
 // alikeWithin is how far prices may differ and still count as the same for placement:
