--- a/config/config.go
+++ b/config/config.go
@@ -244,6 +244,7 @@
 	c.require(s.ValueBytes >= 1024, "params.state.value_kb", "must be at least 1")
 	c.require(s.TxnOps >= 4, "params.state.txn_ops", "must be at least 4")
 	c.require(s.Sockets >= 32, "params.quota.sockets", "must be at least 32")
+	c.require(s.Lease > s.ReportEvery, "params.workers.lease_s", "must be above params.workers.report_s")
 	names := map[string]bool{f.Node: true}
 	for i, b := range f.Siblings {
 		key := fmt.Sprintf("siblings[%d].", i)
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -77,6 +77,7 @@
 		{`cloud = "127.0.0.1:1"`, ``, "services.cloud"},
 		{`lease_s = 17.0`, `lease_s = -1.0`, "params.workers.lease_s"},
 		{`lease_s = 17.0`, `lease_s = "long"`, "params.workers.lease_s"},
+		{`lease_s = 17.0`, `lease_s = 3.0`, "params.workers.lease_s"},
 		{`txn_ops = 16`, `txn_ops = 0`, "params.state.txn_ops"},
 		{`count = 2`, `count = 3`, "params.count"},
 		{`cpus_max = 16.0`, `cpus_max = -16.0`, "params.teams[0].cpus_max"},
--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -556,6 +556,7 @@
 			}, 0, 0)
 			o.setJob(j, jobEnded)
 			o.jobs[j.ID] = j
+			o.endings = append(o.endings, j)
 		}
 		if t.index >= j.Tasks || j.task(t.index) == taskDone && j.state != jobEnded || j.attempts[t.index] != nil {
 			continue // completed: the record was not written since
@@ -571,6 +572,35 @@
 	}
 }
 
+// endingsEach is how many endings of jobs are read with each slow tick.
+const endingsEach = 4
+
+// readEndings finds out how jobs ended that records of machines still name after a takeover.
+// Of one that is done nothing runs any more, so its tasks are off their machines whether
+// these report or not: a machine that is cut off need not be deleted for them, as for tasks
+// of a job that was cancelled, and a gang that runs there goes on.
+func (o *owner) readEndings() {
+	for range min(endingsEach, len(o.endings)) {
+		j := o.endings[0]
+		o.endings = o.endings[1:]
+		if o.jobs[j.ID] != j {
+			continue // its machines have reported
+		}
+		o.c.get(forReads, finalKey(j.ID), func(out outcome, e state.Entry) {
+			var rec finalRecord
+			switch {
+			case o.over() || out == outMissing:
+			case out != outOK:
+				o.endings = append(o.endings, j)
+			case wire.Decode(e.Value, &rec) == nil && rec.Status == wire.JobDone:
+				for _, a := range j.sorted() {
+					o.setAttempt(a, attemptClosed)
+				}
+			}
+		})
+	}
+}
+
 // shard is a record of completed tasks at their owner. It holds chunks of several jobs.
 type shard struct {
 	team    string
--- a/controller/gangs.go
+++ b/controller/gangs.go
@@ -50,6 +50,9 @@
 // again and again. Of all mixes that make good progress, the one that costs the least for
 // what is achieved is taken; a gang that waits for long takes any.
 func (o *owner) ordinaryFor(j *job) int {
+	if !j.Spot {
+		return j.Tasks
+	}
 	spot, ordinary := o.spotPrice(j), o.ordinaryPrice(j)
 	best, least := j.Tasks, float64(j.Tasks)*ordinary
 	any := o.c.day-j.accepted > gangPatience
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -44,6 +44,7 @@
 	foreign   map[string]micros.Micros // machines that another owns, though no sibling says so yet
 	strange   map[string]micros.Micros // listed machines that nobody claims, since when
 	garbage   []string                 // keys that nobody reads any more
+	endings   []*job                   // that records name, and of which it is not known how they ended
 	watchRev  uint64
 	watchDown bool
 
@@ -178,6 +179,7 @@
 		o.watchDown = false
 		o.watchJobs(o.watchRev)
 	}
+	o.readEndings()
 	o.findSilent()
 	o.inspectSome()
 	o.tickHolds()
@@ -251,7 +253,7 @@
 	fail := func() { o.busy, o.retryAt = false, c.now+loadRetry }
 	clear(o.jobs)
 	clear(o.machines)
-	o.list, o.blocks, o.shards, o.poked = nil, nil, nil, nil
+	o.list, o.blocks, o.shards, o.poked, o.endings = nil, nil, nil, nil, nil
 	o.proposed, o.proposedJobs = 0, 0
 	clear(o.rentals)
 	clear(o.holds)
--- a/controller/rental.go
+++ b/controller/rental.go
@@ -244,7 +244,7 @@
 			case m.unlisted >= 2 && silent > 2*o.c.cfg.ReportEvery:
 				o.noteSpotLost(m)
 				o.setMachine(m, machineCondemned, "is not listed any more")
-			case silent > limit && o.worksOn(m, silent):
+			case silent > limit && (o.worksOn(m, silent) || o.matesRun(m, silent)):
 			case silent > limit && (!alone || silent > 3*limit):
 				o.noteSpotLost(m)
 				o.setMachine(m, machineCondemned, "is silent")
@@ -318,6 +318,42 @@
 	return gang
 }
 
+// matesRun tells that a silent machine is kept since it works on, as others show: tasks
+// whose gang lost one end within GangPeer, but those of its gangs on other machines were
+// reported running later than that. Its worker may come back until its lease ends; to give
+// it up would stop whole gangs. Not one with tasks of a job that is over, nor one that the
+// cloud takes.
+func (o *owner) matesRun(m *machine, silent micros.Micros) bool {
+	if silent > o.c.cfg.Lease || m.failed || m.notice != 0 {
+		return false
+	}
+	gang := false
+	for _, a := range m.attempts {
+		switch {
+		case a.job.state == jobEnded:
+			return false
+		case !a.job.Gang || a.freed:
+			continue
+		case a.job.gang != gangStarting || !o.runsElsewhere(a):
+			return false
+		}
+		gang = true
+	}
+	return gang
+}
+
+// runsElsewhere tells that a task of the same gang was reported running after this one's
+// machine fell silent, later than it would have noticed that this one is gone.
+func (o *owner) runsElsewhere(a *attempt) bool {
+	for _, b := range a.job.attempts {
+		if b.machine != a.machine && b.state == attemptLive && b.phase == wire.PhaseRunning &&
+			b.machine.heard > a.machine.heard+o.c.cfg.GangPeer {
+			return true
+		}
+	}
+	return false
+}
+
 // cloudList is a reading of the cloud's list, page by page.
 type cloudList struct {
 	asking bool
--- a/sched/place.go
+++ b/sched/place.go
@@ -1,6 +1,9 @@
 package sched
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // Machine is what placement knows of a machine.
 type Machine struct {
@@ -59,8 +62,9 @@
 		}
 		return got
 	}
-	// All in one zone: the one where tasks of the job are, or else the one that
-	// takes the most.
+	// All in one zone: the one where tasks of the job are, or else the one that takes the
+	// most. A gang goes where it leaves the least room, so that larger ones find more of it
+	// in one zone.
 	var zones []string
 	for z, n := range inZone {
 		if n > 0 {
@@ -77,6 +81,9 @@
 			}
 		}
 		slices.Sort(zones)
+		if j.Gang {
+			slices.SortStableFunc(zones, func(a, b string) int { return cmp.Compare(in[a], in[b]) })
+		}
 	}
 	var best []Assignment
 	most := 0
