Cancellations are told once siblings confirmed; leases end where they can't be known

Cause: the node that committed a cancellation told its user at once and its siblings by a message sent once. If that got lost, or the answer to the commit did, and the state service went away for longer than cancel_s, the owner renewed the workers' leases all the while.

A machine that hangs with tasks of a cancelled job is deleted at 0.6 cancel_s even if that cannot be recorded.

--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -596,6 +596,13 @@
 				for _, a := range j.sorted() {
 					o.setAttempt(a, attemptClosed)
 				}
+			default:
+				// An older version did not record when: as early as need be assumed.
+				ago := o.c.day - micros.Micros(rec.At)
+				if rec.At == 0 {
+					ago = o.c.cfg.CancelIn
+				}
+				j.endedAt = max(1, o.c.now-ago)
 			}
 		})
 	}
--- a/controller/core.go
+++ b/controller/core.go
@@ -42,6 +42,10 @@
 	count   counters
 	owner   *owner // set while this node owns teams
 
+	disclosing map[string]*disclosure   // cancelled jobs of which users will be told
+	ended      map[string]micros.Micros // jobs that are over, by the word of a sibling, and since when
+	withholdTo micros.Micros            // an earlier life's promises may last until then
+
 	timers    []timer
 	cloudRate *rate.Limiter
 
@@ -55,15 +59,17 @@
 func New(cfg *config.Settings, seed uint64, log *slog.Logger, now, day micros.Micros) *Core {
 	c := &Core{
 		cfg: cfg, log: log, now: now, day: day,
-		rng:   rand.New(rand.NewPCG(seed, 0x7461_6d61)),
-		calls: map[uint64]func(CallDone){},
-		debug: log.Enabled(context.Background(), slog.LevelDebug),
-		peers: map[string]*sibling{},
+		rng:        rand.New(rand.NewPCG(seed, 0x7461_6d61)),
+		calls:      map[uint64]func(CallDone){},
+		debug:      log.Enabled(context.Background(), slog.LevelDebug),
+		peers:      map[string]*sibling{},
+		disclosing: map[string]*disclosure{}, ended: map[string]micros.Micros{},
 	}
 	c.cloudRate = rate.NewLimiter(rate.Limit(cfg.CloudRPS), max(1, int(cfg.CloudRPS)))
 	c.life = c.rng.Uint64() >> 12
 	for _, s := range cfg.Siblings {
-		c.peers[s.Node] = &sibling{Sibling: s}
+		c.peers[s.Node] = &sibling{Sibling: s, toldAt: now}
+		c.withholdTo = now + promiseFor + promiseFor/driftPart
 	}
 	c.budget.init(cfg)
 	c.cluster.members, c.cluster.teams = map[string]member{}, map[string]teamView{}
@@ -122,7 +128,8 @@
 
 // TickEvery tells how often the time must be passed to the core now.
 func (c *Core) TickEvery() micros.Micros {
-	if c.owner != nil || len(c.users.waiting) > 0 || len(c.asked.waiting) > 0 || len(c.timers) > 0 {
+	if c.owner != nil || len(c.users.waiting) > 0 || len(c.asked.waiting) > 0 ||
+		len(c.timers) > 0 || len(c.disclosing) > 0 {
 		return fastTick
 	}
 	return slowTick
@@ -139,11 +146,13 @@
 		c.tickLeadership()
 		c.tickIndex()
 		c.tickStatus()
+		c.forgetEnded()
 		if c.owner != nil {
 			c.owner.slowTick()
 		}
 	}
 	c.users.flush(c)
+	c.tickDisclosures()
 	c.flushLookups()
 	if c.owner != nil {
 		c.owner.advance()
--- a/controller/job.go
+++ b/controller/job.go
@@ -52,6 +52,7 @@
 	began     bool          // some of it was placed
 	evictAt   micros.Micros // room may be made for it again from then on
 	evictions int           // in vain, in a row
+	endedAt   micros.Micros // users were not told before then that it is cancelled; 0: it was not
 }
 
 // gangState is the state machine of a gang's attempt.
--- a/controller/lookups.go
+++ b/controller/lookups.go
@@ -167,8 +167,7 @@
 				case out == outMissing:
 					c.finish(q, lookupNone, "", 0)
 				case out == outOK && wire.Decode(e.Value, &rec) == nil:
-					c.users.remember(q.id, rec.Status)
-					c.finish(q, lookupFound, rec.Status, 0)
+					c.final(q, rec.Status)
 				default:
 					c.finish(q, lookupFailed, "", 0)
 				}
@@ -179,6 +178,23 @@
 	})
 }
 
+// final answers with a state that stays. That a job is cancelled is told only once the
+// siblings know: see disclose.
+func (c *Core) final(q *lookup, status string) {
+	if status != wire.JobCancelled {
+		c.users.remember(q.id, status)
+		c.finish(q, lookupFound, status, 0)
+		return
+	}
+	c.disclose(q.id, q.since+lookupWithin, func(ok bool) {
+		if !ok {
+			c.finish(q, lookupFailed, "", 0)
+			return
+		}
+		c.finish(q, lookupFound, status, 0)
+	})
+}
+
 func (c *Core) finish(q *lookup, st lookupState, status string, version uint64) {
 	c.asked.open--
 	q.done(st, status, version)
@@ -194,6 +210,7 @@
 	versions  map[string]uint64
 	following bool
 	next      micros.Micros
+	knownTo   micros.Micros // when what was read last was asked for
 }
 
 // indexMost bounds the index: what it does not hold is read one by one.
@@ -211,12 +228,14 @@
 		return
 	}
 	x.following = true
+	asked := c.now
 	c.listAll(prefixActive, func(ok bool, entries []state.Entry, rev uint64) {
 		if !ok {
 			x.following, x.next = false, c.now+indexPause
 			return
 		}
 		clear(x.versions)
+		x.knownTo = asked
 		for _, e := range entries {
 			x.learn(strings.TrimPrefix(e.Key, prefixActive), e.Version)
 		}
@@ -232,12 +251,14 @@
 			clear(x.versions)
 			return
 		}
-		c.storeWithin(forReads, state.Watch(prefixActive, after, watchWait), watchTimeout, func(r storeReply) {
+		asked := c.now
+		c.storeWithin(forReads, state.Watch(prefixActive, after, c.watchWait()), watchTimeout, func(r storeReply) {
 			var ch state.Changes
 			if r.outcome != outOK || !r.decode(&ch) {
 				x.following, x.next = false, c.now+indexPause
 				return
 			}
+			x.knownTo = asked
 			for _, e := range ch.Events {
 				if e.Put != "" {
 					x.learn(strings.TrimPrefix(e.Put, prefixActive), e.Version)
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -171,7 +171,7 @@
 		return false
 	}
 	if rep.Token == 0 || len(rep.Tasks) == 0 || !c.storeDown() || c.now-c.elsewhereAt < elsewhereFor*c.cfg.ReportEvery ||
-		c.now-c.route.lastOK > c.cfg.Tuning.DarkPatience {
+		c.now-c.route.lastOK > c.cfg.Tuning.DarkPatience || !c.mayRenew() {
 		return false
 	}
 	for _, s := range c.peers {
@@ -180,7 +180,7 @@
 		}
 	}
 	for _, t := range rep.Tasks {
-		if id, _, ok := splitNumbered(t.Task); !ok || t.Phase != wire.PhaseExited && c.index.versions[id] == 0 {
+		if id, _, ok := splitNumbered(t.Task); !ok || t.Phase != wire.PhaseExited && (c.index.versions[id] == 0 || c.ended[id] != 0) {
 			return false
 		}
 	}
@@ -233,6 +233,11 @@
 		o.resync("a machine has seen a higher token")
 		return
 	}
+	if !o.c.mayRenew() {
+		o.takeReport(m, rep, true)
+		o.c.refuse(req, 503, "cannot know what users were told")
+		return
+	}
 	ans := wire.ReportAnswer{Token: m.token}
 	if o.takeReport(m, rep, true) {
 		ans.Commands = o.commands(m)
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -47,6 +47,7 @@
 	endings   []*job                   // that records name, and of which it is not known how they ended
 	watchRev  uint64
 	watchDown bool
+	knownTo   micros.Micros // when the last answered watch of the jobs began
 
 	lastHeard    micros.Micros
 	wantAt       micros.Micros // machines may be asked for again
@@ -293,8 +294,9 @@
 		o.loadDone(entries)
 		listMachines()
 	})
+	asked := c.now
 	step(prefixActive, func(entries []state.Entry, rev uint64) {
-		o.watchRev = rev
+		o.watchRev, o.knownTo = rev, asked
 		for _, e := range entries {
 			o.jobRecord(e.Key, e.Value, e.Version)
 		}
@@ -305,7 +307,7 @@
 // jobRecord takes an accepted job from its record.
 func (o *owner) jobRecord(key string, value []byte, version uint64) {
 	id := strings.TrimPrefix(key, prefixActive)
-	if o.jobs[id] != nil {
+	if o.jobs[id] != nil || o.c.ended[id] != 0 {
 		return
 	}
 	var rec jobRecord
@@ -349,7 +351,8 @@
 // watchJobs follows jobs that are accepted, and those that are over.
 func (o *owner) watchJobs(after uint64) {
 	c := o.c
-	c.storeWithin(forOwnership, state.Watch(prefixActive, after, watchWait), watchTimeout, func(r storeReply) {
+	asked := c.now
+	c.storeWithin(forOwnership, state.Watch(prefixActive, after, c.watchWait()), watchTimeout, func(r storeReply) {
 		if o.over() {
 			return
 		}
@@ -367,9 +370,11 @@
 			if e.Put != "" {
 				o.jobRecord(e.Put, e.Value, e.Version)
 			} else {
-				o.jobGone(strings.TrimPrefix(e.Delete, prefixActive))
+				// Users may have been told as early as what was known before ends.
+				o.jobGone(strings.TrimPrefix(e.Delete, prefixActive), o.knownTo)
 			}
 		}
+		o.knownTo = asked
 		o.watchJobs(max(after, ch.Revision))
 	})
 }
@@ -378,14 +383,16 @@
 	o.watchRev, o.watchDown, o.retryAt = after, true, o.c.now+loadRetry
 }
 
-// jobGone handles a job that is over: by our own commit, or cancelled.
-func (o *owner) jobGone(id string) {
+// jobGone handles a job that is over: by our own commit, or cancelled, of which users were
+// told at since or later.
+func (o *owner) jobGone(id string, since micros.Micros) {
 	j := o.jobs[id]
 	if j == nil || j.state == jobEnded || j.state == jobFinishing && j.writing {
 		return // the watch may tell of our own commit before its answer comes
 	}
 	o.c.log.Info("job cancelled", "job", id, "attempts", len(j.attempts))
 	o.endJob(j)
+	j.endedAt = since
 	o.stopJob(j, 0, "cancelled")
 }
 
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -32,6 +32,11 @@
 	machines map[string]bool           // those it owns
 	idle     []*peer.IdleMachine
 	teams    []*peer.TeamUse
+	// What this node promised it, and last told users without its confirmation.
+	promisedTo micros.Micros
+	toldAt     micros.Micros
+	// knownTo is the time up to which all that it told users of cancellations is known here.
+	knownTo micros.Micros
 }
 
 func (s *sibling) fresh(now micros.Micros) bool { return s.lastAt > 0 && now-s.lastAt < beatFresh }
@@ -46,16 +51,18 @@
 			continue
 		}
 		s.asking, s.next = true, c.now+beatEvery
-		c.callPeer(s, c.beat(), beatTimeout, maxPeerBody, func(m *peer.Message, _ bool) {
+		asked := c.now
+		c.callPeer(s, &peer.Message{Body: &peer.Message_Beat{Beat: c.beat()}}, beatTimeout, maxPeerBody, func(m *peer.Message, _ bool) {
 			s.asking = false
 			if b := m.GetBeat(); b != nil {
 				c.takeBeat(s, b)
+				c.takePromise(s, b, asked)
 			}
 		})
 	}
 }
 
-func (c *Core) beat() *peer.Message {
+func (c *Core) beat() *peer.Beat {
 	b := &peer.Beat{
 		Term: c.lead.term, Leader: c.lead.node,
 		WorkersHeard: uint32(len(c.heard)), StoreOk: c.storeOK(),
@@ -63,7 +70,7 @@
 	if c.owner != nil {
 		c.owner.tell(b)
 	}
-	return &peer.Message{Body: &peer.Message_Beat{Beat: b}}
+	return b
 }
 
 func (c *Core) takeBeat(s *sibling, b *peer.Beat) {
@@ -120,13 +127,13 @@
 	switch b := m.Body.(type) {
 	case *peer.Message_Beat:
 		c.takeBeat(s, b.Beat)
-		c.answerPeer(r.ID, c.beat())
+		answer := c.beat()
+		c.promise(s, answer)
+		c.answerPeer(r.ID, &peer.Message{Body: &peer.Message_Beat{Beat: answer}})
 	case *peer.Message_StoreCall:
 		c.relay(r.ID, b.StoreCall)
 	case *peer.Message_JobEnded:
-		if c.owner != nil {
-			c.owner.jobGone(b.JobEnded.Id)
-		}
+		c.jobEnded(b.JobEnded.Id)
 		c.answerPeer(r.ID, &peer.Message{})
 	case *peer.Message_Want:
 		c.wanted(b.Want)
@@ -166,15 +173,3 @@
 	}
 	c.out = append(c.out, Respond{ID: id, Status: 200, Body: data})
 }
-
-// tellOwner passes on at once that a job is over, so that its tasks are stopped even
-// while its owner's watch hangs. All are told: the owner may be changing.
-func (c *Core) tellOwner(job string) {
-	if c.owner != nil {
-		c.owner.jobGone(job)
-	}
-	for _, cfg := range c.cfg.Siblings {
-		m := &peer.Message{Body: &peer.Message_JobEnded{JobEnded: &peer.JobEnded{Id: job}}}
-		c.send(c.peers[cfg.Node], m)
-	}
-}
--- a/controller/records.go
+++ b/controller/records.go
@@ -68,6 +68,7 @@
 // finalRecord is kept forever.
 type finalRecord struct {
 	Status string `cbor:"s"`
+	At     int64  `cbor:"at,omitempty"` // time of day of a cancellation, in microseconds
 }
 
 // blockRecord holds some machines of one owner. Writes are scarce, so the entries of
--- a/controller/rental.go
+++ b/controller/rental.go
@@ -160,7 +160,8 @@
 	}
 	var names []string
 	for _, name := range sortedKeys(o.machines) {
-		if o.machines[name].state == machineReleasing && len(names) < mostReleased {
+		m := o.machines[name]
+		if (m.state == machineReleasing || m.state == machineCondemned && o.overdue(m, lastResort)) && len(names) < mostReleased {
 			names = append(names, name)
 		}
 	}
@@ -182,7 +183,7 @@
 		}
 		o.releaseAt = o.c.now
 		for _, n := range names {
-			if m := o.machines[n]; m != nil && m.state == machineReleasing {
+			if m := o.machines[n]; m != nil && (m.state == machineReleasing || m.state == machineCondemned) {
 				o.tombs[n] = o.c.now + tombLife
 				o.setMachine(m, machineDeleted, "deleted by the cloud")
 			}
@@ -202,6 +203,36 @@
 // them the fault is likely on this side: answers that come too late are dropped too.
 func (o *owner) mostDeaf() int { return max(2, len(o.list)/10) }
 
+// A silent machine with a task of a cancelled job is given up once goneShare of the time has
+// passed that its tasks have to be gone, whatever else it runs and however lately this node
+// took over. Once lastResort of it has, the cloud is asked to delete it even if the decision
+// cannot be recorded: the state service may be away for longer. Should that request be
+// executed late, under another owner, the machine is lost as any machine may be.
+const (
+	goneShare  = 0.5
+	lastResort = 0.6
+)
+
+// overdue tells that so much of the time has passed in which a task on the machine, whose
+// job was cancelled, has to be gone.
+func (o *owner) overdue(m *machine, share float64) bool {
+	limit := micros.Micros(share * float64(o.c.cfg.CancelIn))
+	for _, a := range m.attempts {
+		if a.job.state == jobEnded && a.job.endedAt != 0 && !a.freed && o.c.now-a.job.endedAt > limit {
+			return true
+		}
+	}
+	return false
+}
+
+// unheard is how long a machine has not reported here.
+func (o *owner) unheard(m *machine) micros.Micros {
+	if m.session == 0 {
+		return o.c.now - o.since
+	}
+	return o.c.now - min(m.heard, o.c.now)
+}
+
 // findSilent gives up machines that do not report, and returns empty ones that are to
 // go. If no worker at all is heard, the fault is likely on this side. The decision is
 // recorded before the cloud is asked: a controller that was cut off, and so hears no
@@ -219,7 +250,12 @@
 	o.findDark()
 	for _, m := range o.list {
 		silent := o.c.now - max(m.heard, m.spared)
+		if m.state < machineCondemned && o.overdue(m, goneShare) && o.unheard(m) > 2*o.c.cfg.ReportEvery {
+			o.setMachine(m, machineCondemned, "is silent with tasks of a cancelled job")
+		}
 		switch m.state {
+		case machineCondemned:
+			o.wantRelease = o.wantRelease || o.overdue(m, lastResort)
 		case machineBooting:
 			boot := micros.Minute
 			if k := o.c.types.find(m.kind); k != nil {
--- a/controller/store.go
+++ b/controller/store.go
@@ -15,6 +15,12 @@
 	maxStoreBody = 8 << 20
 )
 
+// watchWait is how long a watch may wait: its answer shows how far cancellations are known,
+// which must not lie too far back for leases to be renewed (see mayRenew).
+func (c *Core) watchWait() micros.Micros {
+	return min(watchWait, max((c.cfg.CancelIn-c.cfg.Lease-renewMargin)/3, 500*micros.Millisecond))
+}
+
 // outcome is how a call to the state service ended.
 type outcome int
 
--- a/controller/users.go
+++ b/controller/users.go
@@ -312,6 +312,10 @@
 		c.respond(req, 404, wire.Problem{Error: "no such job"})
 		return
 	}
+	if status := c.users.finals[id]; status != "" {
+		c.respond(req, 200, wire.JobState{Ref: id, Status: status})
+		return
+	}
 	if c.storeDown() {
 		c.refuse(req, 503, storeSilent)
 		return
@@ -351,15 +355,19 @@
 func (c *Core) commitCancel(req uint64, j *sched.Job, version uint64, until micros.Micros) {
 	guards := []state.Guard{{Key: activeKey(j.ID), Version: version}}
 	writes := []state.Write{
-		{Put: finalKey(j.ID), Value: finalRecord{wire.JobCancelled}},
+		{Put: finalKey(j.ID), Value: finalRecord{Status: wire.JobCancelled, At: int64(c.day)}},
 		{Delete: activeKey(j.ID)},
 	}
 	c.store(forUsers, state.Commit(guards, writes), func(r storeReply) {
 		switch {
 		case r.outcome == outOK:
-			c.users.remember(j.ID, wire.JobCancelled)
-			c.respond(req, 200, wire.JobState{Ref: j.ID, Status: wire.JobCancelled})
-			c.tellOwner(j.ID)
+			c.disclose(j.ID, c.now+acceptWithin, func(ok bool) {
+				if !ok {
+					c.refuse(req, 503, "a controller has not confirmed yet")
+					return
+				}
+				c.respond(req, 200, wire.JobState{Ref: j.ID, Status: wire.JobCancelled})
+			})
 		case (r.outcome == outConflict || r.outcome == outUnknown) && c.now < until:
 			c.tryCancel(req, j.ID, until) // over meanwhile, or perhaps executed
 		default:
--- a/controller/work.go
+++ b/controller/work.go
@@ -418,7 +418,7 @@
 			switch {
 			case o.over():
 			case out == outMissing:
-				o.jobGone(id)
+				o.jobGone(id, o.knownTo)
 			case out == outOK:
 				j.version, j.unsure = e.Version, false
 				o.wantSchedule = true
@@ -509,7 +509,7 @@
 		j.writing = true
 		t.guards[activeKey(j.ID)] = j.version
 		t.writes = append(t.writes, state.Write{Delete: activeKey(j.ID)})
-		t.put(finalKey(j.ID), finalRecord{wire.JobDone})
+		t.put(finalKey(j.ID), finalRecord{Status: wire.JobDone})
 		t.results = append(t.results, func(ok bool, _ uint64) {
 			j.writing = false
 			if !ok || j.state == jobEnded {
