--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -104,6 +104,8 @@
 	return w
 }
 
+func jobName(i int) string { return fmt.Sprintf("req-%06d", i) }
+
 func teamName(i int) string { return fmt.Sprintf("team-%02d", i) }
 
 func scenarioCommand(t *testing.T, w *world, d *datadriven.TestData) string {
@@ -230,6 +232,9 @@
 	case "leader":
 		return fmt.Sprint(w.leader() >= 0)
 	default:
+		if out, ok := stateVerb(t, w, d, node, during); ok {
+			return out
+		}
 		d.Fatalf(t, "unknown command %s", d.Cmd)
 	}
 	return ""
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -54,6 +54,7 @@
 	stops     map[string]int           // by cause
 	answered  map[string]micros.Micros // when a question for a job was answered last
 	began     map[string]micros.Micros // when a job's first task, or its whole gang, started
+	faults    stateFaults
 }
 
 type simNode struct {
@@ -105,7 +106,8 @@
 		infos: map[string]standin.TaskInfo{}, submitted: map[string]*sched.Job{}, asked: map[string]micros.Micros{}, bodies: map[string][]byte{},
 		told: map[string]string{}, accepted: map[string]bool{}, cancelled: map[string]micros.Micros{},
 		wantsEnd: map[string]bool{}, done: map[string]bool{}, running: map[string]string{},
-		stops: map[string]int{}, answered: map[string]micros.Micros{}, began: map[string]micros.Micros{},
+		faults: newStateFaults(seed),
+		stops:  map[string]int{}, answered: map[string]micros.Micros{}, began: map[string]micros.Micros{},
 	}
 	w.state.Ops, w.state.Value = cfg.TxnOps, cfg.ValueBytes
 	w.cloud.Lag = cfg.ListLag
@@ -268,13 +270,13 @@
 	peer := strings.HasPrefix(c.Addr, "peer:")
 	if peer {
 		i, _ := strconv.Atoi(strings.TrimPrefix(c.Addr, "peer:"))
-		peer = n.alone || w.nodes[i].alone || w.parted(w.nodeZone(n.index), w.nodeZone(i))
+		peer = n.alone || w.nodes[i].alone || w.peerLost(c) || w.parted(w.nodeZone(n.index), w.nodeZone(i))
 	}
 	outside := c.Addr == w.cfg.StateAddr || c.Addr == w.cfg.CloudAddr
 	switch {
 	case peer, n.alone && c.Addr == w.cfg.StateAddr, outside && w.parted(w.nodeZone(n.index), ""): // lost
 	case c.Addr == w.cfg.StateAddr:
-		w.executeState(n, c, w.now, answer)
+		w.stateCall(n, c, answer)
 	case c.Addr == w.cfg.CloudAddr:
 		w.cloud.Now = w.now
 		answer(w.cloud.Handle(c.Method, c.Target, c.Body))
