--- a/controller/faults_state_test.go
+++ b/controller/faults_state_test.go
@@ -40,6 +40,12 @@
 // stateCall brings a call to the state service, with the troubles of the moment.
 func (w *world) stateCall(n *simNode, c Call, answer func(standin.Reply)) {
 	f := &w.faults
+	whole := answer
+	answer = func(r standin.Reply) {
+		if !n.alone { // the cut holds answers too, those of open watches among them
+			whole(r)
+		}
+	}
 	deliver := func(answer func(standin.Reply)) { w.executeState(n, c, w.now, answer) }
 	commit := strings.HasPrefix(c.Target, "/commit")
 	if commit && f.lateShare > 0 && f.rng.Float64() < f.lateShare {
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -385,6 +385,8 @@
 		return fmt.Sprint(n)
 	case "rented":
 		return fmt.Sprint(len(w.cloud.Machines))
+	case "told-cancelled": // jobs whose users were told so
+		return fmt.Sprint(len(w.cancelled))
 	case "records":
 		return fmt.Sprint(len(w.state.Keys(arg(t, d, "prefix", ""))))
 	default:
