--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -235,6 +235,9 @@
 		if out, ok := stateVerb(t, w, d, node, during); ok {
 			return out
 		}
+		if out, ok := userVerb(t, w, d); ok {
+			return out
+		}
 		d.Fatalf(t, "unknown command %s", d.Cmd)
 	}
 	return ""
@@ -273,8 +276,9 @@
 	}
 	if d.HasArg("check") {
 		status := -1
+		sent := w.now
 		w.user(arg(t, d, "to", 0), "POST", "/api/jobs", w.bodies[id], func(r Respond) {
-			w.noteAnswer(id, r)
+			w.checkAnswer(id, r, sent)
 			status = r.Status
 		})
 		for end := w.now + 6*micros.Second; status < 0 && w.now < end; {
@@ -387,6 +391,16 @@
 		return fmt.Sprint(len(w.cloud.Machines))
 	case "told-cancelled": // jobs whose users were told so
 		return fmt.Sprint(len(w.cancelled))
+	case "starts-after-cancel":
+		return fmt.Sprint(w.crowd.afterCancel)
+	case "cancelled-at-end":
+		return fmt.Sprint(w.crowd.atEnd)
+	case "looks", "odd-requests", "late-writes", "lost-answers": // how often a meeting came about
+		n := map[string]int{"looks": w.crowd.looks, "odd-requests": w.crowd.odds, "late-writes": w.faults.lateDone, "lost-answers": w.faults.lostDone}[what]
+		if least := arg(t, d, "least", 0); least > 0 && n >= least {
+			return "enough"
+		}
+		return fmt.Sprint(n)
 	case "records":
 		return fmt.Sprint(len(w.state.Keys(arg(t, d, "prefix", ""))))
 	default:
--- /dev/null
+++ b/controller/users_test.go
@@ -0,0 +1,551 @@
+package controller
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"tamarindlead/config"
+	"tamarindlead/internal/standin"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// crowd is what users do beyond submitting, asking and cancelling once, and what they were
+// told when. It draws from a row of its own, so that scenarios without it stay as they are.
+type crowd struct {
+	rng         *rand.Rand
+	looksTo     micros.Micros // until then users ask closely
+	cancels     float64       // this share of what they saw accepted is cancelled at once
+	endShare    float64       // of the jobs that end: cancelled at that moment
+	oddTo       micros.Micros
+	odds        int                      // how many odd requests were sent
+	looks       int                      // how many close looks were answered
+	atEnd       int                      // how many jobs were cancelled as they ended
+	bad         map[string]string        // jobs that must not be accepted, and why
+	acceptedAt  map[string]micros.Micros // when users were first told
+	toldAt      map[string]micros.Micros
+	quitIn      map[string]micros.Micros // cancelled so long after they were accepted
+	afterCancel int                      // starts after a confirmed cancellation
+	waits       map[string]micros.Micros // since when a job waits though there is room
+	nextWaits   micros.Micros
+}
+
+func newCrowd(seed uint64) crowd {
+	return crowd{
+		rng: rand.New(rand.NewPCG(seed, 3)), bad: map[string]string{},
+		acceptedAt: map[string]micros.Micros{}, toldAt: map[string]micros.Micros{},
+		quitIn: map[string]micros.Micros{}, waits: map[string]micros.Micros{},
+	}
+}
+
+const (
+	refuseWithin = 100 * micros.Millisecond // too much is answered at once
+	unheardFor   = 75 * micros.Second       // a job about which nobody answers is forgotten
+	waitsFor     = 90 * micros.Second       // a job must not wait for so long beside room
+	largestIn    = 240 * micros.Second      // the largest jobs begin within this
+)
+
+// lookAfter is when users look closely at what they were told.
+var lookAfter = []micros.Micros{0, 2 * micros.Millisecond, 5 * micros.Millisecond, 10 * micros.Millisecond,
+	30 * micros.Millisecond, 100 * micros.Millisecond, 300 * micros.Millisecond}
+
+// checkRefusal sees that a user who is refused is told when to come again, and at once if
+// there is too much.
+func (w *world) checkRefusal(r Request, resp Respond, took micros.Micros) {
+	if r.Peer || !strings.HasPrefix(r.Path, "/api/jobs") || resp.Status != 429 && resp.Status != 503 {
+		return
+	}
+	if resp.RetryAfter < 1 {
+		w.breakRule("refused: %s %s is answered %d without Retry-After", r.Method, r.Path, resp.Status)
+	}
+	if resp.Status == 429 && took > refuseWithin {
+		w.breakRule("refused: %s %s is answered 429 after %v", r.Method, r.Path, took)
+	}
+}
+
+// checkAnswer holds what a user is told against what was told before the question was sent.
+// Questions that cross may be answered in any order; two final states never differ.
+func (w *world) checkAnswer(id string, r Respond, sent micros.Micros) {
+	p := &w.crowd
+	known := func() bool { at, ok := p.acceptedAt[id]; return ok && at <= sent }
+	switch r.Status {
+	case 404, 400, 422:
+		if known() {
+			w.breakRule("forgotten: %s is answered %d", id, r.Status)
+		}
+		return
+	case 200, 201:
+	default:
+		return
+	}
+	if why := p.bad[id]; why != "" {
+		w.breakRule("accepted_bad: %s is answered %d: %s", id, r.Status, why)
+		return
+	}
+	j := w.submitted[id]
+	if j == nil {
+		w.breakRule("invented: %s", id)
+		return
+	}
+	if why := w.neverFits(j); why != "" {
+		w.breakRule("accepted_bad: %s is answered %d: %s", id, r.Status, why)
+	}
+	w.accepted[id], w.answered[id] = true, w.now
+	var st wire.JobState
+	if wire.Decode(r.Body, &st) != nil || st.Ref != id {
+		w.breakRule("answer: that for %s cannot be read", id)
+		return
+	}
+	final := st.Status == wire.JobDone || st.Status == wire.JobCancelled
+	if was, ok := w.told[id]; ok && was != st.Status && (final || p.toldAt[id] <= sent) {
+		w.breakRule("went_back: %s was %s, is %s", id, was, st.Status)
+	}
+	fresh := w.told[id] == "" && final
+	if _, ok := p.acceptedAt[id]; !ok {
+		p.acceptedAt[id], fresh = w.now, true
+		if in, ok := p.quitIn[id]; ok {
+			w.after(in, func() { w.cancel(id, p.rng.IntN(len(w.nodes))) })
+		}
+	}
+	if !final {
+		if fresh {
+			w.lookClosely(id)
+		}
+		return
+	}
+	if st.Status == wire.JobDone {
+		for i := range j.Tasks {
+			if !w.done[numbered(id, i)] {
+				w.breakRule("not_done: %s without task %d", id, i)
+				break
+			}
+		}
+	} else {
+		if !w.wantsEnd[id] {
+			w.breakRule("went_back: %s was not cancelled by its user", id)
+		}
+		if _, ok := w.cancelled[id]; !ok {
+			w.cancelled[id] = w.now
+		}
+	}
+	if w.told[id] == "" {
+		w.told[id], p.toldAt[id] = st.Status, w.now
+	}
+	if fresh {
+		w.lookClosely(id)
+	}
+}
+
+// neverFits tells why a job must not be accepted, or "".
+func (w *world) neverFits(j *sched.Job) string {
+	i := slices.IndexFunc(w.cfg.Teams, func(t config.Team) bool { return t.Name == j.Team })
+	if i < 0 {
+		return "no such team"
+	}
+	need := j.Need.CPUs()
+	if j.Gang {
+		need *= float64(j.Tasks)
+	}
+	if limit := w.cfg.Teams[i].Limit; limit.CPU > 0 && need > limit.CPUs() {
+		return "more than the team's limit"
+	}
+	if j.Tasks < 1 || j.Tasks > 100000 {
+		return "so many tasks are not allowed"
+	}
+	for _, t := range w.cloud.Types {
+		if j.Need.CPUs() > t.CPUs || w.infos[j.ID].Mem > t.MemGB {
+			continue
+		}
+		if slices.ContainsFunc(t.Halls, func(z string) bool { return j.Allows(t.Name, z, false) }) {
+			return ""
+		}
+	}
+	return "a task fits no machine type"
+}
+
+// lookClosely asks all nodes again and again about what a user was just told, and repeats
+// the submission at each.
+func (w *world) lookClosely(id string) {
+	p := &w.crowd
+	if w.now > p.looksTo {
+		return
+	}
+	if w.told[id] == "" && p.rng.Float64() < p.cancels {
+		w.cancel(id, p.rng.IntN(len(w.nodes)))
+	}
+	for _, d := range lookAfter {
+		w.after(d, func() { w.lookEverywhere(id) })
+	}
+}
+
+// lookEverywhere asks all nodes about a job and repeats its submission at each.
+func (w *world) lookEverywhere(id string) {
+	sent := w.now
+	see := func(r Respond) {
+		if r.Status == 200 {
+			w.crowd.looks++
+		}
+		w.checkAnswer(id, r, sent)
+	}
+	for i := range w.nodes {
+		w.user(i, "GET", "/api/jobs/"+id, nil, see)
+		w.user(i, "POST", "/api/jobs", w.bodies[id], see)
+	}
+}
+
+// jobEnded is called when a task completes: some users cancel, ask and submit again at the
+// very moment at which the last one does.
+func (w *world) jobEnded(id string) {
+	p := &w.crowd
+	if p.endShare == 0 || w.wantsEnd[id] {
+		return
+	}
+	for i := range w.submitted[id].Tasks {
+		if !w.done[numbered(id, i)] {
+			return
+		}
+	}
+	if p.rng.Float64() < p.endShare {
+		p.atEnd++
+		w.cancel(id, p.rng.IntN(len(w.nodes)))
+		w.lookEverywhere(id)
+	}
+}
+
+// oddRequests sends one odd request after the other.
+func (w *world) oddRequests() {
+	p := &w.crowd
+	if w.now > p.oddTo {
+		return
+	}
+	w.after(200*micros.Millisecond, w.oddRequests)
+	p.odds++
+	to, sent := p.rng.IntN(len(w.nodes)), w.now
+	pick := func(is func(id string) bool) string {
+		var ids []string
+		for _, id := range sortedKeys(w.accepted) {
+			if is(id) {
+				ids = append(ids, id)
+			}
+		}
+		if len(ids) == 0 {
+			return ""
+		}
+		return ids[p.rng.IntN(len(ids))]
+	}
+	switch p.odds % 5 {
+	case 0: // an unfinished job again
+		if id := pick(func(id string) bool { return w.told[id] == "" }); id != "" {
+			w.user(to, "POST", "/api/jobs", w.bodies[id], func(r Respond) { w.checkAnswer(id, r, sent) })
+		}
+	case 1: // a cancellation of one that is done, or was cancelled
+		if id := pick(func(id string) bool { return w.told[id] != "" }); id != "" {
+			w.user(to, "POST", "/api/jobs/"+id+"/cancel", nil, func(r Respond) { w.checkAnswer(id, r, sent) })
+		}
+	case 2: // a job that nobody submitted
+		id := "req-99" + jobName(p.odds)[len("req-00"):]
+		path := "/api/jobs/" + id
+		w.user(to, "GET", path, nil, func(r Respond) { w.checkAnswer(id, r, sent) })
+		w.user(to, "POST", path+"/cancel", nil, func(r Respond) { w.checkAnswer(id, r, sent) })
+	case 3:
+		w.sendBad(to, w.malformed(p.odds/5), 400)
+	case 4:
+		w.sendBad(to, w.unrunnable(p.odds/5), 422)
+	}
+}
+
+// badJob is a submission that must not be accepted.
+type badJob struct {
+	id, why string
+	body    []byte
+}
+
+// sendBad submits a job that must be refused for good: as malformed (400) at once whatever
+// else happens, as one that never runs (422) unless the node cannot decide.
+func (w *world) sendBad(to int, b badJob, want int) {
+	p := &w.crowd
+	p.bad[b.id] = b.why
+	w.user(to, "POST", "/api/jobs", b.body, func(r Respond) {
+		undecided := r.Status == 0 || want == 422 && (r.Status == 503 || r.Status == 429)
+		if r.Status != want && !undecided {
+			w.breakRule("accepted_bad: a submission must be answered %d, is answered %d: %s", want, r.Status, b.why)
+		}
+		sent := w.now
+		w.user(to, "GET", "/api/jobs/"+b.id, nil, func(r Respond) { w.checkAnswer(b.id, r, sent) })
+	})
+}
+
+// goodFields are those of a job that could run; the odd ones differ in one.
+func (w *world) goodFields(id string) map[string]any {
+	j := &sched.Job{
+		ID: id, Class: "work", Team: w.cfg.Teams[0].Name, Priority: sched.Normal, Tasks: 2,
+		Need: sched.NewResources(1, 0, 1), Image: "img", ImageGB: 1, Estimate: 10 * micros.Second,
+	}
+	fields := map[string]any{}
+	wire.Decode(wire.Encode(wire.FromJob(j)), &fields)
+	return fields
+}
+
+// badValues are values that fields must not have.
+var badValues = []struct {
+	field string
+	value any
+}{
+	{"legs", 0}, {"legs", -1}, {"legs", 100001}, {"legs", 1.5}, {"legs", "2"}, {"cpus", -1.0}, {"cpus", "1"}, {"cpus", nil},
+	{"cpus", math.NaN()}, {"cards", -1.0}, {"memGb", math.Inf(1)}, {"shape", "heap"}, {"shape", 1}, {"urgency", "soon"}, {"queue", 7},
+	{"desk", []string{"red"}}, {"samePlace", "yes"}, {"apart", 1}, {"loaners", nil}, {"builds", "small"}, {"builds", []int{1}},
+	{"hall", 3}, {"expectS", "long"}, {"expectS", -5.0}, {"snapshotS", -1.0}, {"stowS", nil}, {"dueS", "soon"}, {"sizeGb", -2.0}, {"bundle", false},
+}
+
+func (w *world) malformed(n int) badJob {
+	id := jobName(980000 + n)
+	fields := w.goodFields(id)
+	needed := []string{"ref", "queue", "desk", "shape", "urgency", "legs", "cpus", "cards", "memGb", "bundle", "sizeGb",
+		"samePlace", "apart", "loaners", "expectS", "snapshotS", "stowS"}
+	switch i := n % (len(needed) + len(badValues) + 4); {
+	case i < len(needed):
+		delete(fields, needed[i])
+		return badJob{id, needed[i] + " is missing", wire.Encode(fields)}
+	case i < len(needed)+len(badValues):
+		b := badValues[i-len(needed)]
+		fields[b.field] = b.value
+		return badJob{id, b.field + " is invalid", wire.Encode(fields)}
+	case i == len(needed)+len(badValues):
+		fields["ref"] = "job-7"
+		return badJob{"job-7", "ref is invalid", wire.Encode(fields)}
+	case i == len(needed)+len(badValues)+1:
+		return badJob{id, "not CBOR", []byte{0xff, 0x00}}
+	case i == len(needed)+len(badValues)+2:
+		return badJob{id, "a list", wire.Encode([]any{fields})}
+	default:
+		body := wire.Encode(fields)
+		return badJob{id, "cut short", body[:len(body)-3]}
+	}
+}
+
+func (w *world) unrunnable(n int) badJob {
+	id := jobName(990000 + n)
+	fields := w.goodFields(id)
+	set := func(why string, pairs ...any) badJob {
+		for i := 0; i < len(pairs); i += 2 {
+			fields[pairs[i].(string)] = pairs[i+1]
+		}
+		return badJob{id, why, wire.Encode(fields)}
+	}
+	limit := w.cfg.Teams[0].Limit.CPUs()
+	switch n % 6 {
+	case 0:
+		return set("no such team", "desk", "green")
+	case 1:
+		return set("too many cpus for any machine", "cpus", 64.0)
+	case 2:
+		return set("too much memory for any machine", "memGb", 4096.0)
+	case 3:
+		return set("no such machine type", "builds", []string{"none"})
+	case 4:
+		return set("cards that no machine has", "cards", 1.0)
+	default:
+		if limit == 0 {
+			return set("no machine type allowed", "builds", []string{})
+		}
+		return set("a gang above the limit", "shape", "group", "legs", 1+int(limit/2), "cpus", 2.0)
+	}
+}
+
+// noteStart counts starts after a user was told of the cancellation.
+func (w *world) noteStart(id string) {
+	if _, ok := w.cancelled[id]; ok {
+		w.crowd.afterCancel++
+	}
+}
+
+// checkWaiting sees that once troubles are over no job waits for long while a machine that
+// fits has room and its team is under its limit.
+func (w *world) checkWaiting() {
+	p := &w.crowd
+	if w.calm == 0 || w.now < p.nextWaits {
+		return
+	}
+	p.nextWaits = w.now + micros.Second
+	for _, id := range sortedKeys(w.accepted) {
+		if !w.waitsBesideRoom(id) {
+			delete(p.waits, id)
+			continue
+		}
+		since, ok := p.waits[id]
+		if !ok {
+			p.waits[id] = w.now
+		} else if w.now-since > waitsFor {
+			w.breakRule("waits: %s has waited since %v beside room for it", id, since-micros.Hour)
+		}
+	}
+}
+
+func (w *world) waitsBesideRoom(id string) bool {
+	j, info := w.submitted[id], w.infos[id]
+	if w.told[id] != "" || w.wantsEnd[id] || info.Fails || w.onMachines(id) > 0 {
+		return false
+	}
+	left := 0
+	for i := range j.Tasks {
+		if !w.done[numbered(id, i)] {
+			left++
+		}
+	}
+	if left == 0 {
+		return false
+	}
+	need := 1
+	if j.Gang {
+		need = j.Tasks
+	}
+	team := w.cfg.Teams[slices.IndexFunc(w.cfg.Teams, func(t config.Team) bool { return t.Name == j.Team })]
+	used := 0.0
+	for task := range w.running {
+		if other, _, _ := splitNumbered(task); w.submitted[other].Team == j.Team {
+			used += w.infos[other].CPU
+		}
+	}
+	if limit := team.Limit.CPUs(); limit > 0 && used+float64(need)*info.CPU > limit+1e-6 {
+		return false
+	}
+	byZone := map[string]int{}
+	for _, k := range w.workers {
+		if k.Machine.Gone || k.Hung || k.Cut || k.Deaf || k.Sick || k.Notice != nil || !j.Allows(k.Machine.Type, k.Machine.Zone, k.Machine.Spot) {
+			continue
+		}
+		byZone[k.Machine.Zone] += roomOn(k, info)
+	}
+	room := 0
+	for _, n := range byZone {
+		n = min(n, j.ZoneCap())
+		if j.OneZone {
+			room = max(room, n)
+		} else {
+			room += n
+		}
+	}
+	return room >= need
+}
+
+// roomOn counts the tasks of a kind for which a worker has room.
+func roomOn(k *standin.Worker, info standin.TaskInfo) int {
+	cpu, mem := k.CPU, k.Mem
+	for name, t := range k.Tasks {
+		if t.Phase != wire.PhaseExited {
+			i, _ := k.Info(name)
+			cpu, mem = cpu-i.CPU, mem-i.Mem
+		}
+	}
+	n := math.MaxInt32
+	if info.CPU > 0 {
+		n = min(n, int((cpu+1e-6)/info.CPU))
+	}
+	if info.Mem > 0 {
+		n = min(n, int((mem+1e-6)/info.Mem))
+	}
+	return max(0, n)
+}
+
+// endOfDay checks what must hold when a day is over, for all jobs that their users did not
+// cancel: each is done or answered about, of each class, each team and the largest jobs of
+// a class at least half is served, and the largest began in time.
+func (w *world) endOfDay() {
+	type group struct{ all, served int }
+	groups := map[string]*group{}
+	count := func(name string, served bool) {
+		g := groups[name]
+		if g == nil {
+			g = &group{}
+			groups[name] = g
+		}
+		g.all++
+		if served {
+			g.served++
+		}
+	}
+	sizes := map[string][]float64{}
+	size := func(j *sched.Job) float64 { return j.Need.CPUs() * float64(j.Tasks) }
+	var ids []string
+	for _, id := range sortedKeys(w.submitted) {
+		j := w.submitted[id]
+		if w.wantsEnd[id] || w.infos[id].Fails || w.neverFits(j) != "" {
+			continue
+		}
+		ids = append(ids, id)
+		sizes[j.Class] = append(sizes[j.Class], size(j))
+	}
+	for _, s := range sizes {
+		slices.Sort(s)
+	}
+	for _, id := range ids {
+		j := w.submitted[id]
+		if w.accepted[id] && w.told[id] == "" && w.now-max(w.answered[id], w.calm) > unheardFor {
+			w.breakRule("forgotten: nobody answers about %s", id)
+		}
+		served := w.told[id] == wire.JobDone || w.onMachines(id) > 0
+		count("class "+j.Class, served)
+		count("team "+j.Team, served)
+		s := sizes[j.Class]
+		if most := s[len(s)-1]; size(j) >= 0.9*most && most > 1.5*s[len(s)/2] {
+			count("largest of "+j.Class, served)
+			began, ok := w.began[id]
+			if !ok {
+				began = w.now
+			}
+			if began-w.asked[id] > largestIn {
+				w.breakRule("late: %s, of the largest of its class, has not begun after %v", id, largestIn)
+			}
+		}
+	}
+	for _, name := range sortedKeys(groups) {
+		if g := groups[name]; 2*g.served < g.all {
+			w.breakRule("unserved: %d of %d of %s", g.served, g.all, name)
+		}
+	}
+}
+
+// userVerb plays the commands of this file; ok is false for any other.
+func userVerb(t *testing.T, w *world, d *datadriven.TestData) (out string, ok bool) {
+	p := &w.crowd
+	span := func() micros.Micros { return argSeconds(t, d, "for", worldForever.Seconds()) }
+	switch d.Cmd {
+	case "close-looks":
+		p.looksTo, p.cancels = w.now+span(), argNumber(t, d, "cancels", 0)
+	case "cancel-at-end":
+		p.endShare = argNumber(t, d, "share", 1)
+		w.after(span(), func() { p.endShare = 0 })
+	case "odd-requests":
+		p.oddTo = w.now + span()
+		w.oddRequests()
+	case "burst":
+		rate, share := argNumber(t, d, "rate", 4), argNumber(t, d, "cancelled", 0)
+		for i := range int(rate * span().Seconds()) {
+			id := jobName(arg(t, d, "from", 1) + i)
+			w.after(micros.FromSeconds(float64(i)/rate), func() {
+				one := *d
+				if p.rng.Float64() < share {
+					p.quitIn[id] = micros.Micros(p.rng.Int64N(int64(10 * micros.Second)))
+				}
+				submitCommand(t, w, &one, id)
+			})
+		}
+	case "end-of-day":
+		if w.calm == 0 {
+			d.Fatalf(t, "a day ends after calm")
+		}
+		w.endOfDay()
+	default:
+		return "", false
+	}
+	return "", true
+}
+
+// worldForever is longer than any scenario.
+const worldForever = 24 * micros.Hour
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -55,6 +55,7 @@
 	answered  map[string]micros.Micros // when a question for a job was answered last
 	began     map[string]micros.Micros // when a job's first task, or its whole gang, started
 	faults    stateFaults
+	crowd     crowd
 }
 
 type simNode struct {
@@ -106,8 +107,8 @@
 		infos: map[string]standin.TaskInfo{}, submitted: map[string]*sched.Job{}, asked: map[string]micros.Micros{}, bodies: map[string][]byte{},
 		told: map[string]string{}, accepted: map[string]bool{}, cancelled: map[string]micros.Micros{},
 		wantsEnd: map[string]bool{}, done: map[string]bool{}, running: map[string]string{},
-		faults: newStateFaults(seed),
-		stops:  map[string]int{}, answered: map[string]micros.Micros{}, began: map[string]micros.Micros{},
+		faults: newStateFaults(seed), crowd: newCrowd(seed),
+		stops: map[string]int{}, answered: map[string]micros.Micros{}, began: map[string]micros.Micros{},
 	}
 	w.state.Ops, w.state.Value = cfg.TxnOps, cfg.ValueBytes
 	w.cloud.Lag = cfg.ListLag
@@ -199,8 +200,9 @@
 		}
 		n.nextID++
 		r.ID = n.nextID
-		life := n.life
+		life, came := n.life, w.now
 		n.pending[r.ID] = func(resp Respond) {
+			w.checkRefusal(r, resp, w.now-came)
 			w.after(w.latency(), func() {
 				if !n.cut && (life == n.life || resp.Status == 0) {
 					finish(resp)
@@ -396,6 +398,7 @@
 func (w *world) onStart(k *standin.Worker, task string, attempt uint64) {
 	w.starts++
 	id, _, _ := splitNumbered(task)
+	w.noteStart(id)
 	j := w.submitted[id]
 	if other, ok := w.running[task]; ok && other != k.Machine.Name {
 		w.breakRule("ran_twice: %s starts on %s while on %s", task, k.Machine.Name, other)
@@ -442,6 +445,7 @@
 	}
 	w.done[task] = true
 	id, _, _ := splitNumbered(task)
+	w.jobEnded(id)
 	if !w.infos[id].Gang {
 		return
 	}
@@ -546,10 +550,11 @@
 	}
 	// Once troubles are over, a job about which no question is answered is forgotten.
 	for id := range w.accepted {
-		if w.calm > 0 && w.told[id] == "" && w.now-max(w.answered[id], w.calm) > 75*micros.Second {
+		if w.calm > 0 && w.told[id] == "" && w.now-max(w.answered[id], w.calm) > unheardFor {
 			w.breakRule("forgotten: nobody answers about %s", id)
 		}
 	}
+	w.checkWaiting()
 	w.broken = w.broken[:min(len(w.broken), 10)]
 }
 
@@ -562,50 +567,11 @@
 	w.ask(w.nodes[node], Request{Method: method, Path: path, Body: body}, 5*micros.Second, done)
 }
 
-func (w *world) noteAnswer(id string, r Respond) {
-	if r.Status == 404 && w.accepted[id] {
-		w.breakRule("forgotten: %s is answered 404", id)
-	}
-	if (r.Status == 400 || r.Status == 422) && w.accepted[id] {
-		w.breakRule("forgotten: %s is answered %d", id, r.Status)
-	}
-	if r.Status != 200 && r.Status != 201 {
-		return
-	}
-	if w.submitted[id] == nil {
-		w.breakRule("invented: %s", id)
-		return
-	}
-	w.accepted[id], w.answered[id] = true, w.now
-	var st wire.JobState
-	wire.Decode(r.Body, &st)
-	if was, ok := w.told[id]; ok && was != st.Status {
-		w.breakRule("went_back: %s was %s, is %s", id, was, st.Status)
-	}
-	switch st.Status {
-	case wire.JobDone:
-		for i := range w.submitted[id].Tasks {
-			if !w.done[numbered(id, i)] {
-				w.breakRule("not_done: %s without task %d", id, i)
-				break
-			}
-		}
-		w.told[id] = st.Status
-	case wire.JobCancelled:
-		if !w.wantsEnd[id] {
-			w.breakRule("went_back: %s was not cancelled by its user", id)
-		}
-		if _, ok := w.cancelled[id]; !ok {
-			w.cancelled[id] = w.now
-		}
-		w.told[id] = st.Status
-	}
-}
-
 // submit sends a job and keeps asking as a user would.
 func (w *world) submit(id string, node int) {
+	sent := w.now
 	w.user(node, "POST", "/api/jobs", w.bodies[id], func(r Respond) {
-		w.noteAnswer(id, r)
+		w.checkAnswer(id, r, sent)
 		if r.Status != 200 && r.Status != 201 && r.Status != 400 && r.Status != 422 {
 			w.after(micros.Second, func() { w.submit(id, (node+1)%len(w.nodes)) })
 		}
@@ -614,8 +580,9 @@
 
 func (w *world) cancel(id string, node int) {
 	w.wantsEnd[id] = true
+	sent := w.now
 	w.user(node, "POST", "/api/jobs/"+id+"/cancel", nil, func(r Respond) {
-		w.noteAnswer(id, r)
+		w.checkAnswer(id, r, sent)
 		if r.Status != 200 && r.Status != 404 {
 			w.after(micros.Second, func() { w.cancel(id, (node+1)%len(w.nodes)) })
 		}
@@ -624,8 +591,9 @@
 
 // poll asks for a job now and then until it is over.
 func (w *world) poll(id string, node int) {
+	sent := w.now
 	w.ask(w.nodes[node], Request{Method: "GET", Path: "/api/jobs/" + id}, 2*micros.Second, func(r Respond) {
-		w.noteAnswer(id, r)
+		w.checkAnswer(id, r, sent)
 		if w.told[id] == "" {
 			w.after(5*micros.Second, func() { w.poll(id, (node+1)%len(w.nodes)) })
 		}
