--- a/controller/users_test.go
+++ b/controller/users_test.go
@@ -31,6 +31,7 @@
 	acceptedAt  map[string]micros.Micros // when users were first told
 	toldAt      map[string]micros.Micros
 	quitIn      map[string]micros.Micros // cancelled so long after they were accepted
+	refusals    map[int]int              // by status
 	afterCancel int                      // starts after a confirmed cancellation
 	waits       map[string]micros.Micros // since when a job waits though there is room
 	nextWaits   micros.Micros
@@ -38,7 +39,7 @@
 
 func newCrowd(seed uint64) crowd {
 	return crowd{
-		rng: rand.New(rand.NewPCG(seed, 3)), bad: map[string]string{},
+		rng: rand.New(rand.NewPCG(seed, 3)), refusals: map[int]int{}, bad: map[string]string{},
 		acceptedAt: map[string]micros.Micros{}, toldAt: map[string]micros.Micros{},
 		quitIn: map[string]micros.Micros{}, waits: map[string]micros.Micros{},
 	}
@@ -61,6 +62,7 @@
 	if r.Peer || !strings.HasPrefix(r.Path, "/api/jobs") || resp.Status != 429 && resp.Status != 503 {
 		return
 	}
+	w.crowd.refusals[resp.Status]++
 	if resp.RetryAfter < 1 {
 		w.breakRule("refused: %s %s is answered %d without Retry-After", r.Method, r.Path, resp.Status)
 	}
