--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -104,6 +104,8 @@
 	return w
 }
 
+func jobName(i int) string { return fmt.Sprintf("req-%06d", i) }
+
 func teamName(i int) string { return fmt.Sprintf("team-%02d", i) }
 
 func scenarioCommand(t *testing.T, w *world, d *datadriven.TestData) string {
@@ -230,6 +232,12 @@
 	case "leader":
 		return fmt.Sprint(w.leader() >= 0)
 	default:
+		if out, ok := stateVerb(t, w, d, node, during); ok {
+			return out
+		}
+		if out, ok := userVerb(t, w, d); ok {
+			return out
+		}
 		d.Fatalf(t, "unknown command %s", d.Cmd)
 	}
 	return ""
@@ -268,8 +276,9 @@
 	}
 	if d.HasArg("check") {
 		status := -1
+		sent := w.now
 		w.user(arg(t, d, "to", 0), "POST", "/api/jobs", w.bodies[id], func(r Respond) {
-			w.noteAnswer(id, r)
+			w.checkAnswer(id, r, sent)
 			status = r.Status
 		})
 		for end := w.now + 6*micros.Second; status < 0 && w.now < end; {
@@ -380,6 +389,19 @@
 		return fmt.Sprint(n)
 	case "rented":
 		return fmt.Sprint(len(w.cloud.Machines))
+	case "told-cancelled": // jobs whose users were told so
+		return fmt.Sprint(len(w.cancelled))
+	case "starts-after-cancel":
+		return fmt.Sprint(w.crowd.afterCancel)
+	case "cancelled-at-end":
+		return fmt.Sprint(w.crowd.atEnd)
+	case "looks", "odd-requests", "late-writes", "lost-answers", "answers", "refused-429", "refused-503": // how often a meeting came about
+		n := map[string]int{"looks": w.crowd.looks, "odd-requests": w.crowd.odds, "late-writes": w.faults.lateDone, "lost-answers": w.faults.lostDone,
+			"answers": w.crowd.answers[arg(t, d, "job", "")], "refused-429": w.crowd.refusals[429], "refused-503": w.crowd.refusals[503]}[what]
+		if least := arg(t, d, "least", 0); least > 0 && n >= least {
+			return "enough"
+		}
+		return fmt.Sprint(n)
 	case "records":
 		return fmt.Sprint(len(w.state.Keys(arg(t, d, "prefix", ""))))
 	default:
