Scenarios: mute machines, late and held reports, slow commands, changes of leader

The stand-in worker refuses a second attempt (in_use) and reports it, gives up waiting for its gang (alone), saves a gang only when all were told in time, makes no progress while it hangs, ends its lease before it executes what waited meanwhile, keeps results, and counts a higher token as a change once in half a lease.

--- /dev/null
+++ b/controller/faults_workers_test.go
@@ -0,0 +1,279 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"tamarindlead/internal/standin"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// workerFaults are troubles of reports, direct commands, machines and leaders.
+type workerFaults struct {
+	apart     map[string]micros.Micros // by how much each task of a job takes longer than the one before
+	lateShare float64                  // of the reports, of which copies come late
+	forNext   bool                     // the copies are kept for the next owner
+	kept      []keptReport             // those copies
+	holdOf    string                   // the next report of this machine is held back
+	held      *keptReport              // until a new owner has acted
+	slowShare float64                  // of the direct commands, held up on the way there or back
+	slowBy    micros.Micros
+	lag       micros.Micros // of commits
+	owners    map[int]*owner
+	acting    map[int]*owner
+}
+
+type keptReport struct {
+	body []byte
+	from int // where it was sent
+}
+
+const mostKept = 64 // copies for the next owner
+
+// noteApart has each task of a job take longer than the one before it.
+func (w *world) noteApart(id string, step micros.Micros) {
+	if step > 0 {
+		if w.apart == nil {
+			w.apart = map[string]micros.Micros{}
+		}
+		w.apart[id] = step
+	}
+}
+
+// gangTold tells when the first task of a gang's attempt was told to save, and whether all
+// were.
+func (w *world) gangTold(task string, attempt uint64) (first micros.Micros, all bool) {
+	all = w.gangCount(task, attempt, func(_ *standin.Worker, t *standin.Task) bool {
+		if t.Told != 0 && (first == 0 || t.Told < first) {
+			first = t.Told
+		}
+		return t.Told != 0 && (t.Phase == wire.PhaseSaving || t.Cause == wire.CauseStopped)
+	})
+	return first, all
+}
+
+// between draws a time.
+func (w *world) between(low, high micros.Micros) micros.Micros {
+	return low + micros.Micros(w.rng.Int64N(int64(max(1, high-low))))
+}
+
+// deliver brings a worker's report to a node; nobody waits for the answer.
+func (w *world) deliver(node int, body []byte) {
+	w.ask(w.nodes[node], Request{Method: "POST", Path: PathReport, Body: body}, micros.Second, func(Respond) {})
+}
+
+// keepCopies makes the copies of a report that come later. It returns true if the report
+// itself does not arrive now.
+func (w *world) keepCopies(k *standin.Worker, body []byte) bool {
+	if w.lateShare > 0 && w.rng.Float64() < w.lateShare {
+		if w.forNext {
+			if w.kept = append(w.kept, keptReport{body, k.Node}); len(w.kept) > mostKept {
+				w.kept = w.kept[1:]
+			}
+		} else {
+			to := w.rng.IntN(len(w.nodes))
+			w.after(w.between(2*micros.Second, 2*w.cfg.Lease), func() { w.deliver(to, body) })
+		}
+	}
+	if w.holdOf == "" || w.holdOf != k.Machine.Name {
+		return false
+	}
+	w.holdOf, w.held = "", &keptReport{body, k.Node}
+	return true
+}
+
+// noteLeader delivers what was kept for a new owner: copies to every controller as it begins
+// and again as it becomes active, a report that was held back once it has acted.
+func (w *world) noteLeader() {
+	if w.owners == nil {
+		w.owners, w.acting = map[int]*owner{}, map[int]*owner{}
+	}
+	copies := func() {
+		for _, r := range w.kept {
+			for i := range w.nodes {
+				w.deliver(i, r.body)
+			}
+		}
+	}
+	for i, n := range w.nodes {
+		if !n.up || n.core.owner == nil {
+			w.owners[i], w.acting[i] = nil, nil
+			continue
+		}
+		o := n.core.owner
+		if w.owners[i] != o {
+			w.owners[i] = o
+			copies()
+		}
+		if o.state == ownerActive && w.acting[i] != o {
+			w.acting[i] = o
+			copies()
+			w.kept = nil
+			if r := w.held; r != nil {
+				w.held = nil
+				w.after(4*micros.Second, func() { w.deliver(i, r.body) })
+			}
+		}
+	}
+}
+
+// heldUp holds up a direct command, or its answer. It returns how to answer, or nil if the
+// command comes later.
+func (w *world) heldUp(n *simNode, c Call, answer func(standin.Reply)) func(standin.Reply) {
+	if w.slowShare == 0 || w.rng.Float64() >= w.slowShare {
+		return answer
+	}
+	wait := w.between(micros.Second, w.slowBy)
+	if w.rng.IntN(2) == 0 {
+		k := w.workers[strings.TrimPrefix(c.Addr, "worker:")]
+		w.after(wait, func() { w.toWorker(k, c, answer) })
+		return nil
+	}
+	return func(r standin.Reply) { w.after(wait, func() { answer(r) }) }
+}
+
+// toWorker executes a command that was held up on its way, once the machine goes on.
+func (w *world) toWorker(k *standin.Worker, c Call, answer func(standin.Reply)) {
+	switch {
+	case k.Machine.Gone:
+	case k.Hung || k.Cut:
+		w.after(worldStep, func() { w.toWorker(k, c, answer) })
+	case c.Target == "/inspect":
+		answer(standin.Reply{Status: 200, Body: wire.Encode(k.Report())})
+	default:
+		answer(k.Orders(w.now, c.Body))
+	}
+}
+
+// afterLag executes a commit later while commits lag.
+func (w *world) afterLag(c Call, do func()) {
+	if w.lag == 0 || c.Target != "/commit" {
+		do()
+		return
+	}
+	w.after(w.between(w.lag/2, w.lag), do)
+}
+
+// chosen lists the machines that a command names by count, share or zone, those with the
+// most tasks first; nil: it names none so.
+func (w *world) chosen(t *testing.T, d *datadriven.TestData) []string {
+	if !d.HasArg("count") && !d.HasArg("share") && !d.HasArg("zone") {
+		return nil
+	}
+	var names []string
+	for _, n := range w.workerNames() {
+		m := w.workers[n].Machine
+		if !m.Gone && (!d.HasArg("zone") || m.Zone == arg(t, d, "zone", "")) {
+			names = append(names, n)
+		}
+	}
+	slices.SortStableFunc(names, func(a, b string) int {
+		return -cmp.Compare(len(w.workers[a].Tasks), len(w.workers[b].Tasks))
+	})
+	n := len(names)
+	if d.HasArg("share") {
+		n = int(argNumber(t, d, "share", 1)*float64(n) + 0.5)
+	}
+	n = min(n, arg(t, d, "count", n))
+	if n == 0 {
+		d.Fatalf(t, "no such machine")
+	}
+	d.CmdArgs = slices.DeleteFunc(d.CmdArgs, func(a datadriven.CmdArg) bool {
+		return a.Key == "count" || a.Key == "share" || a.Key == "zone"
+	})
+	return names[:n]
+}
+
+// workerFaultCommand executes a scenario's command of these troubles; false: it is none.
+func workerFaultCommand(t *testing.T, w *world, d *datadriven.TestData, during func(func())) bool {
+	switch d.Cmd {
+	case "late-reports":
+		w.lateShare, w.forNext = argNumber(t, d, "share", 0), d.HasArg("for-next")
+		during(func() { w.lateShare = 0 })
+	case "hold-report":
+		w.holdOf = arg(t, d, "machine", w.workerNames()[0])
+	case "slow-commands":
+		w.slowShare, w.slowBy = argNumber(t, d, "share", 1), argSeconds(t, d, "by", 8)
+		during(func() { w.slowShare = 0 })
+	case "slow-writes":
+		w.lag = argSeconds(t, d, "s", 0)
+		during(func() { w.lag = 0 })
+	case "fast-boot":
+		w.cloud.Boot = func(micros.Micros) micros.Micros { return w.between(micros.Second/2, 2*micros.Second) }
+		during(func() { w.cloud.Boot = nil })
+	case "cancel-now":
+		w.cancelNow(arg(t, d, "count", 1), argSeconds(t, d, "hang", 0), d.HasArg("cut"))
+	case "change-leader":
+		times := arg(t, d, "times", 10)
+		every := argSeconds(t, d, "within", 120) / micros.Micros(times)
+		for i := range times {
+			w.after(every*micros.Micros(i)+w.between(0, every/4), func() { w.changeLeader(i, every) })
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+// mostHung is how many machines of cancelled jobs hang.
+const mostHung = 8
+
+// cancelNow has users cancel running jobs within a fifth of a second; some of their machines
+// hang, or are cut off.
+func (w *world) cancelNow(count int, hang micros.Micros, cut bool) {
+	var jobs []string
+	for task := range w.running {
+		if id, _, _ := splitNumbered(task); !w.wantsEnd[id] && !slices.Contains(jobs, id) {
+			jobs = append(jobs, id)
+		}
+	}
+	slices.Sort(jobs)
+	jobs = jobs[:min(count, len(jobs))]
+	hung := map[string]bool{}
+	for _, task := range sortedKeys(w.running) {
+		id, _, _ := splitNumbered(task)
+		name := w.running[task]
+		if hang == 0 || !slices.Contains(jobs, id) || hung[name] || len(hung) == mostHung {
+			continue
+		}
+		hung[name] = true
+		k := w.workers[name]
+		if cut {
+			k.Cut = true
+			w.after(hang, func() { k.Cut = false })
+			continue
+		}
+		k.Hung = true
+		w.after(hang, func() { k.Hung = false })
+	}
+	for _, id := range jobs {
+		w.after(w.between(0, micros.Second/5), func() { w.cancel(id, w.rng.IntN(len(w.nodes))) })
+	}
+}
+
+// changeLeader takes the lead from whoever has it: it ends for a moment or for longer, or is
+// cut off, or loses the state service and its siblings, in turn.
+func (w *world) changeLeader(turn int, every micros.Micros) {
+	i := w.leader()
+	if i < 0 {
+		return
+	}
+	n := w.nodes[i]
+	switch turn % 4 {
+	case 0:
+		w.crash(n, micros.Second/5)
+	case 1:
+		n.cut, n.hold = true, true
+		w.after(every*3/4, func() { n.cut = false })
+	case 2:
+		n.alone = true
+		w.after(every*3/4, func() { n.alone = false })
+	case 3:
+		w.crash(n, every/2)
+	}
+}
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -230,7 +230,9 @@
 	case "leader":
 		return fmt.Sprint(w.leader() >= 0)
 	default:
-		d.Fatalf(t, "unknown command %s", d.Cmd)
+		if !workerFaultCommand(t, w, d, during) {
+			d.Fatalf(t, "unknown command %s", d.Cmd)
+		}
 	}
 	return ""
 }
@@ -266,6 +268,7 @@
 		CPU: j.Need.CPUs(), Mem: argNumber(t, d, "mem", 2), Run: run, Fetch: micros.Second, Save: j.Save,
 		Saves: j.Checkpoint > 0, Gang: j.Gang, Tasks: j.Tasks, Fails: d.HasArg("fails"),
 	}
+	w.noteApart(id, argSeconds(t, d, "apart", 0))
 	if d.HasArg("check") {
 		status := -1
 		w.user(arg(t, d, "to", 0), "POST", "/api/jobs", w.bodies[id], func(r Respond) {
@@ -284,6 +287,10 @@
 
 func machineCommand(t *testing.T, w *world, d *datadriven.TestData, during func(func())) {
 	names := w.workerNames()
+	if chosen := w.chosen(t, d); chosen != nil {
+		names = chosen
+		d.CmdArgs = append(d.CmdArgs, datadriven.CmdArg{Key: "name", Vals: []string{"all"}})
+	}
 	which := arg(t, d, "name", names[0])
 	if which == "all" {
 		for _, n := range names {
@@ -314,6 +321,9 @@
 	case d.HasArg("deaf"):
 		k.Deaf = true
 		during(func() { k.Deaf = false })
+	case d.HasArg("mute"):
+		k.Mute = true
+		during(func() { k.Mute = false })
 	case d.HasArg("sick"):
 		k.Sick = true
 		during(func() { k.Sick = false })
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -54,6 +54,8 @@
 	stops     map[string]int           // by cause
 	answered  map[string]micros.Micros // when a question for a job was answered last
 	began     map[string]micros.Micros // when a job's first task, or its whole gang, started
+
+	workerFaults
 }
 
 type simNode struct {
@@ -274,7 +276,7 @@
 	switch {
 	case peer, n.alone && c.Addr == w.cfg.StateAddr, outside && w.parted(w.nodeZone(n.index), ""): // lost
 	case c.Addr == w.cfg.StateAddr:
-		w.executeState(n, c, w.now, answer)
+		w.afterLag(c, func() { w.executeState(n, c, w.now, answer) })
 	case c.Addr == w.cfg.CloudAddr:
 		w.cloud.Now = w.now
 		answer(w.cloud.Handle(c.Method, c.Target, c.Body))
@@ -293,7 +295,10 @@
 			return
 		}
 		if k.Hung { // it executes when it continues
-			w.after(micros.Second, func() { w.execute(n, c, answer) })
+			w.after(worldStep, func() { w.execute(n, c, answer) })
+			return
+		}
+		if answer = w.heldUp(n, c, answer); answer == nil {
 			return
 		}
 		if c.Target == "/inspect" {
@@ -348,6 +353,7 @@
 				w.feed(n, Tick{})
 			}
 		}
+		w.noteLeader()
 		w.bootMachines()
 		for _, name := range w.workerNames() {
 			w.stepWorker(w.workers[name])
@@ -372,6 +378,7 @@
 			Node: w.rng.IntN(len(w.nodes)), NextAt: w.now,
 			Info:    func(task string) (standin.TaskInfo, bool) { return w.info(task) },
 			OnStart: w.onStart, OnExit: w.onExit, GangReady: w.gangReady, GangWhole: w.gangWhole, GangPeer: w.cfg.GangPeer,
+			GangTold: w.gangTold, GangWait: w.cfg.GangWait, Completed: func(task string) bool { return w.done[task] },
 		}
 	}
 }
@@ -386,8 +393,9 @@
 }
 
 func (w *world) info(task string) (standin.TaskInfo, bool) {
-	id, _, _ := splitNumbered(task)
+	id, index, _ := splitNumbered(task)
 	i, ok := w.infos[id]
+	i.Run += micros.Micros(index) * w.apart[id]
 	return i, ok
 }
 
@@ -500,7 +508,7 @@
 			w.ask(copyTo, Request{Method: "POST", Path: "/hello", Body: body}, micros.Second, func(Respond) {})
 		})
 	}
-	if node.deaf || w.parted(w.nodeZone(k.Node), k.Machine.Zone) || w.rng.Float64() < w.loss {
+	if w.keepCopies(k, body) || k.Mute || node.deaf || w.parted(w.nodeZone(k.Node), k.Machine.Zone) || w.rng.Float64() < w.loss {
 		w.after(4*micros.Second, func() { k.Answered(w.now, 0, nil, session, w.nodeOf, len(w.nodes)) })
 		return
 	}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -15,8 +15,9 @@
 	Down     bool
 	Lag      micros.Micros
 	Types    []wire.MachineType
-	Capacity map[string]int // "type zone spot" -> how many more
-	NeverUp  int            // so many of the next machines never come up
+	Capacity map[string]int                          // "type zone spot" -> how many more
+	NeverUp  int                                     // so many of the next machines never come up
+	Boot     func(usual micros.Micros) micros.Micros // how long a machine boots; nil: as usual
 	Machines map[string]*CloudMachine
 	grants   map[string][]string
 	next     int
@@ -130,7 +131,11 @@
 	c.Capacity[key] -= n
 	var names []string
 	for range n {
-		names = append(names, c.Add(req.Type, req.Zone, req.Spot, micros.FromSeconds(t.BootS)).Name)
+		boot := micros.FromSeconds(t.BootS)
+		if c.Boot != nil {
+			boot = c.Boot(boot)
+		}
+		names = append(names, c.Add(req.Type, req.Zone, req.Spot, boot).Name)
 	}
 	c.grants[req.Hire] = names
 	return reply(200, wire.MachineNames{Machines: names})
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"slices"
 	"sort"
 
 	"tamarindlead/internal/wire"
@@ -26,8 +27,11 @@
 	Phase   wire.TaskPhase
 	Cause   wire.Cause
 	Saved   bool
+	// Told is when it was told to stop and save, 0: it was not.
+	Told    micros.Micros
 	until   micros.Micros
 	partAt  micros.Micros // since when its gang is not whole
+	waitsAt micros.Micros // since when it waits for its gang
 }
 
 // Worker runs tasks on one machine and reports.
@@ -38,11 +42,13 @@
 	Cut       bool // runs, but nothing reaches it or leaves it
 	Sick      bool // fails every task
 	Deaf      bool // its reports arrive, but nothing reaches it
+	Mute      bool // it reaches no controller, while direct commands reach it
 	Session   uint64
 	Seq       uint64
 	Token     uint64
 	Notice    *float64
 	Tasks     map[string]*Task
+	Past      []*Task // exited and refused attempts of tasks that have a later or another one here
 	Lease     micros.Micros
 	LastSent  micros.Micros // of the last answered report
 	NextAt    micros.Micros
@@ -51,12 +57,19 @@
 	InFlight  bool
 	sentAt    micros.Micros
 	Changed   bool
+	hungAt    micros.Micros // since when it hangs
+	tokenAt   micros.Micros // when a higher token last counted as a change
 	Info      func(task string) (TaskInfo, bool)
 	OnStart   func(w *Worker, task string, attempt uint64)
 	OnExit    func(w *Worker, task string, cause wire.Cause)
 	GangReady func(task string, attempt uint64) bool
 	GangWhole func(task string, attempt uint64) bool // all its tasks run, or are done
 	GangPeer  micros.Micros                          // after which a task notices that they do not
+	GangWait  micros.Micros                          // after which a task no longer waits for its gang
+	// GangTold tells when the first task of a gang's attempt was told to stop and save, and
+	// whether all were.
+	GangTold  func(task string, attempt uint64) (first micros.Micros, all bool)
+	Completed func(task string) bool // its result is kept
 }
 
 // Report builds the worker's report.
@@ -67,8 +80,11 @@
 		Zone: w.Machine.Zone, Spot: w.Machine.Spot, Session: w.Session, Seq: w.Seq, Token: w.Token,
 		NoticeS: w.Notice, Tasks: []wire.TaskReport{},
 	}
+	list := append([]*Task(nil), w.Past...)
 	for _, n := range w.names() {
-		t := w.Tasks[n]
+		list = append(list, w.Tasks[n])
+	}
+	for _, t := range list {
 		r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.Name, Attempt: t.Attempt, Phase: t.Phase, Cause: t.Cause, Saved: t.Saved})
 	}
 	return r
@@ -89,26 +105,45 @@
 	return t != nil && t.Phase != wire.PhaseExited
 }
 
+// goOn makes up for a hang, in which nothing made progress, and ends the lease if it ran
+// out. It comes before all that the worker does, also before a command that waited while
+// the machine hung.
+func (w *Worker) goOn(now micros.Micros) {
+	if w.hungAt != 0 {
+		for _, t := range w.Tasks {
+			if t.Phase != wire.PhaseExited {
+				t.until += now - w.hungAt
+			}
+		}
+		w.hungAt = 0
+	}
+	if now-w.LastSent <= w.Lease {
+		return
+	}
+	for _, n := range w.names() {
+		w.exit(w.Tasks[n], "killed")
+	}
+	w.Tasks, w.Past = map[string]*Task{}, nil
+	w.Session++
+	w.LastSent, w.Changed = now, true
+}
+
 // Advance lets tasks make progress and ends the lease if it ran out.
 func (w *Worker) Advance(now micros.Micros) {
 	if w.Hung {
-		return
-	}
-	if now-w.LastSent > w.Lease {
-		for _, n := range w.names() {
-			w.exit(w.Tasks[n], "killed")
+		if w.hungAt == 0 {
+			w.hungAt = now
 		}
-		w.Tasks = map[string]*Task{}
-		w.Session++
-		w.LastSent, w.Changed = now, true
+		return
 	}
+	w.goOn(now)
 	for _, n := range w.names() {
 		t := w.Tasks[n]
 		info, _ := w.Info(n)
 		switch t.Phase {
 		case wire.PhaseFetching:
 			if now >= t.until {
-				t.Phase, w.Changed = wire.PhaseWaiting, true
+				t.Phase, t.waitsAt, w.Changed = wire.PhaseWaiting, now, true
 			}
 		case wire.PhaseRunning:
 			// Tasks of a gang complete together or not at all.
@@ -126,8 +161,16 @@
 				w.exit(t, wire.CauseDone)
 			}
 		case wire.PhaseSaving:
-			if now >= t.until {
-				t.Saved = true
+			if now < t.until {
+				break
+			}
+			// What a gang saves is safe once all its tasks were told in time.
+			first, all := now, true
+			if info.Gang {
+				first, all = w.GangTold(t.Name, t.Attempt)
+			}
+			if all || now-first > w.GangPeer {
+				t.Saved = all
 				w.exit(t, wire.CauseStopped)
 			}
 		}
@@ -135,10 +178,14 @@
 			continue
 		}
 		switch {
+		case w.Completed(t.Name):
+			w.exit(t, wire.CauseDone)
 		case w.Sick || info.Fails:
 			w.exit(t, wire.CauseError)
 		case !info.Gang || w.GangReady(t.Name, t.Attempt):
 			t.Phase, t.until, w.Changed = wire.PhaseRunning, now+info.Run, true
+		case now-t.waitsAt > w.GangWait:
+			w.exit(t, wire.CauseAlone)
 		}
 	}
 }
@@ -156,19 +203,25 @@
 // Execute carries out commands in order.
 func (w *Worker) Execute(now micros.Micros, cmds []wire.Command) {
 	for _, c := range cmds {
-		t := w.Tasks[c.Task]
+		t := w.find(c.Task, c.Attempt)
 		switch {
 		case c.Verb == wire.VerbStart:
-			w.start(now, t, c)
-		case t == nil || t.Attempt != c.Attempt:
+			if t == nil {
+				w.start(now, w.Tasks[c.Task], c)
+			}
+		case t == nil:
 		case c.Verb == wire.VerbForget:
 			if t.Phase == wire.PhaseExited {
-				delete(w.Tasks, c.Task)
+				w.Past = slices.DeleteFunc(w.Past, func(p *Task) bool { return p == t })
+				if w.Tasks[c.Task] == t {
+					delete(w.Tasks, c.Task)
+				}
+				w.Changed = true
 			}
 		case c.Verb == wire.VerbStop && t.Phase != wire.PhaseExited:
 			info, _ := w.Info(c.Task)
 			if t.Phase == wire.PhaseRunning && info.Saves && c.GraceS != nil && micros.FromSeconds(*c.GraceS) >= info.Save {
-				t.Phase, t.until, w.Changed = wire.PhaseSaving, now+info.Save, true
+				t.Phase, t.Told, t.until, w.Changed = wire.PhaseSaving, now, now+info.Save, true
 			} else if t.Phase != wire.PhaseSaving || c.GraceS == nil || *c.GraceS == 0 {
 				w.exit(t, wire.CauseStopped)
 			}
@@ -176,10 +229,21 @@
 	}
 }
 
-func (w *Worker) start(now micros.Micros, t *Task, c wire.Command) {
-	if t != nil && t.Attempt == c.Attempt {
-		return
+// find looks up an attempt of a task in any state, refused and exited included.
+func (w *Worker) find(task string, attempt uint64) *Task {
+	if t := w.Tasks[task]; t != nil && t.Attempt == attempt {
+		return t
+	}
+	for _, t := range w.Past {
+		if t.Name == task && t.Attempt == attempt {
+			return t
+		}
 	}
+	return nil
+}
+
+// start starts an attempt that the worker does not know; t is another of the same task.
+func (w *Worker) start(now micros.Micros, t *Task, c wire.Command) {
 	fresh := &Task{Name: c.Task, Attempt: c.Attempt, Phase: wire.PhaseExited}
 	info, known := w.Info(c.Task)
 	cpu, mem := info.CPU, info.Mem
@@ -192,7 +256,9 @@
 	w.Changed = true
 	switch {
 	case t != nil && t.Phase != wire.PhaseExited:
-		return // another attempt is here: the start is refused
+		fresh.Cause = wire.CauseBusy // another attempt is here
+		w.Past = append(w.Past, fresh)
+		return
 	case !known:
 		fresh.Cause = wire.CauseUnknown
 	case cpu > w.CPU+1e-6 || mem > w.Mem+1e-6:
@@ -201,6 +267,9 @@
 		fresh.Phase, fresh.until = wire.PhaseFetching, now+info.Fetch
 		w.OnStart(w, c.Task, c.Attempt)
 	}
+	if t != nil {
+		w.Past = append(w.Past, t) // it is reported until it is to be forgotten
+	}
 	w.Tasks[c.Task] = fresh
 }
 
@@ -210,17 +279,23 @@
 	if wire.Decode(body, &o) != nil || o.Token == 0 || o.Session == 0 {
 		return reply(400, wire.Problem{Error: "orders"})
 	}
+	w.goOn(now)
 	if o.Token < w.Token || o.Session != w.Session {
 		return reply(409, w.Report())
 	}
-	w.sawToken(o.Token)
+	w.sawToken(now, o.Token)
 	w.Execute(now, o.Commands)
 	return reply(200, w.Report())
 }
 
-func (w *Worker) sawToken(token uint64) {
-	if token > w.Token {
-		w.Token, w.Changed = token, true
+// sawToken stores a higher token, which counts as a change once in half a lease.
+func (w *Worker) sawToken(now micros.Micros, token uint64) {
+	if token <= w.Token {
+		return
+	}
+	w.Token = token
+	if w.tokenAt == 0 || now-w.tokenAt >= w.Lease/2 {
+		w.tokenAt, w.Changed = now, true
 	}
 }
 
@@ -240,16 +315,19 @@
 // Answered takes the response to a report; status 0: none came.
 func (w *Worker) Answered(now micros.Micros, status int, body []byte, session uint64, nodeOf func(string) (int, bool), nodes int) {
 	w.InFlight = false
+	if !w.Hung {
+		w.goOn(now)
+	}
 	next := func() {
 		w.Node, w.NextAt = (w.Node+1)%nodes, now+micros.Second
 	}
 	switch status {
 	case 200:
 		var a wire.ReportAnswer
-		if wire.Decode(body, &a) != nil || a.Token < w.Token || session != w.Session {
+		if wire.Decode(body, &a) != nil || a.Token == 0 || a.Token < w.Token || session != w.Session {
 			return
 		}
-		w.sawToken(a.Token)
+		w.sawToken(now, a.Token)
 		w.LastSent = w.sentAt
 		w.Execute(now, a.Commands)
 	case 421:
