--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -238,7 +238,9 @@
 		if out, ok := userVerb(t, w, d); ok {
 			return out
 		}
-		d.Fatalf(t, "unknown command %s", d.Cmd)
+		if !workerFaultCommand(t, w, d, during) {
+			d.Fatalf(t, "unknown command %s", d.Cmd)
+		}
 	}
 	return ""
 }
@@ -274,6 +276,7 @@
 		CPU: j.Need.CPUs(), Mem: argNumber(t, d, "mem", 2), Run: run, Fetch: micros.Second, Save: j.Save,
 		Saves: j.Checkpoint > 0, Gang: j.Gang, Tasks: j.Tasks, Fails: d.HasArg("fails"),
 	}
+	w.noteApart(id, argSeconds(t, d, "apart", 0))
 	if d.HasArg("check") {
 		status := -1
 		sent := w.now
@@ -293,6 +296,12 @@
 
 func machineCommand(t *testing.T, w *world, d *datadriven.TestData, during func(func())) {
 	names := w.workerNames()
+	if chosen := w.chosen(t, d); chosen != nil {
+		names = chosen
+		one := *d
+		one.CmdArgs = append(withoutChoice(d), datadriven.CmdArg{Key: "name", Vals: []string{"all"}})
+		d = &one
+	}
 	which := arg(t, d, "name", names[0])
 	if which == "all" {
 		for _, n := range names {
@@ -323,6 +332,9 @@
 	case d.HasArg("deaf"):
 		k.Deaf = true
 		during(func() { k.Deaf = false })
+	case d.HasArg("mute"):
+		k.Mute = true
+		during(func() { k.Mute = false })
 	case d.HasArg("sick"):
 		k.Sick = true
 		during(func() { k.Sick = false })
@@ -375,6 +387,8 @@
 	switch what := arg(t, d, "what", "running"); what {
 	case "running":
 		return fmt.Sprint(len(w.running))
+	case "cancelled-running":
+		return fmt.Sprint(w.cancelledRunning())
 	case "starts":
 		return fmt.Sprint(w.starts)
 	case "stopped", "error":
