--- a/controller/budget.go
+++ b/controller/budget.go
@@ -72,7 +72,7 @@
 // small: seldom do several nodes do so in one second, and then the service refuses some,
 // which are tried again.
 func writeBurst(cfg *config.Settings, limit float64) int {
-	return max(burst(limit), int(cfg.WriteRPS/4))
+	return max(burst(limit), int(cfg.WriteRPS/4), cancelWrites)
 }
 
 // setRole parts the limits anew when nodes come or go, or when owners do.
--- a/controller/disclosure.go
+++ b/controller/disclosure.go
@@ -37,6 +37,7 @@
 // disclosure is a cancelled job of which users may be told once siblings have confirmed.
 type disclosure struct {
 	job       string
+	since     micros.Micros
 	next      micros.Micros // word is repeated from then on
 	sent      bool
 	confirmed map[string]bool // by sibling
@@ -62,7 +63,7 @@
 			return
 		}
 		c.jobEnded(job)
-		d = &disclosure{job: job, confirmed: map[string]bool{}}
+		d = &disclosure{job: job, since: c.now, confirmed: map[string]bool{}}
 		c.disclosing[job] = d
 	}
 	d.waiting = append(d.waiting, disclosureWait{until, done})
@@ -123,6 +124,35 @@
 	})
 }
 
+// maxEnded bounds the cancelled jobs that a beat names.
+const maxEnded = 64
+
+// unconfirmed lists cancelled jobs for a beat: a sibling that reaches this node, or is
+// reached, by beats alone confirms by them.
+func (c *Core) unconfirmed(s *sibling) []string {
+	var list []string
+	for _, job := range sortedKeys(c.disclosing) {
+		if !c.disclosing[job].confirmed[s.Node] && len(list) < maxEnded {
+			list = append(list, job)
+		}
+	}
+	return list
+}
+
+// takeEnded takes what a sibling's beat says of cancelled jobs.
+func (c *Core) takeEnded(s *sibling, b *peer.Beat) {
+	s.confirms = b.Ended
+	for _, job := range b.Ended {
+		c.jobEnded(job)
+	}
+	for _, job := range b.KnowsEnded {
+		if d := c.disclosing[job]; d != nil {
+			d.confirmed[s.Node] = true
+			c.advanceDisclosure(d)
+		}
+	}
+}
+
 func (c *Core) tickDisclosures() {
 	for _, job := range sortedKeys(c.disclosing) {
 		c.advanceDisclosure(c.disclosing[job])
@@ -139,8 +169,15 @@
 	}
 }
 
-// promise adds to the answer to a sibling's beat what the sibling may rely on from now on.
+// promise adds to the answer to a sibling's beat what the sibling may rely on from now on:
+// nothing new if it has left a cancellation unconfirmed for long, for which it may reach this
+// node and not be reached even by answers. Users wait for its word no longer than the last promise lasts.
 func (c *Core) promise(s *sibling, b *peer.Beat) {
+	for _, d := range c.disclosing {
+		if !d.confirmed[s.Node] && c.now-max(d.since, c.withholdTo) > promiseFor {
+			return
+		}
+	}
 	s.promisedTo = c.now + promiseFor
 	b.PromiseUs, b.ToldAgoUs = uint64(promiseFor), uint64(c.now-s.toldAt)
 }
--- a/controller/faults_workers_test.go
+++ b/controller/faults_workers_test.go
@@ -21,6 +21,7 @@
 	kept      []keptReport             // those copies
 	holdOf    string                   // the next report of this machine is held back
 	held      *keptReport              // until a new owner has acted
+	captured  [][]byte                 // reports that come again when asked for
 	slowShare float64                  // of the direct commands, held up on the way there or back
 	slowBy    micros.Micros
 	lag       micros.Micros // of commits
@@ -201,6 +202,21 @@
 		during(func() { w.lateShare = 0 })
 	case "hold-report":
 		w.holdOf = arg(t, d, "machine", w.workerNames()[0])
+	case "capture-reports":
+		w.captured = nil
+		for _, n := range w.workerNames() {
+			w.captured = append(w.captured, wire.Encode(w.workers[n].Report()))
+		}
+	case "replay-reports": // at all nodes, again and again
+		for at := micros.Micros(0); at < argSeconds(t, d, "for", 10); at += 50 * micros.Millisecond {
+			w.after(at, func() {
+				for _, body := range w.captured {
+					for i := range w.nodes {
+						w.deliver(i, body)
+					}
+				}
+			})
+		}
 	case "slow-commands":
 		w.slowShare, w.slowBy = argNumber(t, d, "share", 1), argSeconds(t, d, "by", 8)
 		during(func() { w.slowShare = 0 })
--- a/controller/hold.go
+++ b/controller/hold.go
@@ -85,6 +85,10 @@
 	for _, a := range plan.Place {
 		h.machines[a.Machine.Name] = a.Count
 	}
+	if state.Size(holdRecord{h.machines}) > o.c.cfg.ValueBytes {
+		j.evictAt = o.c.now + roomRetry
+		return false // it could never be recorded
+	}
 	o.holds[j.ID] = h
 	stops := 0
 	for _, b := range plan.Stop {
@@ -397,7 +401,9 @@
 		id := strings.TrimPrefix(e.Key, prefixHold)
 		j := o.jobs[id]
 		if j == nil || wire.Decode(e.Value, &rec) != nil {
-			o.garbage = append(o.garbage, e.Key)
+			if o.sole() { // else it may be another owner's
+				o.garbage = append(o.garbage, e.Key)
+			}
 			continue
 		}
 		h := &hold{job: id, machines: rec.Machines, need: j.Need, state: holdWaiting}
--- a/controller/lookups.go
+++ b/controller/lookups.go
@@ -197,6 +197,9 @@
 
 func (c *Core) finish(q *lookup, st lookupState, status string, version uint64) {
 	c.asked.open--
+	if final := c.users.finals[q.id]; final != "" { // told meanwhile
+		st, status, version = lookupFound, final, 0
+	}
 	q.done(st, status, version)
 }
 
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -63,6 +63,7 @@
 	listed    bool
 	unlisted  int // lists in a row without it
 	failed    bool
+	reports   bool // it has reported by itself to this owner
 
 	session, seq uint64
 	synced       bool // has seen our token
@@ -254,13 +255,17 @@
 		return false // a late copy tells nothing, not even that the machine lives
 	}
 	if regular {
-		o.lastHeard = o.c.now
+		o.lastHeard, m.reports = o.c.now, true
 	}
 	if rep.Session > m.session && m.session != 0 {
 		o.setFence(m, fenceNone)
 	}
 	m.session, m.seq, m.seen = rep.Session, rep.Seq, rep.Tasks
-	m.heard = max(m.heard, o.c.now) // after a takeover it has longer
+	// A machine that only answers commands is no use: its lease is not renewed. Until it has
+	// reported here at all, an answer shows that it is up.
+	if regular || !m.reports {
+		m.heard = max(m.heard, o.c.now) // after a takeover it has longer
+	}
 	m.endpoint = cmp.Or(rep.Endpoint, m.endpoint)
 	if m.synced = rep.Token == m.token; m.synced {
 		m.shown = max(m.shown, o.c.now)
@@ -320,6 +325,9 @@
 		return
 	}
 	switch {
+	case t.Phase == wire.PhaseExited && !a.machine.synced:
+		// It may be an old report, of an earlier start of the same attempt: nothing is
+		// concluded before a report shows our token.
 	case t.Phase == wire.PhaseExited:
 		o.exited(a, t)
 	case t.Phase == wire.PhaseRunning && a.running == 0:
@@ -376,11 +384,16 @@
 			o.setAttempt(a, attemptFinished)
 		} else {
 			// The tasks of a gang complete together.
+			// One is done, so all are, also those whose machines are gone: another attempt
+			// of the gang would wait for them for ever.
 			for _, b := range j.sorted() {
 				if b.number == a.number {
 					o.setAttempt(b, attemptFinished)
 				}
 			}
+			for i := range j.Tasks {
+				j.setTask(i, taskDone)
+			}
 		}
 		if j.doneN == j.Tasks {
 			o.setJob(j, jobFinishing)
@@ -547,11 +560,15 @@
 // inspectSome asks a few machines that were taken over and have not reported. Most find
 // this node by themselves, and to ask all at once would starve their reports.
 func (o *owner) inspectSome() {
-	if o.c.now-o.since < inspectAfter || o.ordersFull() {
+	if o.ordersFull() {
 		return
 	}
 	n := 0
 	for _, m := range o.list {
+		// With a task of a cancelled job it is asked at once: leaders may be changing fast.
+		if o.c.now-o.since < inspectAfter && !o.overdue(m, goneShare) {
+			continue
+		}
 		if m.expected && m.session == 0 && !m.inspected && m.token != 0 && m.state < machineCondemned {
 			m.inspected = true
 			o.inspect(m)
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -37,6 +37,8 @@
 	toldAt     micros.Micros
 	// knownTo is the time up to which all that it told users of cancellations is known here.
 	knownTo micros.Micros
+	// confirms are the cancelled jobs that it named in its last beat.
+	confirms []string
 }
 
 func (s *sibling) fresh(now micros.Micros) bool { return s.lastAt > 0 && now-s.lastAt < beatFresh }
@@ -52,7 +54,7 @@
 		}
 		s.asking, s.next = true, c.now+beatEvery
 		asked := c.now
-		c.callPeer(s, &peer.Message{Body: &peer.Message_Beat{Beat: c.beat()}}, beatTimeout, maxPeerBody, func(m *peer.Message, _ bool) {
+		c.callPeer(s, &peer.Message{Body: &peer.Message_Beat{Beat: c.beat(s)}}, beatTimeout, maxPeerBody, func(m *peer.Message, _ bool) {
 			s.asking = false
 			if b := m.GetBeat(); b != nil {
 				c.takeBeat(s, b)
@@ -62,10 +64,11 @@
 	}
 }
 
-func (c *Core) beat() *peer.Beat {
+func (c *Core) beat(s *sibling) *peer.Beat {
 	b := &peer.Beat{
 		Term: c.lead.term, Leader: c.lead.node,
 		WorkersHeard: uint32(len(c.heard)), StoreOk: c.storeOK(),
+		Ended: c.unconfirmed(s), KnowsEnded: s.confirms,
 	}
 	if c.owner != nil {
 		c.owner.tell(b)
@@ -84,6 +87,7 @@
 	for _, name := range b.Machines {
 		s.machines[name] = true
 	}
+	c.takeEnded(s, b)
 	c.heardOfTerm(b.Term, b.Leader)
 }
 
@@ -127,7 +131,7 @@
 	switch b := m.Body.(type) {
 	case *peer.Message_Beat:
 		c.takeBeat(s, b.Beat)
-		answer := c.beat()
+		answer := c.beat(s)
 		c.promise(s, answer)
 		c.answerPeer(r.ID, &peer.Message{Body: &peer.Message_Beat{Beat: answer}})
 	case *peer.Message_StoreCall:
--- a/controller/rental.go
+++ b/controller/rental.go
@@ -211,6 +211,9 @@
 const (
 	goneShare  = 0.5
 	lastResort = 0.6
+	// inspectPatience is left to a machine that was taken over and asked for its report, when
+	// there is no time for more: each of many leaders in a row would wait anew.
+	inspectPatience = 3 * micros.Second
 )
 
 // overdue tells that so much of the time has passed in which a task on the machine, whose
@@ -250,10 +253,18 @@
 	o.findDark()
 	for _, m := range o.list {
 		silent := o.c.now - max(m.heard, m.spared)
-		if m.state < machineCondemned && o.overdue(m, goneShare) && o.unheard(m) > 2*o.c.cfg.ReportEvery {
+		patience := 2 * o.c.cfg.ReportEvery
+		if m.session == 0 && o.overdue(m, lastResort) {
+			patience = inspectPatience
+		}
+		if m.state < machineCondemned && o.overdue(m, goneShare) && o.unheard(m) > patience {
 			o.setMachine(m, machineCondemned, "is silent with tasks of a cancelled job")
 		}
-		switch m.state {
+		state := m.state
+		if state == machineBooting && m.expected && len(m.attempts) > 0 {
+			state = machineUp // it had work before this node took over, so it was up
+		}
+		switch state {
 		case machineCondemned:
 			o.wantRelease = o.wantRelease || o.overdue(m, lastResort)
 		case machineBooting:
--- a/controller/users.go
+++ b/controller/users.go
@@ -320,22 +320,26 @@
 		c.refuse(req, 503, storeSilent)
 		return
 	}
-	c.tryCancel(req, id, c.now+acceptWithin)
+	if c.budget.room(forUsers, c.now) < cancelWrites {
+		c.refuse(req, 429, "too many cancellations") // a read would be wasted
+		return
+	}
+	until := c.now + acceptWithin
+	if v := c.knownVersion(id); v != 0 {
+		c.commitCancel(req, id, v, until)
+		return
+	}
+	c.tryCancel(req, id, until)
 }
 
+// tryCancel reads the job's record and then cancels it.
 func (c *Core) tryCancel(req uint64, id string, until micros.Micros) {
 	fail := func() { c.refuse(req, 503, storeSilent) }
 	c.get(forUsers, activeKey(id), func(out outcome, e state.Entry) {
-		var rec jobRecord
-		switch {
-		case out == outOK && wire.Decode(e.Value, &rec) == nil:
-			j, err := rec.Job.Job()
-			if err != nil {
-				fail()
-				return
-			}
-			c.commitCancel(req, j, e.Version, until)
-		case out == outMissing:
+		switch out {
+		case outOK:
+			c.commitCancel(req, id, e.Version, until)
+		case outMissing:
 			c.lookup(id, func(st lookupState, status string, version uint64) {
 				switch {
 				case st == lookupNone:
@@ -352,24 +356,27 @@
 	})
 }
 
-func (c *Core) commitCancel(req uint64, j *sched.Job, version uint64, until micros.Micros) {
-	guards := []state.Guard{{Key: activeKey(j.ID), Version: version}}
+// cancelWrites is how many writes a cancellation takes.
+const cancelWrites = 2
+
+func (c *Core) commitCancel(req uint64, id string, version uint64, until micros.Micros) {
+	guards := []state.Guard{{Key: activeKey(id), Version: version}}
 	writes := []state.Write{
-		{Put: finalKey(j.ID), Value: finalRecord{Status: wire.JobCancelled, At: int64(c.day)}},
-		{Delete: activeKey(j.ID)},
+		{Put: finalKey(id), Value: finalRecord{Status: wire.JobCancelled, At: int64(c.day)}},
+		{Delete: activeKey(id)},
 	}
 	c.store(forUsers, state.Commit(guards, writes), func(r storeReply) {
 		switch {
 		case r.outcome == outOK:
-			c.disclose(j.ID, c.now+acceptWithin, func(ok bool) {
+			c.disclose(id, c.now+acceptWithin, func(ok bool) {
 				if !ok {
 					c.refuse(req, 503, "a controller has not confirmed yet")
 					return
 				}
-				c.respond(req, 200, wire.JobState{Ref: j.ID, Status: wire.JobCancelled})
+				c.respond(req, 200, wire.JobState{Ref: id, Status: wire.JobCancelled})
 			})
 		case (r.outcome == outConflict || r.outcome == outUnknown) && c.now < until:
-			c.tryCancel(req, j.ID, until) // over meanwhile, or perhaps executed
+			c.tryCancel(req, id, until) // over meanwhile, or perhaps executed
 		default:
 			c.refuse(req, 503, storeSilent)
 		}
--- a/controller/work.go
+++ b/controller/work.go
@@ -17,7 +17,7 @@
 	flushGap      = 25 * micros.Millisecond  // while writes are plentiful
 	flushGapShort = 300 * micros.Millisecond // while they are scarce: batches grow
 	flushRetry    = 150 * micros.Millisecond
-	jobsPerPass   = 200 // jobs looked at in one pass
+	jobsPerPass   = 200 // jobs for which places are looked for in one pass
 	recordSlots   = 128 // tasks in one machine's entry, so that its block fits a value
 	commitBytes   = 60 << 10
 	guardBytes    = 64 // of a guard, at most, as a rule
@@ -35,8 +35,9 @@
 	o.wantSchedule, o.nextPass = false, o.c.now+passGap
 	view := o.placeView()
 	kept := keptLimits{}
-	for i, j := range o.inTurn() {
-		if i >= jobsPerPass || o.proposedJobs >= 2*o.c.cfg.TxnOps {
+	looked, nowhere := 0, map[shape]bool{}
+	for _, j := range o.inTurn() {
+		if looked >= jobsPerPass || o.proposedJobs >= 2*o.c.cfg.TxnOps {
 			break // the guards of a commit are bounded
 		}
 		if j.state != jobActive || j.pending == 0 || j.unsure || o.c.now < j.notUntil {
@@ -50,6 +51,15 @@
 			kept[j.Team] = append(kept[j.Team], j)
 			continue
 		}
+		if want == 0 {
+			continue
+		}
+		// What found no place for one job has none for another alike: room only shrinks.
+		like, plain := j.shape(), !j.Gang && !j.OneZone && !j.Spread && o.holds[j.ID] == nil
+		if plain && nowhere[like] {
+			continue
+		}
+		looked++
 		if !j.Gang && o.starves(j) {
 			want = min(want, max(1, j.pending/beginShare)) // it must begin; the rest waits its turn
 		}
@@ -61,8 +71,10 @@
 		}
 		got := sched.Place(j.Job, view, want, j.zones())
 		if len(got) == 0 {
+			nowhere[like] = plain
 			if o.makeRoom(j) {
 				view = o.placeView() // without what is held now
+				clear(nowhere)
 			} else {
 				view = o.reserve(j, view)
 			}
@@ -72,6 +84,22 @@
 	}
 }
 
+// shape is what decides on which machines tasks of a job fit.
+type shape struct {
+	need  sched.Resources
+	zone  string
+	spot  bool
+	types string
+}
+
+func (j *job) shape() shape {
+	s := shape{j.Need, j.Zone, j.Spot, "any"}
+	if j.Types != nil {
+		s.types = "of " + strings.Join(j.Types, " ")
+	}
+	return s
+}
+
 // keptLimits are gangs that wait for their teams' limits. What comes free of a limit must
 // not go to work that comes later, a task at a time: the gang would wait for all of it.
 type keptLimits map[string][]*job
