--- a/controller/gangs.go
+++ b/controller/gangs.go
@@ -250,12 +250,19 @@
 // growFor takes room for so many tasks, and rents what is missing.
 func (o *owner) growFor(j *job, free gangRoom, tasks, spotMost int) {
 	zone := ""
+	in := map[string]int{} // tasks by zone: no zone may hold more than ZoneCap
+	left := func(z string) int {
+		if !j.Spread {
+			return tasks
+		}
+		return min(tasks, (j.Tasks+1)/2-in[z])
+	}
 	if j.OneZone {
 		zone = o.bestZone(j, free, tasks)
 	} else {
 		for _, z := range sortedKeys(free) {
-			a, b := free[z].take(tasks, spotMost)
-			tasks, spotMost = tasks-a-b, spotMost-b
+			a, b := free[z].take(left(z), spotMost)
+			tasks, spotMost, in[z] = tasks-a-b, spotMost-b, in[z]+a+b
 		}
 	}
 	if zone != "" {
@@ -264,12 +271,12 @@
 	}
 	for tasks > 0 && o.asked() < mostRentals {
 		best := o.cheapest(j, func(of offer) bool {
-			return o.notAsked(of) && (zone == "" || of.zone == zone) && (!of.spot || spotMost > 0)
+			return o.notAsked(of) && (zone == "" || of.zone == zone) && left(of.zone) > 0 && (!of.spot || spotMost > 0)
 		})
 		if best == nil {
 			return
 		}
-		want := tasks
+		want := left(best.zone)
 		if best.spot {
 			want = min(want, spotMost)
 		}
@@ -281,9 +288,9 @@
 		if best.spot {
 			spotMost -= got
 		}
-		if tasks -= got; tasks < 0 {
-			free.zone(best.zone).of[spotIndex(best.spot)] -= tasks
-		}
+		used := min(got, want)
+		tasks, in[best.zone] = tasks-used, in[best.zone]+used
+		free.zone(best.zone).of[spotIndex(best.spot)] += got - used
 	}
 }
 
@@ -464,10 +471,14 @@
 	slices.SortStableFunc(list, func(a, b option) int { return cmp.Compare(a.wait, b.wait) })
 	n, spots := 0, j.Tasks-j.Ordinary
 	var kept []*sched.Machine
+	in := map[string]int{}
 	for _, op := range list {
 		if n >= j.Tasks {
 			break
 		}
+		if op.fits = min(op.fits, j.ZoneCap()-in[op.v.Zone]); op.fits <= 0 {
+			continue // no zone may hold more of the gang
+		}
 		if op.v.Spot {
 			if spots <= 0 {
 				continue // more of them than the gang may use would stand idle
@@ -476,6 +487,7 @@
 		}
 		kept = append(kept, op.v)
 		n += op.fits
+		in[op.v.Zone] += op.fits
 	}
 	if whole && n < j.Tasks {
 		return false
