--- a/controller/faults_workers_test.go
+++ b/controller/faults_workers_test.go
@@ -22,7 +22,9 @@
 	holdOf    string                   // the next report of this machine is held back
 	held      *keptReport              // until a new owner has acted
 	slowShare float64                  // of the direct commands, held up on the way there or back
+	slowFrom  micros.Micros
 	slowBy    micros.Micros
+	slowThere bool          // only on the way there
 	lag       micros.Micros // of commits
 	owners    map[int]*owner
 	acting    map[int]*owner
@@ -128,8 +130,8 @@
 	if w.slowShare == 0 || w.rng.Float64() >= w.slowShare {
 		return answer
 	}
-	wait := w.between(micros.Second, w.slowBy)
-	if w.rng.IntN(2) == 0 {
+	wait := w.between(w.slowFrom, w.slowBy)
+	if w.slowThere || w.rng.IntN(2) == 0 {
 		k := w.workers[strings.TrimPrefix(c.Addr, "worker:")]
 		w.after(wait, func() { w.toWorker(k, c, answer) })
 		return nil
@@ -202,7 +204,8 @@
 	case "hold-report":
 		w.holdOf = arg(t, d, "machine", w.workerNames()[0])
 	case "slow-commands":
-		w.slowShare, w.slowBy = argNumber(t, d, "share", 1), argSeconds(t, d, "by", 8)
+		w.slowShare, w.slowThere = argNumber(t, d, "share", 1), d.HasArg("there")
+		w.slowFrom, w.slowBy = argSeconds(t, d, "from", 1), argSeconds(t, d, "by", 8)
 		during(func() { w.slowShare = 0 })
 	case "slow-writes":
 		w.lag = argSeconds(t, d, "s", 0)
