--- a/controller/faults_workers_test.go
+++ b/controller/faults_workers_test.go
@@ -19,8 +19,8 @@
 	lateShare float64                  // of the reports, of which copies come late
 	forNext   bool                     // the copies are kept for the next owner
 	kept      []keptReport             // those copies
-	holdOf    string                   // the next report of this machine is held back
-	held      *keptReport              // until a new owner has acted
+	holdOf    []string                 // the next reports of these machines are held back
+	held      []keptReport             // until a new owner has acted
 	slowShare float64                  // of the direct commands, held up on the way there or back
 	slowFrom  micros.Micros
 	slowBy    micros.Micros
@@ -30,10 +30,7 @@
 	acting    map[int]*owner
 }
 
-type keptReport struct {
-	body []byte
-	from int // where it was sent
-}
+type keptReport struct{ body []byte }
 
 const mostKept = 64 // copies for the next owner
 
@@ -74,7 +71,7 @@
 func (w *world) keepCopies(k *standin.Worker, body []byte) bool {
 	if w.lateShare > 0 && w.rng.Float64() < w.lateShare {
 		if w.forNext {
-			if w.kept = append(w.kept, keptReport{body, k.Node}); len(w.kept) > mostKept {
+			if w.kept = append(w.kept, keptReport{body}); len(w.kept) > mostKept {
 				w.kept = w.kept[1:]
 			}
 		} else {
@@ -82,10 +79,12 @@
 			w.after(w.between(2*micros.Second, 2*w.cfg.Lease), func() { w.deliver(to, body) })
 		}
 	}
-	if w.holdOf == "" || w.holdOf != k.Machine.Name {
+	i := slices.Index(w.holdOf, k.Machine.Name)
+	if i < 0 {
 		return false
 	}
-	w.holdOf, w.held = "", &keptReport{body, k.Node}
+	w.holdOf = slices.Delete(w.holdOf, i, i+1)
+	w.held = append(w.held, keptReport{body})
 	return true
 }
 
@@ -116,10 +115,10 @@
 			w.acting[i] = o
 			copies()
 			w.kept = nil
-			if r := w.held; r != nil {
-				w.held = nil
+			for _, r := range w.held {
 				w.after(4*micros.Second, func() { w.deliver(i, r.body) })
 			}
+			w.held = nil
 		}
 	}
 }
@@ -202,7 +201,7 @@
 		w.lateShare, w.forNext = argNumber(t, d, "share", 0), d.HasArg("for-next")
 		during(func() { w.lateShare = 0 })
 	case "hold-report":
-		w.holdOf = arg(t, d, "machine", w.workerNames()[0])
+		w.holdOf = append(w.holdOf, arg(t, d, "machine", w.workerNames()[0]))
 	case "slow-commands":
 		w.slowShare, w.slowThere = argNumber(t, d, "share", 1), d.HasArg("there")
 		w.slowFrom, w.slowBy = argSeconds(t, d, "from", 1), argSeconds(t, d, "by", 8)
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -378,6 +378,8 @@
 	switch what := arg(t, d, "what", "running"); what {
 	case "running":
 		return fmt.Sprint(len(w.running))
+	case "held":
+		return fmt.Sprint(len(w.held) + len(w.holdOf))
 	case "cancelled-running":
 		return fmt.Sprint(w.cancelledRunning())
 	case "starts":
