--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -20,6 +20,7 @@
 // against. After every command the rules must have held.
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		t.Parallel()
 		var w *world
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd == "world" {
@@ -387,6 +388,8 @@
 	switch what := arg(t, d, "what", "running"); what {
 	case "running":
 		return fmt.Sprint(len(w.running))
+	case "held":
+		return fmt.Sprint(len(w.held) + len(w.holdOf))
 	case "cancelled-running":
 		return fmt.Sprint(w.cancelledRunning())
 	case "starts":
