--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -22,22 +22,24 @@
 // world plays controllers against the stand-ins on a simulated clock, and checks the
 // rules of the protocol all the while.
 type world struct {
-	now     micros.Micros
-	rng     *rand.Rand
-	cfg     *config.Settings
-	nodes   []*simNode
-	state   *standin.State
-	cloud   *standin.Cloud
-	workers map[string]*standin.Worker
-	queue   deliveries
-	seq     int
-	loss    float64 // a message gets lost
-	late    float64 // a request is executed long after it was given up
-	dup     float64 // a request is executed twice, the second time late
-	copies  float64 // a copy of a report comes late
-	copyBy  micros.Micros
-	dark    string        // a zone that is cut off from everything else
-	calm    micros.Micros // troubles are over since then, 0: not yet
+	now      micros.Micros
+	rng      *rand.Rand
+	cfg      *config.Settings
+	nodes    []*simNode
+	state    *standin.State
+	cloud    *standin.Cloud
+	workers  map[string]*standin.Worker
+	queue    deliveries
+	seq      int
+	loss     float64 // a message gets lost
+	late     float64 // a request is executed long after it was given up
+	dup      float64 // a request is executed twice, the second time late
+	copies   float64 // a copy of a report comes late
+	copyBy   micros.Micros
+	peerLoss float64       // a message between controllers gets lost
+	slow     micros.Micros // the state service takes up to this long
+	dark     string        // a zone that is cut off from everything else
+	calm     micros.Micros // troubles are over since then, 0: not yet
 
 	infos     map[string]standin.TaskInfo
 	submitted map[string]*sched.Job
@@ -51,6 +53,7 @@
 	running   map[string]string
 	broken    []string
 	starts    int
+	lateStart int                      // starts after a confirmed cancellation
 	stops     map[string]int           // by cause
 	answered  map[string]micros.Micros // when a question for a job was answered last
 	began     map[string]micros.Micros // when a job's first task, or its whole gang, started
@@ -268,11 +271,13 @@
 	peer := strings.HasPrefix(c.Addr, "peer:")
 	if peer {
 		i, _ := strconv.Atoi(strings.TrimPrefix(c.Addr, "peer:"))
-		peer = n.alone || w.nodes[i].alone || w.parted(w.nodeZone(n.index), w.nodeZone(i))
+		peer = w.rng.Float64() < w.peerLoss || n.alone || w.nodes[i].alone || w.parted(w.nodeZone(n.index), w.nodeZone(i))
 	}
 	outside := c.Addr == w.cfg.StateAddr || c.Addr == w.cfg.CloudAddr
 	switch {
 	case peer, n.alone && c.Addr == w.cfg.StateAddr, outside && w.parted(w.nodeZone(n.index), ""): // lost
+	case c.Addr == w.cfg.StateAddr && w.slow > 0:
+		w.after(micros.Micros(w.rng.Int64N(int64(w.slow))), func() { w.executeState(n, c, w.now, answer) })
 	case c.Addr == w.cfg.StateAddr:
 		w.executeState(n, c, w.now, answer)
 	case c.Addr == w.cfg.CloudAddr:
@@ -398,8 +403,11 @@
 	if other, ok := w.running[task]; ok && other != k.Machine.Name {
 		w.breakRule("ran_twice: %s starts on %s while on %s", task, k.Machine.Name, other)
 	}
-	if at, ok := w.cancelled[id]; ok && w.now > at+w.cfg.CancelIn {
-		w.breakRule("ran_cancelled: %s starts", task)
+	if at, ok := w.cancelled[id]; ok {
+		w.lateStart++
+		if w.now > at+w.cfg.CancelIn {
+			w.breakRule("ran_cancelled: %s starts", task)
+		}
 	}
 	w.running[task] = k.Machine.Name
 	if _, ok := w.began[id]; !ok && (!j.Gang || w.onMachines(id) == j.Tasks) {
