--- a/controller/pairs_test.go
+++ b/controller/pairs_test.go
@@ -73,7 +73,8 @@
 	bad      map[string]int
 	onTold   func(id string) // called once, when a cancellation is told
 	fits     map[string]micros.Micros
-	troubles int // under way or to come
+	troubles int  // under way or to come
+	gap      bool // the state service goes down second
 }
 
 const (
@@ -141,23 +142,15 @@
 	if p.rng.IntN(4) == 0 {
 		second = first + p.seconds(3, 25)
 	}
+	kinds := p.drawTroubles()
+	p.gap = len(kinds) > 1 && kinds[1].outage
 	for i := range 10 + p.rng.IntN(6) {
 		p.drawJob(i+1, first, second)
 	}
 	p.drawBad()
-	at := []micros.Micros{first, second}
-	if p.rng.IntN(3) == 0 {
-		at = append(at, second+p.seconds(0, 12))
-	}
-	taken := map[int]bool{}
-	for _, when := range at {
-		kind := p.rng.IntN(len(pairTable))
-		for taken[kind] {
-			kind = p.rng.IntN(len(pairTable))
-		}
-		taken[kind] = true
+	for i, when := range []micros.Micros{first, second, second + p.seconds(0, 12)}[:len(kinds)] {
 		p.troubles++
-		w.after(when, func() { p.begin(pairTable[kind]) })
+		w.after(when, func() { p.begin(kinds[i]) })
 	}
 	for p.troubles > 0 && len(w.broken) == 0 {
 		w.run(micros.Second)
@@ -194,6 +187,27 @@
 	}
 }
 
+// drawTroubles draws two troubles or three, none twice. In a third of the runs the state
+// service goes down second: what a user was told just before must reach the others all the
+// same.
+func (p *pairs) drawTroubles() []pairTrouble {
+	n := 2
+	if p.rng.IntN(3) == 0 {
+		n++
+	}
+	var kinds []pairTrouble
+	outage := p.rng.IntN(3) == 0
+	for len(kinds) < n {
+		k := pairTable[p.rng.IntN(len(pairTable))]
+		if slices.ContainsFunc(kinds, func(o pairTrouble) bool { return o.name == k.name }) ||
+			outage && len(kinds) == 1 && !k.outage {
+			continue
+		}
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
 // open lists the jobs whose users were told no final state, but for those that are refused.
 func (p *pairs) open() []string {
 	var left []string
@@ -241,7 +255,11 @@
 	}
 	cancelAt, atOnce := micros.Micros(0), false
 	if r.IntN(3) == 0 {
-		switch r.IntN(5) {
+		kind := r.IntN(5)
+		if p.gap {
+			kind = r.IntN(10)
+		}
+		switch kind {
 		case 0:
 			cancelAt = at + p.seconds(1, 60)
 		case 1:
@@ -362,6 +380,9 @@
 			}
 			n := p.rng.IntN(len(w.nodes))
 			p.ask(n, "POST", id, "", func(Respond) {})
+			if w.told[id] == wire.JobDone && p.rng.IntN(20) == 0 {
+				w.wantsEnd[id] = true // too late: it stays done
+			}
 			if w.wantsEnd[id] {
 				p.ask((n+1)%len(w.nodes), "POST", id, "/cancel", func(Respond) {})
 			}
@@ -566,8 +587,9 @@
 // pairTrouble is a kind of trouble. It begins, tells about itself, and how long it lasts
 // and how it ends.
 type pairTrouble struct {
-	name  string
-	begin func(p *pairs) (about string, lasts micros.Micros, end func())
+	name   string
+	begin  func(p *pairs) (about string, lasts micros.Micros, end func())
+	outage bool // of the state service
 }
 
 func (p *pairs) begin(kind pairTrouble) {
@@ -583,7 +605,7 @@
 
 // nodeTrouble is one that befalls a node.
 func nodeTrouble(name string, from, to float64, set func(w *world, n *simNode, on bool)) pairTrouble {
-	return pairTrouble{name, func(p *pairs) (string, micros.Micros, func()) {
+	return pairTrouble{name: name, begin: func(p *pairs) (string, micros.Micros, func()) {
 		n := p.victim()
 		set(p.w, n, true)
 		return nodeName(n.index), p.seconds(from, to), func() { set(p.w, n, false) }
@@ -592,7 +614,7 @@
 
 // machineTrouble is one that befalls machines.
 func machineTrouble(name string, from, to float64, set func(k *standin.Worker, on bool)) pairTrouble {
-	return pairTrouble{name, func(p *pairs) (string, micros.Micros, func()) {
+	return pairTrouble{name: name, begin: func(p *pairs) (string, micros.Micros, func()) {
 		list := p.machinesHit()
 		var names []string
 		for _, k := range list {
@@ -609,24 +631,68 @@
 
 // worldTrouble is one that befalls all.
 func worldTrouble(name string, from, to float64, set func(w *world, on bool)) pairTrouble {
-	return pairTrouble{name, func(p *pairs) (string, micros.Micros, func()) {
+	return pairTrouble{name: name, begin: func(p *pairs) (string, micros.Micros, func()) {
 		set(p.w, true)
 		return "", p.seconds(from, to), func() { set(p.w, false) }
 	}}
 }
 
+// stateOutage lets the state service refuse everybody.
+func stateOutage(name string, from, to float64) pairTrouble {
+	t := worldTrouble(name, from, to, func(w *world, on bool) { w.state.Down = on })
+	t.outage = true
+	return t
+}
+
+// drawSmall draws a job of one task that comes after some time.
+func (p *pairs) drawSmall(i int, in micros.Micros) {
+	w, id := p.w, fmt.Sprintf("req-%06d", i)
+	j := &sched.Job{
+		ID: id, Class: "small", Team: []string{"red", "blue"}[p.rng.IntN(2)], Priority: sched.Priority(p.rng.IntN(4)),
+		Tasks: 1, Need: sched.NewResources(1, 0, 1), Image: "img", ImageGB: 1, Estimate: 3 * micros.Second,
+	}
+	w.submitted[id], w.bodies[id] = j, wire.Encode(wire.FromJob(j))
+	w.infos[id] = standin.TaskInfo{CPU: 1, Mem: 1, Run: p.seconds(1, 5), Fetch: micros.Second, Tasks: 1}
+	w.after(in, func() { w.asked[id] = w.now; p.submit(id, false) })
+	w.after(in+2*micros.Second, func() { p.poll(id) })
+	if p.rng.IntN(4) == 0 {
+		w.after(in+p.seconds(0, 6), func() { p.cancel(id) })
+	}
+}
+
+// cancelEnding cancels half of the jobs that end, at the moment of their end.
+func (p *pairs) cancelEnding(over micros.Micros, seen map[string]bool) {
+	w := p.w
+	if w.now >= over {
+		return
+	}
+	for _, id := range p.open() {
+		last := !seen[id]
+		for i := range w.submitted[id].Tasks {
+			last = last && w.done[numbered(id, i)]
+		}
+		if last {
+			seen[id] = true
+			if p.rng.IntN(2) == 0 {
+				p.cancel(id)
+			}
+		}
+	}
+	w.after(worldStep, func() { p.cancelEnding(over, seen) })
+}
+
 // crashTime is how long a crashed node stays away.
 func (p *pairs) crashTime() micros.Micros {
 	return []micros.Micros{micros.Second / 5, worldLife, 10 * micros.Second}[p.rng.IntN(3)]
 }
 
 var pairTable = []pairTrouble{
-	{"node crashes", func(p *pairs) (string, micros.Micros, func()) {
+	{name: "node crashes", begin: func(p *pairs) (string, micros.Micros, func()) {
 		n, away := p.victim(), p.crashTime()
 		p.w.crash(n, away)
 		return nodeName(n.index), away, nil
 	}},
-	{"all nodes crash", func(p *pairs) (string, micros.Micros, func()) {
+	{name: "all nodes crash", begin: func(p *pairs) (string, micros.Micros, func()) {
 		longest := micros.Micros(0)
 		for _, n := range p.w.nodes {
 			away := p.crashTime()
@@ -638,7 +704,7 @@
 		}
 		return "", longest, nil
 	}},
-	{"leaders crash one after the other", func(p *pairs) (string, micros.Micros, func()) {
+	{name: "leaders crash one after the other", begin: func(p *pairs) (string, micros.Micros, func()) {
 		over := p.w.now + 30*micros.Second
 		var again func()
 		again = func() {
@@ -650,7 +716,7 @@
 		again()
 		return "", 40 * micros.Second, nil
 	}},
-	{"an owner crashes as a cancellation is told", func(p *pairs) (string, micros.Micros, func()) {
+	{name: "an owner crashes as a cancellation is told", begin: func(p *pairs) (string, micros.Micros, func()) {
 		p.onTold = func(id string) {
 			n := p.victim()
 			p.note("%s is told to be cancelled: %s crashes", id, nodeName(n.index))
@@ -658,7 +724,7 @@
 		}
 		return "", 30 * micros.Second, func() { p.onTold = nil }
 	}},
-	{"an owner is refused by the state service as a cancellation is told", func(p *pairs) (string, micros.Micros, func()) {
+	{name: "an owner is refused by the state service as a cancellation is told", begin: func(p *pairs) (string, micros.Micros, func()) {
 		refused := ""
 		p.onTold = func(id string) {
 			refused = nodeName(p.victim().index)
@@ -678,15 +744,15 @@
 			delete(w.state.Refused, nodeName(n.index))
 		}
 	}),
-	worldTrouble("state service down", 5, 15, func(w *world, on bool) { w.state.Down = on }),
-	worldTrouble("state service down for long", 50, 70, func(w *world, on bool) { w.state.Down = on }),
+	stateOutage("state service down", 5, 15),
+	stateOutage("state service down for long", 50, 70), // longer than CancelIn
 	worldTrouble("state service slow", 15, 40, func(w *world, on bool) {
 		w.slow = 0
 		if on {
 			w.slow = 600 * micros.Millisecond
 		}
 	}),
-	{"zone cut off", func(p *pairs) (string, micros.Micros, func()) {
+	{name: "zone cut off", begin: func(p *pairs) (string, micros.Micros, func()) {
 		p.w.dark = p.w.cfg.Zones[p.rng.IntN(len(p.w.cfg.Zones))]
 		return p.w.dark, p.seconds(8, 45), func() { p.w.dark = "" }
 	}},
@@ -694,7 +760,7 @@
 	machineTrouble("machines hang for long", 50, 70, func(k *standin.Worker, on bool) { k.Hung = on }),
 	machineTrouble("machines cut off", 5, 40, func(k *standin.Worker, on bool) { k.Cut = on }),
 	machineTrouble("machines deaf", 5, 30, func(k *standin.Worker, on bool) { k.Deaf = on }),
-	{"machines taken without notice", func(p *pairs) (string, micros.Micros, func()) {
+	{name: "machines taken without notice", begin: func(p *pairs) (string, micros.Micros, func()) {
 		names := ""
 		for _, k := range p.machinesHit() {
 			p.w.cloud.Take(k.Machine.Name)
@@ -721,6 +787,17 @@
 			w.peerLoss = 0.7
 		}
 	}),
+	{name: "one-task jobs come four a second, a quarter cancelled", begin: func(p *pairs) (string, micros.Micros, func()) {
+		for i := range 60 + p.rng.IntN(60) {
+			p.drawSmall(1000+i, micros.Micros(i)*micros.Second/4)
+		}
+		return "", 30 * micros.Second, nil
+	}},
+	{name: "jobs are cancelled as they end", begin: func(p *pairs) (string, micros.Micros, func()) {
+		over := p.w.now + p.seconds(20, 50)
+		p.cancelEnding(over, map[string]bool{})
+		return "", over - p.w.now, nil
+	}},
 	worldTrouble("cloud down", 10, 40, func(w *world, on bool) { w.cloud.Down = on }),
 	worldTrouble("the next machines never come up", 10, 10, func(w *world, on bool) {
 		if on {
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -143,12 +143,20 @@
 	if os.Getenv("SCENARIO_LOG") != "" {
 		out = os.Stderr
 	}
-	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug})).With("node", cfg.Node)
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: w.worldTime})).With("node", cfg.Node)
 	n.life++
 	n.up, n.pending, n.nextID, n.open = true, map[uint64]func(Respond){}, 0, 0
 	n.core = New(&cfg, w.rng.Uint64(), log, w.now, w.now)
 }
 
+// worldTime puts the world's time into its log.
+func (w *world) worldTime(_ []string, a slog.Attr) slog.Attr {
+	if a.Key == slog.TimeKey {
+		return slog.String(a.Key, fmt.Sprint(w.now-micros.Hour))
+	}
+	return a
+}
+
 func (w *world) crash(n *simNode, down micros.Micros) {
 	n.up, n.life, n.downTo = false, n.life+1, w.now+down
 	for _, answer := range n.pending {
