--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -297,7 +297,7 @@
 			return
 		}
 		if k.Hung { // it executes when it continues
-			w.after(micros.Second, func() { w.execute(n, c, answer) })
+			w.after(worldStep, func() { w.execute(n, c, answer) })
 			return
 		}
 		if c.Target == "/inspect" {
