Room of a gang that completes task by task is freed by its machines' word; waits bounded

- exited: a completed gang that was started again ends task by task, as each has its image.
Only tasks of a gang that was seen running are taken for ended with it.

--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -594,7 +594,9 @@
 				o.endings = append(o.endings, j)
 			case wire.Decode(e.Value, &rec) == nil && rec.Status == wire.JobDone:
 				for _, a := range j.sorted() {
-					o.setAttempt(a, attemptClosed)
+					if a.machine.session == 0 { // else its report tells
+						o.setAttempt(a, attemptClosed)
+					}
 				}
 			default:
 				// An older version did not record when: as early as need be assumed.
--- a/controller/job.go
+++ b/controller/job.go
@@ -50,6 +50,7 @@
 	writing   bool          // its final record is being written
 	unsure    bool          // its record did not match: nothing is placed until that is cleared up
 	began     bool          // some of it was placed
+	idleSince micros.Micros // nothing of it is on machines
 	evictAt   micros.Micros // room may be made for it again from then on
 	evictions int           // in vain, in a row
 	endedAt   micros.Micros // users were not told before then that it is cancelled; 0: it was not
@@ -271,6 +272,7 @@
 		}
 	}
 	if len(j.attempts) == 0 {
+		j.idleSince = o.c.now
 		o.setGang(j, gangNone)
 		if j.state == jobEnded {
 			delete(o.jobs, j.ID)
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -386,8 +386,11 @@
 			// The tasks of a gang complete together.
 			// One is done, so all are, also those whose machines are gone: another attempt
 			// of the gang would wait for them for ever.
+			// Those that ran are off their machines. When a completed gang was started again, each
+			// task ends by itself, and takes its room until its machine says so.
+			o.setAttempt(a, attemptFinished)
 			for _, b := range j.sorted() {
-				if b.number == a.number {
+				if b.number == a.number && (a.running != 0 || b.running != 0) {
 					o.setAttempt(b, attemptFinished)
 				}
 			}
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -324,6 +324,7 @@
 		return // another owner's
 	}
 	j := newJob(spec, version, micros.Micros(rec.Accepted))
+	j.idleSince = o.c.now
 	o.jobs[id] = j
 	i, _ := slices.BinarySearchFunc(o.queue, j, queueOrder)
 	o.queue = slices.Insert(o.queue, i, j)
--- a/controller/work.go
+++ b/controller/work.go
@@ -51,6 +51,10 @@
 			kept[j.Team] = append(kept[j.Team], j)
 			continue
 		}
+		leftOut := want == 0 && o.leftOut(j)
+		if leftOut {
+			want = o.withinTeam(j, sched.Resources{})
+		}
 		if want == 0 {
 			continue
 		}
@@ -60,7 +64,7 @@
 			continue
 		}
 		looked++
-		if !j.Gang && o.starves(j) {
+		if !j.Gang && (leftOut || o.starves(j)) {
 			want = min(want, max(1, j.pending/beginShare)) // it must begin; the rest waits its turn
 		}
 		if h := o.holds[j.ID]; h != nil {
@@ -70,8 +74,14 @@
 			continue
 		}
 		got := sched.Place(j.Job, view, want, j.zones())
+		if len(got) == 0 && o.leftOut(j) {
+			got = placeAmongKept(j, view, min(want, max(1, j.pending/beginShare)))
+		}
 		if len(got) == 0 {
 			nowhere[like] = plain
+			if j.Gang { // its machines may be to come, and then it must be within the limit
+				kept[j.Team] = append(kept[j.Team], j)
+			}
 			if o.makeRoom(j) {
 				view = o.placeView() // without what is held now
 				clear(nowhere)
@@ -100,8 +110,9 @@
 	return s
 }
 
-// keptLimits are gangs that wait for their teams' limits. What comes free of a limit must
-// not go to work that comes later, a task at a time: the gang would wait for all of it.
+// keptLimits are gangs that wait, for their teams' limits or for machines. What comes free of a
+// limit must not go to work that comes later, a task at a time: the gang would wait for all of
+// it.
 type keptLimits map[string][]*job
 
 // keptFrom is what of its team's limit is kept from a job: for gangs of higher priority, and
@@ -119,6 +130,30 @@
 // beginShare parts an array that starves: so much of it at a time.
 const beginShare = 8
 
+// leftOutAfter is how long nothing of an array runs before it takes some of what is kept for
+// gangs: it must not wait for long while there is room and its team is under its limit.
+const leftOutAfter = 60 * micros.Second
+
+func (o *owner) leftOut(j *job) bool {
+	return !j.Gang && len(j.attempts) == 0 && o.c.now-j.idleSince > leftOutAfter
+}
+
+// placeAmongKept looks for places also on machines that are kept for gangs, though not on
+// those kept for one that starves.
+func placeAmongKept(j *job, view []*sched.Machine, want int) []sched.Assignment {
+	var kept []*sched.Machine
+	for _, m := range view {
+		if m.Kept {
+			kept, m.Kept = append(kept, m), false
+		}
+	}
+	got := sched.Place(j.Job, view, want, j.zones())
+	for _, m := range kept {
+		m.Kept = true
+	}
+	return got
+}
+
 // starves tells that a job has waited for long and not begun.
 func (o *owner) starves(j *job) bool {
 	return !j.began && j.state == jobActive && o.c.day-j.accepted > o.c.cfg.Tuning.StarveAfter
@@ -551,6 +586,12 @@
 				}
 			}
 			o.endJob(j)
+			for _, a := range j.sorted() {
+				if a.state == attemptLive || a.state == attemptOrdered {
+					a.why = "job is done"
+					o.setAttempt(a, attemptStopping) // its machine's next report ends it
+				}
+			}
 		})
 	}
 }
