--- a/config/config.go
+++ b/config/config.go
@@ -90,6 +90,21 @@
 	return Team{}, false
 }
 
+// nextLimits are the limits that the state service has from some moment on, without notice.
+// Each may be absent.
+type nextLimits struct {
+	RPS      *float64 `toml:"rps"`
+	WriteRPS *float64 `toml:"write_rps"`
+	ValueKB  *float64 `toml:"value_kb"`
+	TxnOps   *int     `toml:"txn_ops"`
+}
+
+// The least limits of the state service with which a controller can work.
+const (
+	leastValue = 1024
+	leastOps   = 4
+)
+
 type file struct {
 	Node          string `toml:"node"`
 	Zone          string `toml:"zone"`
@@ -129,10 +144,11 @@
 			CancelS   float64 `toml:"cancel_s"`
 		} `toml:"workers"`
 		State struct {
-			RPS      float64 `toml:"rps"`
-			WriteRPS float64 `toml:"write_rps"`
-			ValueKB  float64 `toml:"value_kb"`
-			TxnOps   int     `toml:"txn_ops"`
+			RPS      float64    `toml:"rps"`
+			WriteRPS float64    `toml:"write_rps"`
+			ValueKB  float64    `toml:"value_kb"`
+			TxnOps   int        `toml:"txn_ops"`
+			Next     nextLimits `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS      float64 `toml:"rps"`
@@ -203,6 +219,29 @@
 	return micros.FromSeconds(c.positive(key, v))
 }
 
+// next lowers the limits to those to come: from the start nothing is written that these
+// would not let be written again.
+func (c *checker) next(s *Settings, n *nextLimits) {
+	const key = "params.state.next."
+	smaller := func(name string, now float64, next *float64) float64 {
+		if next == nil {
+			return now
+		}
+		return min(now, c.positive(key+name, *next))
+	}
+	s.StateRPS = smaller("rps", s.StateRPS, n.RPS)
+	s.WriteRPS = smaller("write_rps", s.WriteRPS, n.WriteRPS)
+	if n.ValueKB != nil {
+		bytes := c.positive(key+"value_kb", *n.ValueKB) * 1024
+		c.require(bytes >= leastValue, key+"value_kb", "must be at least 1")
+		s.ValueBytes = int(min(float64(s.ValueBytes), bytes))
+	}
+	if n.TxnOps != nil {
+		c.require(*n.TxnOps >= leastOps, key+"txn_ops", "must be at least 4")
+		s.TxnOps = min(s.TxnOps, *n.TxnOps)
+	}
+}
+
 // Parse reads the platform's settings.
 func Parse(data []byte) (*Settings, error) {
 	var f file
@@ -241,8 +280,9 @@
 	}
 	c.require(len(p.Zones) > 0, "params.zones", "missing")
 	c.require(p.Count == len(f.Siblings)+1, "params.count", "must be the number of siblings and this node")
-	c.require(s.ValueBytes >= 1024, "params.state.value_kb", "must be at least 1")
-	c.require(s.TxnOps >= 4, "params.state.txn_ops", "must be at least 4")
+	c.require(s.ValueBytes >= leastValue, "params.state.value_kb", "must be at least 1")
+	c.require(s.TxnOps >= leastOps, "params.state.txn_ops", "must be at least 4")
+	c.next(s, &p.State.Next)
 	c.require(s.Sockets >= 32, "params.quota.sockets", "must be at least 32")
 	c.require(s.Lease > s.ReportEvery, "params.workers.lease_s", "must be above params.workers.report_s")
 	names := map[string]bool{f.Node: true}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -95,6 +95,50 @@
 	}
 }
 
+// TestParseNext guards against records and requests that the limits to come would not allow,
+// and against limits that cannot be meant.
+func TestParseNext(t *testing.T) {
+	with := func(lines string) string {
+		return strings.Replace(platform, "[params.cloud]", "[params.state.next]\n"+lines+"\n\n[params.cloud]", 1)
+	}
+	type limits struct {
+		rps, writes float64
+		value, ops  int
+	}
+	now := limits{150, 20, 8192, 16}
+	for _, c := range []struct {
+		lines string
+		want  limits
+	}{
+		{"", now},
+		{"write_rps = 15.0\nvalue_kb = 2.0\ntxn_ops = 5", limits{150, 15, 2048, 5}},
+		{"rps = 100.0", limits{100, 20, 8192, 16}},
+		{"rps = 100", limits{100, 20, 8192, 16}},
+		{"value_kb = 2.5", limits{150, 20, 2560, 16}},
+		{"rps = 500.0\nwrite_rps = 90.0\nvalue_kb = 64.0\ntxn_ops = 64", now}, // until then the smaller hold
+		{"other = 1", now},
+	} {
+		s, err := Parse([]byte(with(c.lines)))
+		if err != nil {
+			t.Errorf("%q: %v", c.lines, err)
+			continue
+		}
+		if got := (limits{s.StateRPS, s.WriteRPS, s.ValueBytes, s.TxnOps}); got != c.want {
+			t.Errorf("%q: read as %v", c.lines, got)
+		}
+	}
+	for _, line := range []string{
+		"value_kb = 0.0", "value_kb = -2.0", "value_kb = 0.5", "value_kb = nan", "value_kb = inf", `value_kb = "two"`,
+		"txn_ops = 0", "txn_ops = 3", "txn_ops = -5", "txn_ops = 4.5", `txn_ops = "five"`,
+		"write_rps = 0.0", "write_rps = -1.0", "write_rps = nan", "rps = 0.0", "rps = inf", "rps = true",
+	} {
+		key := "params.state.next." + strings.Fields(line)[0]
+		if _, err := Parse([]byte(with(line))); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: error %v does not name %s", line, err, key)
+		}
+	}
+}
+
 func TestParseTuning(t *testing.T) {
 	tu, err := ParseTuning([]byte("# ours\nmachine.idle_s = 45\npreempt.domains: 2\n"))
 	if err != nil || tu.IdleReturn != 45*micros.Second || tu.DomainList != 2 || tu.HoldWait != DefaultTuning().HoldWait {
