Blocks and shards that are larger than a value are split in one step, guards are bounded

With smaller limits of the state service to come, blocks of 8 KiB were halved one commit after the other, and one with proposals was not split at all; shards had no bound when read; a commit of more than a burst was refused by the budget for ever; a block whose proposals needed more guards than a commit may have was never written.

--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 
@@ -20,6 +21,7 @@
 	blockMost    = 64   // machines
 	entryBytes   = 32   // of a machine without tasks, as a rule
 	taskBytes    = 4    // of a task in an entry, as a rule
+	freshBytes   = 40   // of a task that is not recorded yet, at most as a rule: it may bring its job's name
 	blockTasks   = 16   // for each machine, when a block is filled with machines and no job is known
 	blockUsed    = 0.7  // of a value, when a block is filled with machines
 	blockFull    = 0.85 // of a value, when machines are filled with tasks
@@ -36,7 +38,10 @@
 	since    micros.Micros // dirty
 	writing  bool
 	left     []*block // of machines that came from these, until the record says so
-	behind   bool     // machines left it whose new record is not written yet: it must wait
+	behind   int      // new records of machines that left it which are not written yet: it must wait
+	// tooLarge: it outgrew a value, and nothing is placed on its machines until it is written.
+	tooLarge  bool
+	notBefore micros.Micros // the next attempt to write what fits no value
 	// taskBytes is what a task takes, with its part of the names of jobs.
 	taskBytes float64
 }
@@ -75,14 +80,36 @@
 }
 
 // slotsOf is how many more tasks a machine's entry can hold: a part of what is left in
-// its block, by what a task took there when it was written last.
-func (o *owner) slotsOf(m *machine) int {
-	each := max(m.block.taskBytes, taskBytes)
+// its block, by what a task took there when it was written last. A task that is not recorded
+// yet is taken for the first of its job.
+func (o *owner) slotsOf(m *machine, left map[*block]float64) int {
+	b := m.block
+	free, ok := left[b]
+	if !ok {
+		free = o.freeBytes(b)
+		left[b] = free
+	}
+	if b.tooLarge {
+		return 0
+	}
+	return min(int(free/max(b.taskBytes, freshBytes))/min(3, len(b.machines)), recordSlots-len(m.attempts))
+}
+
+// freeBytes is what is left of a value in a block.
+func (o *owner) freeBytes(b *block) float64 {
+	each := max(b.taskBytes, taskBytes)
 	left := float64(o.c.cfg.ValueBytes) * blockFull
-	for _, n := range m.block.machines {
-		left -= entryBytes + each*float64(len(n.attempts))
+	for _, m := range b.machines {
+		left -= entryBytes
+		for _, a := range m.attempts {
+			if a.state == attemptProposed {
+				left -= max(each, freshBytes)
+			} else {
+				left -= each
+			}
+		}
 	}
-	return min(int(left/each)/min(3, len(m.block.machines)), recordSlots-len(m.attempts))
+	return left
 }
 
 // single tells a block that was made for one machine by its name.
@@ -175,7 +202,7 @@
 func (o *owner) flushClaims(t *txn, room func() int) {
 	var due []record
 	for _, b := range o.blocks {
-		if b.due() && b.claims() {
+		if o.due(b) && b.claims() {
 			due = append(due, record{block: b, n: o.urgency(b)})
 		}
 	}
@@ -189,12 +216,12 @@
 	}
 	var due []record
 	for _, b := range o.blocks {
-		if b.due() {
+		if o.due(b) {
 			due = append(due, record{block: b, n: o.urgency(b)})
 		}
 	}
 	for _, s := range o.shards {
-		if s.dirty && !s.writing {
+		if s.dirty && !s.writing && s.behind == 0 {
 			due = append(due, record{shard: s, n: o.shardUrgency(s)})
 		}
 	}
@@ -223,7 +250,9 @@
 }
 
 // due tells whether the block must and may be written.
-func (b *block) due() bool { return b.dirty && !b.writing && !b.behind }
+func (o *owner) due(b *block) bool {
+	return b.dirty && !b.writing && b.behind == 0 && o.c.now >= b.notBefore
+}
 
 // shardUrgency orders shards among blocks. A completion waits at no cost: its room is free,
 // and its machine goes on reporting it. Many teams have as many shards, all of which change
@@ -253,6 +282,20 @@
 	kinds, jobs := map[offer]int{}, map[string]int{}
 	kept := b.machines[:0:0]
 	placed := 0
+	// A block that needs more guards than there may be is written in several steps. What
+	// other records take of a commit leaves it these.
+	guardable := func(keys ...string) bool {
+		n := len(guards)
+		for _, k := range keys {
+			if _, ok := guards[k]; !ok {
+				n++
+			}
+		}
+		return n < 3*o.c.cfg.TxnOps
+	}
+	if b.claims() {
+		o.guardTeams(guards)
+	}
 	for _, m := range b.machines {
 		for _, a := range m.attempts {
 			d.Base = min(d.Base, a.number)
@@ -265,8 +308,15 @@
 			continue
 		}
 		if m.state == machineMoving && len(m.attempts) == 0 && len(moves) < room-1 && o.canMove(m) {
-			moves = append(moves, m)
-			continue
+			if key := memberKey(nodeOf(m.moveTo)); guardable(key) {
+				guards[key] = o.c.cluster.members[nodeOf(m.moveTo)].version
+				moves = append(moves, m)
+				continue
+			}
+		}
+		unknown := m.token == 0 && !m.recorded && !o.sole() && !strings.HasPrefix(b.name, adoptedBlock)
+		if unknown && !guardable(prefixMachine+adoptedBlock+m.name) {
+			continue // its first claim comes with the next write
 		}
 		kept = append(kept, m)
 		of := offer{m.kind, m.zone, m.spot}
@@ -283,8 +333,8 @@
 		if m.token == 0 || m.fence == fenceWanted {
 			e.Token = 0
 			ch.claimed = append(ch.claimed, m)
-			if m.token == 0 {
-				o.guardFirst(m, guards)
+			if unknown { // that nobody adopted it
+				guards[prefixMachine+adoptedBlock+m.name] = 0
 			}
 		}
 		if m.state == machineCondemned {
@@ -297,6 +347,9 @@
 				ch.leaving = append(ch.leaving, a)
 				continue
 			case attemptProposed:
+				if !guardable(activeKey(a.job.ID), teamKey(a.job.Team)) {
+					continue
+				}
 				ch.proposed = append(ch.proposed, a)
 				guards[activeKey(a.job.ID)] = a.job.version
 				guards[teamKey(a.job.Team)] = o.teams[a.job.Team].view.version
@@ -318,20 +371,8 @@
 	if placed > 0 {
 		b.taskBytes = float64(rec.size()-len(kept)*entryBytes) / float64(placed)
 	}
-	if rec.size() > o.c.cfg.ValueBytes && len(ch.proposed) > 0 {
-		// The bounds above did not hold: what is proposed is given up.
-		o.c.log.Warn("block too large", "block", b.name, "bytes", rec.size(), "machines", len(kept))
-		for _, a := range ch.proposed {
-			if a.job.Gang {
-				o.stopJob(a.job, 0, "no room in the record")
-			} else {
-				o.stop(a, 0, "no room in the record")
-			}
-		}
-		return
-	}
-	if rec.size() > o.c.cfg.ValueBytes && len(b.machines) > 1 {
-		o.split(b)
+	if rec.size() > o.c.cfg.ValueBytes && len(kept) > 0 {
+		o.outgrown(b, rec.size(), ch.proposed)
 		return
 	}
 	if !t.takes(guards, rec.size(), o.c.cfg.TxnOps) {
@@ -364,38 +405,95 @@
 			}
 			return
 		}
-		b.version = rev
+		b.version, b.tooLarge = rev, false
+		for _, m := range kept {
+			m.recorded = true
+		}
 		for _, old := range left {
-			old.behind = false
+			old.behind--
 			o.soil(old) // without them now; if it is empty, its record is deleted
 		}
 		o.blockWritten(b, ch, rev)
 	})
 }
 
-// split moves half of the machines of a block that has outgrown a value to a new one. As
-// with gather, the old record is written again only after the new one holds them.
-func (o *owner) split(b *block) {
-	half := len(b.machines) / 2
-	moved := slices.Clone(b.machines[half:])
-	b.machines, b.dirty, b.behind = b.machines[:half:half], false, true
-	o.c.log.Info("block split", "block", b.name, "machines", half, "moved", len(moved))
-	to := o.newBlock(numberName(o.nextNumber()))
-	for _, m := range moved {
-		to.add(m)
-		o.touch(m)
+// unwritable is the pause before a block that fits no value is tried again: tasks may have
+// ended meanwhile.
+const unwritable = 5 * micros.Second
+
+// outgrown deals with a block that fits no value. What is proposed is given up at first,
+// and nothing more is placed there; what is too large without it is split. The limits may
+// have become smaller since the block was written.
+func (o *owner) outgrown(b *block, size int, proposed []*attempt) {
+	if len(proposed) > 0 && (!b.tooLarge || len(b.machines) == 1) {
+		b.tooLarge = true
+		o.c.log.Warn("block too large", "block", b.name, "bytes", size, "machines", len(b.machines))
+		for _, a := range proposed {
+			if a.job.Gang {
+				o.stopJob(a.job, 0, "no room in the record")
+			} else {
+				o.stop(a, 0, "no room in the record")
+			}
+		}
+		return
+	}
+	b.tooLarge = true
+	if len(b.machines) > 1 {
+		o.split(b, size)
+		return
+	}
+	// One entry alone, from the time of larger values. Its tasks end with their lease, since
+	// nobody can claim the machine; then the cloud takes it. Its record stays until then, so
+	// that nobody starts these tasks elsewhere.
+	m := b.machines[0]
+	b.notBefore = o.c.now + unwritable
+	o.c.log.Error("a machine's entry fits no value", "machine", m.name, "bytes", size, "most", o.c.cfg.ValueBytes, "tasks", len(m.attempts))
+	if m.token == 0 && m.state < machineReleasing && o.c.now-b.since > o.c.cfg.Lease+o.c.cfg.SilentAfter() {
+		o.setMachine(m, machineReleasing, "its entry fits no value")
 	}
-	to.left = append(to.left, b)
 }
 
-// guardFirst adds the guards of a machine's first claim: all teams of this owner, so
-// that it owns them still, and, where others own too, that nobody adopted the machine.
-func (o *owner) guardFirst(m *machine, guards map[string]uint64) {
-	for _, t := range o.teams {
-		guards[teamKey(t.Name)] = t.view.version
+// split moves all but some machines of a block that has outgrown a value to new ones, as
+// many as will each fit. As with gather, the old record is written again only after the new
+// ones hold them.
+func (o *owner) split(b *block, size int) {
+	parts := int(math.Ceil(float64(size) / (blockFull * float64(o.c.cfg.ValueBytes))))
+	parts = min(max(2, parts), len(b.machines))
+	weight := func(m *machine) float64 { return entryBytes + max(b.taskBytes, taskBytes)*float64(len(m.attempts)) }
+	total := 0.0
+	for _, m := range b.machines {
+		total += weight(m)
 	}
-	if key := prefixMachine + adoptedBlock + m.name; !o.sole() && prefixMachine+m.block.name != key && m.block.version == 0 {
-		guards[key] = 0
+	all, each, sum := b.machines, total/float64(parts), 0.0
+	b.machines, b.dirty = nil, false
+	to, made := b, 1
+	for i, m := range all {
+		if len(to.machines) > 0 && made < parts && (sum+weight(m)/2 > each*float64(made) || len(all)-i <= parts-made) {
+			to = o.newBlock(numberName(o.nextNumber()))
+			to.left = append(to.left, b)
+			to.taskBytes = b.taskBytes
+			b.behind++
+			made++
+		}
+		sum += weight(m)
+		to.add(m)
+		m.dirty = true
+		if to != b {
+			o.soil(to)
+		}
+	}
+	o.c.log.Info("block split", "block", b.name, "bytes", size, "machines", len(all), "kept", len(b.machines), "parts", made)
+}
+
+// guardTeams adds the guards of machines' first claims: that this owner has its teams still.
+// No owner that lives loses a team, and each commit is guarded on this node's life: so when
+// there are more teams than a commit takes guards, some suffice.
+func (o *owner) guardTeams(guards map[string]uint64) {
+	for i, name := range sortedKeys(o.teams) {
+		if i == o.c.cfg.TxnOps {
+			return
+		}
+		guards[teamKey(name)] = o.teams[name].view.version
 	}
 }
 
@@ -539,6 +637,7 @@
 	k := d.Kinds[e.Kind]
 	m := o.newMachineIn(b, e.Name, k.Type, k.Zone, k.Spot, e.Endpoint)
 	m.rented = micros.Micros(e.Rented + d.Since)
+	m.recorded = true
 	if e.Condemned {
 		o.setMachine(m, machineReleasing, "condemned by an earlier owner")
 	}
@@ -618,6 +717,8 @@
 	dirty   bool
 	since   micros.Micros // dirty
 	writing bool
+	left    []*shard // of chunks that came from these, until the record says so
+	behind  int      // new records of chunks that left it which are not written yet: it must wait
 }
 
 // soil notes that the shard must be written.
@@ -647,15 +748,24 @@
 	if s := j.shards[chunk]; s != nil {
 		return s
 	}
+	s := o.shardWithRoom(j, chunk, nil)
+	o.keep(s, j, chunk)
+	return s
+}
+
+// shardMost is how much the chunks of a shard may take.
+func (o *owner) shardMost() int { return o.c.cfg.ValueBytes - 128 }
+
+// shardWithRoom finds a shard that can take a chunk, or makes one. It may not be one that
+// waits for others, nor the one from which the chunk goes.
+func (o *owner) shardWithRoom(j *job, chunk int, from *shard) *shard {
 	for _, s := range o.shards {
-		if s.team == j.Team && s.bytes+j.chunkBytes(chunk) <= o.c.cfg.ValueBytes-128 {
-			o.keep(s, j, chunk)
+		if s != from && s.team == j.Team && s.behind == 0 && s.bytes+j.chunkBytes(chunk) <= o.shardMost() {
 			return s
 		}
 	}
 	s := &shard{team: j.Team, name: numberName(o.nextNumber()), chunks: map[chunkKey]*job{}}
 	o.shards = append(o.shards, s)
-	o.keep(s, j, chunk)
 	return s
 }
 
@@ -688,6 +798,8 @@
 	maps.Copy(t.guards, guards)
 	t.write(s.key(), rec, s.bytes+64)
 	s.dirty, s.writing = false, true
+	left := s.left
+	s.left = nil
 	var finished []*attempt
 	for _, k := range slices.SortedFunc(maps.Keys(s.chunks), compareChunks) {
 		finished = append(finished, s.chunks[k].finished[k.chunk]...)
@@ -697,12 +809,16 @@
 		s.writing = false
 		if !ok {
 			s.soil(o.c.now)
+			s.left = append(s.left, left...)
 			for _, a := range finished {
 				a.job.noteFinished(a)
 			}
 			return
 		}
 		s.version = rev
+		for _, old := range left {
+			old.behind--
+		}
 		for _, a := range finished {
 			o.finishedRecorded(a)
 		}
@@ -723,7 +839,7 @@
 // never used again, so they can be deleted at leisure.
 func (o *owner) dropShards() {
 	o.shards = slices.DeleteFunc(o.shards, func(s *shard) bool {
-		if len(s.chunks) > 0 || s.writing || s.version == 0 {
+		if len(s.chunks) > 0 || s.writing || s.version == 0 || s.behind > 0 || len(s.left) > 0 {
 			return false
 		}
 		o.garbage = append(o.garbage, s.key())
@@ -754,10 +870,40 @@
 			if !ok || j == nil || chunk*chunkTasks >= j.Tasks {
 				continue // over since
 			}
-			o.keep(s, j, chunk)
+			// It is in two shards if it was to change its shard: the one read last keeps it,
+			// and the other stays until that one has been written with what both say.
+			if old := j.shards[chunk]; old != nil {
+				o.moveChunk(old, s, j, chunk)
+			} else {
+				o.keep(s, j, chunk)
+			}
 			o.loadChunk(j, chunk, rec.Chunks[name])
 		}
 	}
+	// Shards from the time of larger values could never be written again: what they hold goes
+	// to others, and they go once those are written.
+	for _, s := range slices.Clone(o.shards) {
+		if s.bytes <= o.shardMost() {
+			continue
+		}
+		o.c.log.Info("shard too large", "shard", s.key(), "bytes", s.bytes, "chunks", len(s.chunks))
+		for _, k := range slices.SortedFunc(maps.Keys(s.chunks), compareChunks) {
+			j := s.chunks[k]
+			o.moveChunk(s, o.shardWithRoom(j, k.chunk, s), j, k.chunk)
+		}
+	}
+}
+
+// moveChunk lets another shard hold a chunk.
+func (o *owner) moveChunk(from, to *shard, j *job, chunk int) {
+	delete(from.chunks, chunkKey{j.ID, chunk})
+	from.bytes -= j.chunkBytes(chunk)
+	o.keep(to, j, chunk)
+	to.soil(o.c.now)
+	if !slices.Contains(to.left, from) {
+		to.left = append(to.left, from)
+		from.behind++
+	}
 }
 
 func (o *owner) loadChunk(j *job, chunk int, bits string) {
--- a/controller/budget.go
+++ b/controller/budget.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"math"
+
 	"golang.org/x/time/rate"
 
 	"tamarindlead/config"
@@ -72,9 +74,12 @@
 // small: seldom do several nodes do so in one second, and then the service refuses some,
 // which are tried again.
 func writeBurst(cfg *config.Settings, limit float64) int {
-	return max(burst(limit), int(cfg.WriteRPS/4), cancelWrites)
+	return max(burst(limit), int(cfg.WriteRPS/4), leastBurst)
 }
 
+// leastBurst lets an owner, who leaves a part to users, end a job by one commit.
+const leastBurst = cancelWrites + 1
+
 // setRole parts the limits anew when nodes come or go, or when owners do.
 func (b *budget) setRole(cfg *config.Settings, r role, now micros.Micros) {
 	if b.role == r {
@@ -110,12 +115,18 @@
 		return false
 	}
 	b.requests.AllowN(now.Time(), 1)
-	if writes > 0 {
-		b.writes.ReserveN(now.Time(), writes)
+	for writes > 0 { // what is more than a burst is owed too
+		n := min(writes, b.writes.Burst())
+		b.writes.ReserveN(now.Time(), n)
+		writes -= n
 	}
 	return true
 }
 
+// enough tells whether a limit leaves room for a purpose. What is more than a purpose can
+// ever find is granted once all of that is there: it would wait for ever.
 func enough(l *rate.Limiter, p purpose, n int, now micros.Micros) bool {
-	return l.TokensAt(now.Time())-reserve[p]*float64(l.Burst()) >= float64(n)
+	kept := reserve[p] * float64(l.Burst())
+	most := max(1, math.Floor(float64(l.Burst())-kept))
+	return l.TokensAt(now.Time())-kept >= min(float64(n), most)
 }
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -53,6 +53,7 @@
 	block    *block // holds its entry
 	token    uint64 // 0: not claimed yet
 	dirty    bool   // its entry must be written
+	recorded bool   // some owner's record has its entry
 	// verifying: it was adopted, and may yet turn out to be another owner's.
 	verifying bool
 	rented    micros.Micros
--- a/controller/records.go
+++ b/controller/records.go
@@ -255,7 +255,10 @@
 	if lo > len(b) {
 		return fmt.Errorf("chunk %d out of range", n)
 	}
-	copy(b[lo:], data)
+	// A completion stays one: a chunk may be in two records, of which either lacks some.
+	for i := range min(len(data), len(b)-lo) {
+		b[lo+i] |= data[i]
+	}
 	return nil
 }
 
--- a/controller/users.go
+++ b/controller/users.go
@@ -115,18 +115,18 @@
 		c.refuse(r.ID, 503, storeSilent)
 		return
 	}
+	refusal, why := 422, c.neverRuns(j)
 	if state.Size(jobRecord{Job: wire.FromJob(j)}) > c.cfg.ValueBytes {
-		c.respond(r.ID, 400, wire.Problem{Error: "description too long"})
-		return
+		refusal, why = 400, "description too long"
 	}
-	if why := c.neverRuns(j); why != "" {
-		// The types on offer may have changed since the job was accepted.
+	if why != "" {
+		// The types on offer may have changed since the job was accepted, and the limits.
 		c.lookup(j.ID, func(st lookupState, status string, _ uint64) {
 			switch st {
 			case lookupFound:
 				c.respond(r.ID, 200, wire.JobState{Ref: j.ID, Status: status})
 			case lookupNone:
-				c.respond(r.ID, 422, wire.Problem{Error: why})
+				c.respond(r.ID, refusal, wire.Problem{Error: why})
 			default:
 				c.refuse(r.ID, 503, storeSilent)
 			}
--- a/controller/work.go
+++ b/controller/work.go
@@ -169,6 +169,7 @@
 // view is what placement may use now.
 func (o *owner) view() []*sched.Machine {
 	var view []*sched.Machine
+	left := map[*block]float64{}
 	for _, m := range o.list {
 		if m.state != machineUp || m.token == 0 || m.fence != fenceNone || o.c.now < m.pausedTo ||
 			o.c.now-m.heard > 2*o.c.cfg.ReportEvery {
@@ -176,7 +177,7 @@
 		}
 		view = append(view, &sched.Machine{
 			Name: m.name, Type: m.kind, Zone: m.zone, Spot: m.spot,
-			Free: o.machineSize(m).Sub(m.used).Sub(o.held(m.name)), Slots: o.slotsOf(m),
+			Free: o.machineSize(m).Sub(m.used).Sub(o.held(m.name)), Slots: o.slotsOf(m, left),
 			Idle: len(m.attempts) == 0, Scarce: o.scarce(m.kind, m.spot), Price: priceClass(o.pricePerCPU(m.kind, m.spot)), Images: m.images,
 		})
 	}
