--- /dev/null
+++ b/controller/limits_test.go
@@ -0,0 +1,177 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"tamarindlead/config"
+	"tamarindlead/internal/standin"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// nextLimits are the limits that the state service will have from some moment on. Nodes
+// know them from their settings, from the start or, if "later", once the scenario says so:
+// then what was written before is larger.
+type nextLimits struct {
+	on     bool
+	value  int
+	ops    int
+	writes float64
+	rps    float64
+}
+
+func nextLimitsOf(t *testing.T, d *datadriven.TestData) nextLimits {
+	return nextLimits{
+		on: !d.HasArg("later"), value: arg(t, d, "next-value", 0), ops: arg(t, d, "next-ops", 0),
+		writes: argNumber(t, d, "next-writes", 0), rps: argNumber(t, d, "next-rps", 0),
+	}
+}
+
+// apply does what reading the settings does.
+func (n *nextLimits) apply(cfg *config.Settings) {
+	if !n.on {
+		return
+	}
+	if n.value > 0 {
+		cfg.ValueBytes = min(cfg.ValueBytes, n.value)
+	}
+	if n.ops > 0 {
+		cfg.TxnOps = min(cfg.TxnOps, n.ops)
+	}
+	if n.writes > 0 {
+		cfg.WriteRPS = min(cfg.WriteRPS, n.writes)
+	}
+	if n.rps > 0 {
+		cfg.StateRPS = min(cfg.StateRPS, n.rps)
+	}
+}
+
+// limitVerb plays the commands of this file; false for any other.
+func limitVerb(t *testing.T, w *world, d *datadriven.TestData) bool {
+	switch d.Cmd {
+	case "state-limits":
+		// The state service has other limits from now on.
+		s := w.state
+		s.Value, s.Ops = arg(t, d, "value", s.Value), arg(t, d, "ops", s.Ops)
+		s.WriteRate, s.Rate = argNumber(t, d, "writes", s.WriteRate), argNumber(t, d, "rps", s.Rate)
+	case "settings":
+		// Nodes that start from now on have the settings with the limits to come.
+		w.next.on = d.HasArg("next")
+	default:
+		return false
+	}
+	return true
+}
+
+// recordsAbove counts the records that are larger than a size.
+func (w *world) recordsAbove(prefix string, bytes, least int) string {
+	n := 0
+	for _, k := range w.state.Keys(prefix) {
+		if v, _ := w.state.Get(k); standin.JSONSize(v) > bytes {
+			n++
+		}
+	}
+	if least > 0 && n >= least {
+		return "enough"
+	}
+	return fmt.Sprint(n)
+}
+
+// TestSlotsFitValue guards against starts that fill a block beyond a value: all of one pass
+// are of different jobs, on machines whose block is new, and the smallest values are meant.
+func TestSlotsFitValue(t *testing.T) {
+	o := testOwner()
+	o.c.cfg.ValueBytes, o.c.cfg.TxnOps = 2<<10, 500
+	for i := range 400 {
+		id := fmt.Sprintf("req-%06d", i*7919%1000000)
+		o.jobRecord(activeKey(id), wire.Encode(jobRecord{Job: wire.FromJob(&sched.Job{
+			ID: id, Class: "work", Team: "red", Priority: sched.Normal, Tasks: 1 + i%5, Image: "img",
+			Need: sched.NewResources(float64(1+i%3)/4, 0, float64(1+i%7)/8), Estimate: 30 * micros.Second,
+		})}), uint64(i+1))
+	}
+	for i := range 30 {
+		m := o.newMachine(fmt.Sprintf("m-%06d", i), "mid", o.c.cfg.Zones[0], false, "worker")
+		m.token, m.session, m.synced, m.shown, m.heard, m.state = 1, 1, true, o.c.now, o.c.now, machineUp
+	}
+	placed := 0
+	for range 20 {
+		o.wantSchedule, o.nextPass = true, 0
+		o.schedule()
+		for _, b := range o.blocks {
+			tx := &txn{guards: map[string]uint64{}}
+			if !b.dirty {
+				continue
+			}
+			o.writeBlock(tx, b, 500)
+			if len(tx.writes) != 1 || b.tooLarge {
+				t.Fatalf("block %s is not written", b.name)
+			}
+			if n := tx.writes[0].Value.(blockRecord).size(); n > o.c.cfg.ValueBytes {
+				t.Fatalf("block %s has %d bytes", b.name, n)
+			}
+			o.settle(tx, true, 10)
+		}
+		o.c.now += passGap
+	}
+	for _, m := range o.machines {
+		placed += len(m.attempts)
+	}
+	if placed < 300 {
+		t.Fatalf("only %d tasks were placed", placed)
+	}
+}
+
+// TestOutgrownEntry guards against a commit that is refused for ever: one machine's entry,
+// written while values were larger, fits none.
+func TestOutgrownEntry(t *testing.T) {
+	o := benchOwner()
+	b := o.blocks[0]
+	m := b.machines[0]
+	b.machines = b.machines[:1]
+	m.token, o.c.cfg.ValueBytes = 0, 60
+	o.touch(m)
+	tries := 0
+	for end := o.c.now + micros.Minute; o.c.now < end && m.state < machineReleasing; o.c.now += 100 * micros.Millisecond {
+		if !o.due(b) {
+			continue
+		}
+		tries++
+		tx := &txn{guards: map[string]uint64{}}
+		if o.writeBlock(tx, b, 16); len(tx.writes) > 0 {
+			t.Fatal("it is written")
+		}
+	}
+	if m.state != machineReleasing || tries > 12 {
+		t.Fatalf("state %v after %d tries", m.state, tries)
+	}
+}
+
+// TestBudgetOwes guards against commits that are larger than a burst: they would wait for
+// ever. What they take beyond it is owed.
+func TestBudgetOwes(t *testing.T) {
+	o := testOwner()
+	cfg := *o.c.cfg
+	cfg.StateRPS, cfg.WriteRPS, cfg.Siblings = 100, 15, make([]config.Sibling, 4)
+	var b budget
+	b.init(&cfg)
+	now := micros.Hour
+	b.setRole(&cfg, role{nodes: 5, owners: 1}, now)
+	for _, p := range []purpose{forUsers, forWork} {
+		now += micros.Minute
+		if !b.take(p, 5, now) {
+			t.Fatalf("purpose %d: five writes are refused with a full burst of %d", p, b.writes.Burst())
+		}
+		if b.take(p, 1, now+100*micros.Millisecond) {
+			t.Fatal("what is owed is forgotten")
+		}
+	}
+	cfg.WriteRPS = 4
+	b.setRole(&cfg, role{nodes: 5, owners: 5, owns: true}, now)
+	if now += micros.Minute; b.room(forUsers, now) < cancelWrites || b.room(forWork, now) < 2 {
+		t.Fatalf("room for %d and %d", b.room(forUsers, now), b.room(forWork, now))
+	}
+}
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -74,7 +74,7 @@
 		GangPeer: 5 * micros.Second, CancelIn: argSeconds(t, d, "cancel", 45),
 		Sockets:  arg(t, d, "sockets", 400),
 		StateRPS: argNumber(t, d, "rps", 150), WriteRPS: argNumber(t, d, "writes", 40),
-		ValueBytes: arg(t, d, "value", 8<<10), TxnOps: 12, CloudRPS: 5, ListLag: 6 * micros.Second,
+		ValueBytes: arg(t, d, "value", 8<<10), TxnOps: arg(t, d, "ops", 12), CloudRPS: 5, ListLag: 6 * micros.Second,
 		Tuning: config.DefaultTuning(),
 	}
 	for i := range arg(t, d, "teams", 0) {
@@ -83,6 +83,7 @@
 	cfg.Tuning.MaxMachines = arg(t, d, "most", 0)
 	cfg.Tuning.SpreadTeams = d.HasArg("spread")
 	w := newWorld(uint64(arg(t, d, "seed", 1)), cfg)
+	w.next = nextLimitsOf(t, d)
 	w.cloud.Now = w.now
 	bigZones := zones[arg(t, d, "no-big-in", 0):] // the first zones may lack the big type
 	w.cloud.Types = []wire.MachineType{
@@ -236,6 +237,9 @@
 		if out, ok := stateVerb(t, w, d, node, during); ok {
 			return out
 		}
+		if limitVerb(t, w, d) {
+			return ""
+		}
 		if out, ok := userVerb(t, w, d); ok {
 			return out
 		}
@@ -419,6 +423,10 @@
 			return "enough"
 		}
 		return fmt.Sprint(n)
+	case "limited":
+		return fmt.Sprint(w.state.Limited)
+	case "records-above": // a size, in the form in which the limits count it
+		return w.recordsAbove(arg(t, d, "prefix", ""), arg(t, d, "bytes", 0), arg(t, d, "least", 0))
 	case "records":
 		return fmt.Sprint(len(w.state.Keys(arg(t, d, "prefix", ""))))
 	default:
--- a/controller/work.go
+++ b/controller/work.go
@@ -65,7 +65,9 @@
 		}
 		if h := o.holds[j.ID]; h != nil {
 			if h.state == holdWaiting {
-				o.propose(j, sched.Place(j.Job, o.heldView(h, view), want, nil))
+				got := sched.Place(j.Job, o.heldView(h, view), want, nil)
+				o.propose(j, got)
+				o.narrow(view, got)
 			}
 			continue
 		}
@@ -81,6 +83,25 @@
 			continue
 		}
 		o.propose(j, got)
+		o.narrow(view, got)
+	}
+}
+
+// narrow leaves machines that share a block with those just used no more tasks than their
+// entries still have room for.
+func (o *owner) narrow(view []*sched.Machine, got []sched.Assignment) {
+	left := map[*block]float64{}
+	for _, as := range got {
+		b := o.machines[as.Machine.Name].block
+		if _, ok := left[b]; !ok {
+			left[b] = o.freeBytes(b)
+		}
+	}
+	for _, v := range view {
+		m := o.machines[v.Name]
+		if _, ok := left[m.block]; ok {
+			v.Slots = min(v.Slots, o.slotsOf(m, left))
+		}
 	}
 }
 
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -58,6 +58,7 @@
 	crowd     crowd
 
 	workerFaults
+	next nextLimits
 }
 
 type simNode struct {
@@ -135,6 +136,7 @@
 	cfg := *w.cfg
 	cfg.Zone = w.nodeZone(n.index)
 	cfg.Node = nodeName(n.index)
+	w.next.apply(&cfg)
 	cfg.Siblings = nil
 	for i := range w.nodes {
 		if i != n.index {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -40,20 +40,50 @@
 
 // State is the state service.
 type State struct {
-	Now      micros.Micros
-	Down     bool            // answers 503 to everybody
-	Refused  map[string]bool // answers 503 to these callers
-	Writes   int
-	Compact  bool // forgets all history: watches get 410 once
-	Ops      int  // puts and deletes in one commit, 0 for no limit
-	Value    int  // bytes of a value in JSON, 0 for no limit
-	Invalid  int  // commits that were refused for their size
-	revision uint64
-	keys     map[string]kvEntry
-	leases   map[uint64]*stateLease
-	events   []kvEvent
-	nextID   uint64
-	oldest   uint64
+	Now     micros.Micros
+	Down    bool            // answers 503 to everybody
+	Refused map[string]bool // answers 503 to these callers
+	Writes  int
+	Compact bool // forgets all history: watches get 410 once
+	Ops     int  // puts and deletes in one commit, 0 for no limit
+	Value   int  // bytes of a value in JSON, 0 for no limit
+	Invalid int  // commits that were refused for their size
+	// Requests and changes a second, with bursts of one second's worth; 0 for no limit.
+	Rate, WriteRate  float64
+	Limited          int // requests that were refused for these
+	requests, writes bucket
+	revision         uint64
+	keys             map[string]kvEntry
+	leases           map[uint64]*stateLease
+	events           []kvEvent
+	nextID           uint64
+	oldest           uint64
+}
+
+// bucket holds what a rate leaves.
+type bucket struct {
+	used float64 // of one second's worth
+	at   micros.Micros
+}
+
+// take takes n at a rate, or tells that there are not so many.
+func (b *bucket) take(n int, rate float64, now micros.Micros) bool {
+	if rate <= 0 {
+		*b = bucket{at: now}
+		return true
+	}
+	b.used = max(0, b.used-rate*(now-b.at).Seconds())
+	b.at = now
+	if b.used+float64(n) > rate {
+		return false
+	}
+	b.used += float64(n)
+	return true
+}
+
+func (s *State) limited() Reply {
+	s.Limited++
+	return reply(429, wire.Problem{Error: "too many"})
 }
 
 type stateLease struct{ ttl, ends micros.Micros }
@@ -137,6 +167,10 @@
 		return reply(503, wire.Problem{Error: "trouble"}), true
 	}
 	q := u.Query()
+	// A watch is asked for again and again while it waits: it counts as nothing.
+	if u.Path != "/changes" && !s.requests.take(1, s.Rate, s.Now) {
+		return s.limited(), true
+	}
 	switch {
 	case method == "GET" && u.Path == "/changes":
 		return s.changes(q, last)
@@ -227,8 +261,8 @@
 	return reply(200, map[string]any{"ledger": s.revision, "events": events}), true
 }
 
-// jsonSize is the size of a message in the form in which the limits count it.
-func jsonSize(data []byte) int {
+// JSONSize is the size of a message in the form in which the limits count it.
+func JSONSize(data []byte) int {
 	var v any
 	if wire.Decode(data, &v) != nil {
 		return 0
@@ -273,12 +307,12 @@
 	if wire.Decode(body, &req) != nil {
 		return reply(400, wire.Problem{Error: "commit"})
 	}
-	if s.Ops > 0 && (len(req.Writes) > s.Ops || len(req.Guards) > 4*s.Ops) || jsonSize(body) > 64<<10 {
+	if s.Ops > 0 && (len(req.Writes) > s.Ops || len(req.Guards) > 4*s.Ops) || JSONSize(body) > 64<<10 {
 		s.Invalid++
 		return reply(400, wire.Problem{Error: "too large"})
 	}
 	for _, w := range req.Writes {
-		if s.Value > 0 && w.Put != "" && jsonSize(w.Value) > s.Value {
+		if s.Value > 0 && w.Put != "" && JSONSize(w.Value) > s.Value {
 			s.Invalid++
 			return reply(400, wire.Problem{Error: "value too large"})
 		}
@@ -292,6 +326,9 @@
 			failed = append(failed, g.Key)
 		}
 	}
+	if len(failed) == 0 && !s.writes.take(len(req.Writes), s.WriteRate, s.Now) {
+		return s.limited()
+	}
 	if len(failed) > 0 {
 		return reply(409, map[string]any{"failed": failed, "ledger": s.revision})
 	}
