--- a/controller/work.go
+++ b/controller/work.go
@@ -69,7 +69,9 @@
 		}
 		if h := o.holds[j.ID]; h != nil {
 			if h.state == holdWaiting {
-				o.propose(j, sched.Place(j.Job, o.heldView(h, view), want, nil))
+				got := sched.Place(j.Job, o.heldView(h, view), want, nil)
+				o.propose(j, got)
+				o.narrow(view, got)
 			}
 			continue
 		}
@@ -91,6 +93,25 @@
 			continue
 		}
 		o.propose(j, got)
+		o.narrow(view, got)
+	}
+}
+
+// narrow leaves machines that share a block with those just used no more tasks than their
+// entries still have room for.
+func (o *owner) narrow(view []*sched.Machine, got []sched.Assignment) {
+	left := map[*block]float64{}
+	for _, as := range got {
+		b := o.machines[as.Machine.Name].block
+		if _, ok := left[b]; !ok {
+			left[b] = o.freeBytes(b)
+		}
+	}
+	for _, v := range view {
+		m := o.machines[v.Name]
+		if _, ok := left[m.block]; ok {
+			v.Slots = min(v.Slots, o.slotsOf(m, left))
+		}
 	}
 }
 
@@ -204,6 +225,7 @@
 // view is what placement may use now.
 func (o *owner) view() []*sched.Machine {
 	var view []*sched.Machine
+	left := map[*block]float64{}
 	for _, m := range o.list {
 		if m.state != machineUp || m.token == 0 || m.fence != fenceNone || o.c.now < m.pausedTo ||
 			o.c.now-m.heard > 2*o.c.cfg.ReportEvery {
@@ -211,7 +233,7 @@
 		}
 		view = append(view, &sched.Machine{
 			Name: m.name, Type: m.kind, Zone: m.zone, Spot: m.spot,
-			Free: o.machineSize(m).Sub(m.used).Sub(o.held(m.name)), Slots: o.slotsOf(m),
+			Free: o.machineSize(m).Sub(m.used).Sub(o.held(m.name)), Slots: o.slotsOf(m, left),
 			Idle: len(m.attempts) == 0, Scarce: o.scarce(m.kind, m.spot), Price: priceClass(o.pricePerCPU(m.kind, m.spot)), Images: m.images,
 		})
 	}
