--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -24,10 +24,10 @@
 func benchOwner() *owner {
 	o := testOwner()
 	for i := range 300 {
-		o.jobRecord(activeKey(fmt.Sprintf("req-%06d", i)), wire.Encode(jobRecord{Job: wire.FromJob(&sched.Job{
+		o.jobRecord(activeKey(fmt.Sprintf("req-%06d", i)), wire.Encode(plainRecord(&sched.Job{
 			ID: fmt.Sprintf("req-%06d", i), Class: "render", Team: "red", Priority: sched.Normal, Tasks: 150,
 			Need: sched.NewResources(2, 0, 2), Image: fmt.Sprint("img", i%20), Spot: true, Estimate: 30 * micros.Second,
-		})}), uint64(i+1))
+		}, 0)), uint64(i+1))
 	}
 	for i := range benchMachines {
 		m := o.newMachine(fmt.Sprintf("m-%06d", i), "mid", o.c.cfg.Zones[i%2], i%3 == 0, "worker")
@@ -139,7 +139,7 @@
 		fresh := newOwner(o.c, o.c.cluster.teams)
 		fresh.jobs, fresh.queue = map[string]*job{}, nil
 		for _, j := range o.queue {
-			fresh.jobRecord(activeKey(j.ID), wire.Encode(jobRecord{Job: wire.FromJob(j.Job)}), j.version)
+			fresh.jobRecord(activeKey(j.ID), wire.Encode(plainRecord(j.Job, 0)), j.version)
 		}
 		fresh.buildMachines(entries)
 		if len(fresh.list) != benchMachines {
--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -548,7 +548,7 @@
 	}
 	for _, t := range tasks {
 		spec := d.Jobs[t.job]
-		j := o.jobs[spec.ID]
+		j := o.jobNamed(spec.ID)
 		if j == nil {
 			j = newJob(&sched.Job{
 				ID: spec.ID, Team: spec.Team, Tasks: spec.Tasks,
@@ -750,7 +750,7 @@
 		o.shards = append(o.shards, s)
 		for _, name := range sortedKeys(rec.Chunks) {
 			id, chunk, ok := splitNumbered(name)
-			j := o.jobs[id]
+			j := o.jobNamed(id)
 			if !ok || j == nil || chunk*chunkTasks >= j.Tasks {
 				continue // over since
 			}
--- a/controller/core.go
+++ b/controller/core.go
@@ -34,7 +34,7 @@
 	types   typeTable
 	users   users
 	asked   lookups
-	index   index
+	jobs    graph
 	member  membership
 	cluster cluster
 	lead    leadership
@@ -75,7 +75,7 @@
 	c.cluster.members, c.cluster.teams = map[string]member{}, map[string]teamView{}
 	c.route.lastOK = now
 	c.users.init()
-	c.index.versions = map[string]uint64{}
+	c.jobs.init()
 	return c
 }
 
--- a/controller/gangs.go
+++ b/controller/gangs.go
@@ -55,7 +55,7 @@
 	}
 	spot, ordinary := o.spotPrice(j), o.ordinaryPrice(j)
 	best, least := j.Tasks, float64(j.Tasks)*ordinary
-	any := o.c.day-j.accepted > gangPatience
+	any := o.c.day-j.since > gangPatience
 	for spots := 1; spots <= j.Tasks; spots++ {
 		part := o.progress(j, spots)
 		if part < worthSpot {
@@ -494,7 +494,7 @@
 	}
 	for _, v := range kept {
 		v.Kept = true
-		if starves || o.c.day-j.accepted > gangPatience {
+		if starves || o.c.day-j.since > gangPatience {
 			v.For = j.ID
 		}
 	}
--- a/controller/hold.go
+++ b/controller/hold.go
@@ -125,7 +125,7 @@
 // teams would stop each other's gangs in turn (docs/incidents/eyjafold-third-reclaim.md).
 func (o *owner) guaranteed() map[*job]bool {
 	list := slices.Clone(o.queue)
-	slices.SortStableFunc(list, func(a, b *job) int { return cmp.Compare(a.accepted, b.accepted) })
+	slices.SortStableFunc(list, func(a, b *job) int { return cmp.Compare(a.since, b.since) })
 	covered, sums := map[*job]bool{}, map[string]sched.Resources{}
 	for _, j := range list {
 		t := o.teams[j.Team]
@@ -148,7 +148,7 @@
 			within = obj.Within
 		}
 	}
-	waited := o.c.day - j.accepted
+	waited := o.c.day - j.since
 	for _, t := range o.c.types.list {
 		if waited+t.Boot > within || !j.Need.Fits(t.Size) {
 			continue
@@ -399,7 +399,7 @@
 	for _, e := range entries {
 		var rec holdRecord
 		id := strings.TrimPrefix(e.Key, prefixHold)
-		j := o.jobs[id]
+		j := o.jobNamed(id)
 		if j == nil || wire.Decode(e.Value, &rec) != nil {
 			if o.sole() { // else it may be another owner's
 				o.garbage = append(o.garbage, e.Key)
--- a/controller/job.go
+++ b/controller/job.go
@@ -13,9 +13,10 @@
 	jobActive    jobState = iota // tasks wait or run
 	jobFinishing                 // all tasks are done, which is not recorded yet
 	jobEnded                     // over: what is still on machines must go
+	jobWaiting                   // others that it awaits are not done
 )
 
-func (s jobState) String() string { return [...]string{"active", "finishing", "ended"}[s] }
+func (s jobState) String() string { return [...]string{"active", "finishing", "ended", "waiting"}[s] }
 
 // taskState is the state machine of a task.
 type taskState uint8
@@ -32,6 +33,8 @@
 	state    jobState
 	version  uint64 // of its record
 	accepted micros.Micros
+	since    micros.Micros // accepted, or ready if it waited for others: its times count from here
+	parts    int           // further keys of its list of jobs that it awaits
 	tasks    []taskState
 	pending  int
 	lowest   int // no task below it is pending
@@ -43,16 +46,17 @@
 	runs     int                // tasks that run, for display
 	attempts map[int]*attempt
 
-	gang      gangState
-	notUntil  micros.Micros // backing off
-	failures  int           // in a row, without any success
-	failedOn  map[string]bool
-	writing   bool          // its final record is being written
-	unsure    bool          // its record did not match: nothing is placed until that is cleared up
-	began     bool          // some of it was placed
-	evictAt   micros.Micros // room may be made for it again from then on
-	evictions int           // in vain, in a row
-	endedAt   micros.Micros // users were not told before then that it is cancelled; 0: it was not
+	gang        gangState
+	notUntil    micros.Micros // backing off
+	failures    int           // in a row, without any success
+	failedOn    map[string]bool
+	writing     bool          // its final record is being written
+	withdrawing bool          // to be recorded as cancelled with one before it
+	unsure      bool          // its record did not match: nothing is placed until that is cleared up
+	began       bool          // some of it was placed
+	evictAt     micros.Micros // room may be made for it again from then on
+	evictions   int           // in vain, in a row
+	endedAt     micros.Micros // users were not told before then that it is cancelled; 0: it was not
 }
 
 // gangState is the state machine of a gang's attempt.
@@ -71,7 +75,7 @@
 
 func newJob(j *sched.Job, version uint64, accepted micros.Micros) *job {
 	return &job{
-		Job: j, version: version, accepted: accepted,
+		Job: j, version: version, accepted: accepted, since: accepted,
 		pending:  j.Tasks,
 		shards:   map[int]*shard{},
 		finished: map[int][]*attempt{},
--- a/controller/lookups.go
+++ b/controller/lookups.go
@@ -1,8 +1,6 @@
 package controller
 
 import (
-	"strings"
-
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -74,11 +72,13 @@
 		return
 	}
 	l.next = c.now + lookupGap
-	var known, rest []*lookup
+	var known, rest, derived []*lookup
 	guards := map[string]uint64{}
 	for _, q := range l.waiting {
 		v := c.knownVersion(q.id)
-		if v != 0 && (guards[activeKey(q.id)] == v || len(guards) < 4*c.cfg.TxnOps) {
+		if c.jobs.unsettled(q.id) != nil {
+			derived = append(derived, q)
+		} else if v != 0 && (guards[activeKey(q.id)] == v || len(guards) < 4*c.cfg.TxnOps) {
 			guards[activeKey(q.id)] = v
 			known = append(known, q)
 		} else {
@@ -86,6 +86,13 @@
 		}
 	}
 	l.waiting = rest
+	if len(derived) > 0 {
+		if !enough(c.budget.requests, forReads, 1, c.now) {
+			l.waiting = append(derived, append(known, rest...)...)
+			return
+		}
+		c.derive(derived)
+	}
 	if len(known) > 0 {
 		if enough(c.budget.requests, forReads, 1, c.now) {
 			c.compare(known, guards)
@@ -96,7 +103,7 @@
 	}
 	for len(l.waiting) > 0 && enough(c.budget.requests, forReads, 1, c.now) {
 		q := l.waiting[0]
-		if c.knownVersion(q.id) != 0 {
+		if c.knownVersion(q.id) != 0 || c.jobs.unsettled(q.id) != nil {
 			break // its turn comes with the next comparison
 		}
 		l.waiting = l.waiting[1:]
@@ -112,7 +119,7 @@
 			return j.version
 		}
 	}
-	return c.index.versions[id]
+	return c.jobs.versions[id]
 }
 
 // compare asks whether jobs' records are as this node knows them.
@@ -137,8 +144,8 @@
 			key := activeKey(q.id)
 			switch {
 			case failed[key]:
-				if c.index.versions[q.id] == guards[key] {
-					delete(c.index.versions, q.id)
+				if c.jobs.versions[q.id] == guards[key] {
+					delete(c.jobs.versions, q.id)
 				}
 				c.read(q)
 			case len(failed) > 0:
@@ -158,7 +165,16 @@
 	c.get(forReads, activeKey(q.id), func(out outcome, e state.Entry) {
 		switch out {
 		case outOK:
-			c.index.learn(q.id, e.Version)
+			var rec waitRecord
+			if wire.Decode(e.Value, &rec) != nil {
+				c.finish(q, lookupFailed, "", 0)
+				return
+			}
+			if w := c.jobs.waiting[q.id]; rec.Waiting != nil && (w == nil || !w.ready()) {
+				c.deriveOne(q) // this node's view is behind
+				return
+			}
+			c.jobs.learn(q.id, e.Version)
 			c.finish(q, lookupFound, wire.JobQueued, e.Version)
 		case outMissing:
 			c.get(forReads, finalKey(q.id), func(out outcome, e state.Entry) {
@@ -167,7 +183,7 @@
 				case out == outMissing:
 					c.finish(q, lookupNone, "", 0)
 				case out == outOK && wire.Decode(e.Value, &rec) == nil:
-					c.final(q, rec.Status)
+					c.final(q, rec.Status, rec.root(q.id))
 				default:
 					c.finish(q, lookupFailed, "", 0)
 				}
@@ -179,18 +195,19 @@
 }
 
 // final answers with a state that stays. That a job is cancelled is told only once the
-// siblings know: see disclose.
-func (c *Core) final(q *lookup, status string) {
+// siblings know: see disclose. If it was cancelled with one before it, that is what they know.
+func (c *Core) final(q *lookup, status, root string) {
 	if status != wire.JobCancelled {
 		c.users.remember(q.id, status)
 		c.finish(q, lookupFound, status, 0)
 		return
 	}
-	c.disclose(q.id, q.since+lookupWithin, func(ok bool) {
+	c.disclose(root, q.since+lookupWithin, func(ok bool) {
 		if !ok {
 			c.finish(q, lookupFailed, "", 0)
 			return
 		}
+		c.users.remember(q.id, status)
 		c.finish(q, lookupFound, status, 0)
 	})
 }
@@ -203,73 +220,41 @@
 	q.done(st, status, version)
 }
 
-// indexPause is the least time between two answers of the watch that the index follows:
-// it need not be up to date, since what it says is always confirmed.
-const indexPause = micros.Second
-
-// index holds the versions of active jobs' records at a node that does not own. They only
-// serve for comparisons. After a start one listing brings them all.
-type index struct {
-	versions  map[string]uint64
-	following bool
-	next      micros.Micros
-	knownTo   micros.Micros // when what was read last was asked for
-}
-
-// indexMost bounds the index: what it does not hold is read one by one.
-const indexMost = 20000
-
-func (x *index) learn(id string, version uint64) {
-	if len(x.versions) < indexMost {
-		x.versions[id] = version
-	}
+// derive answers about jobs that wait for others, whose state follows from how those ended:
+// one read serves them all.
+func (c *Core) derive(list []*lookup) {
+	c.asked.open += len(list)
+	c.refresh(func(ok bool) {
+		for _, q := range list {
+			if !ok {
+				c.finish(q, lookupFailed, "", 0)
+				continue
+			}
+			c.settle([]string{q.id}, q.since+lookupWithin, func(ok bool) { c.derived(q, ok) })
+		}
+	})
 }
 
-func (c *Core) tickIndex() {
-	x := &c.index
-	if x.following || c.now < x.next || c.owner != nil {
+// deriveOne is derive for a lookup under way.
+func (c *Core) deriveOne(q *lookup) {
+	c.asked.open--
+	if c.now-q.since > lookupWithin {
+		c.asked.open++
+		c.finish(q, lookupFailed, "", 0)
 		return
 	}
-	x.following = true
-	asked := c.now
-	c.listAll(prefixActive, func(ok bool, entries []state.Entry, rev uint64) {
-		if !ok {
-			x.following, x.next = false, c.now+indexPause
-			return
-		}
-		clear(x.versions)
-		x.knownTo = asked
-		for _, e := range entries {
-			x.learn(strings.TrimPrefix(e.Key, prefixActive), e.Version)
-		}
-		c.followIndex(rev)
-	})
+	c.derive([]*lookup{q})
 }
 
-func (c *Core) followIndex(after uint64) {
-	x := &c.index
-	c.after(indexPause, func() {
-		if c.owner != nil { // it follows the jobs itself
-			x.following = false
-			clear(x.versions)
-			return
-		}
-		asked := c.now
-		c.storeWithin(forReads, state.Watch(prefixActive, after, c.watchWait()), watchTimeout, func(r storeReply) {
-			var ch state.Changes
-			if r.outcome != outOK || !r.decode(&ch) {
-				x.following, x.next = false, c.now+indexPause
-				return
-			}
-			x.knownTo = asked
-			for _, e := range ch.Events {
-				if e.Put != "" {
-					x.learn(strings.TrimPrefix(e.Put, prefixActive), e.Version)
-				} else {
-					delete(x.versions, strings.TrimPrefix(e.Delete, prefixActive))
-				}
-			}
-			c.followIndex(max(after, ch.Revision))
-		})
-	})
+func (c *Core) derived(q *lookup, ok bool) {
+	switch w := c.jobs.waiting[q.id]; {
+	case !ok:
+		c.finish(q, lookupFailed, "", 0)
+	case w == nil:
+		c.read(q) // over meanwhile
+	case w.root != "":
+		c.final(q, wire.JobCancelled, w.root)
+	default:
+		c.finish(q, lookupFound, wire.JobQueued, w.version)
+	}
 }
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -26,28 +26,31 @@
 
 // owner is the part of a node that places jobs and gives commands.
 type owner struct {
-	c         *Core
-	state     ownerState
-	since     micros.Micros
-	retryAt   micros.Micros
-	busy      bool
-	teams     map[string]*team
-	machines  map[string]*machine
-	list      []*machine // the same in the order of their names
-	blocks    []*block
-	shards    []*shard
-	jobs      map[string]*job
-	queue     []*job // active jobs in the order in which they are placed
-	rentals   map[string]*rental
-	holds     map[string]*hold         // by job
-	tombs     map[string]micros.Micros // machines that were returned
-	foreign   map[string]micros.Micros // machines that another owns, though no sibling says so yet
-	strange   map[string]micros.Micros // listed machines that nobody claims, since when
-	garbage   []string                 // keys that nobody reads any more
-	endings   []*job                   // that records name, and of which it is not known how they ended
-	watchRev  uint64
-	watchDown bool
-	knownTo   micros.Micros // when the last answered watch of the jobs began
+	c           *Core
+	state       ownerState
+	since       micros.Micros
+	retryAt     micros.Micros
+	busy        bool
+	teams       map[string]*team
+	machines    map[string]*machine
+	list        []*machine // the same in the order of their names
+	blocks      []*block
+	shards      []*shard
+	jobs        map[string]*job
+	waiting     map[string]*job // those that wait for others, which are not among the jobs
+	listed      bool            // the jobs were listed; changes since are taken
+	queue       []*job          // active jobs in the order in which they are placed
+	rentals     map[string]*rental
+	holds       map[string]*hold         // by job
+	tombs       map[string]micros.Micros // machines that were returned
+	foreign     map[string]micros.Micros // machines that another owns, though no sibling says so yet
+	strange     map[string]micros.Micros // listed machines that nobody claims, since when
+	garbage     []string                 // keys that nobody reads any more
+	withdrawing []string                 // waiting jobs that are cancelled with one before them, to be recorded
+	endings     []*job                   // that records name, and of which it is not known how they ended
+	watchRev    uint64
+	watchDown   bool
+	knownTo     micros.Micros // when the last answered watch of the jobs began
 
 	lastHeard    micros.Micros
 	wantAt       micros.Micros // machines may be asked for again
@@ -85,6 +88,7 @@
 		teams:      map[string]*team{},
 		machines:   map[string]*machine{},
 		jobs:       map[string]*job{},
+		waiting:    map[string]*job{},
 		rentals:    map[string]*rental{},
 		holds:      map[string]*hold{},
 		tombs:      map[string]micros.Micros{},
@@ -165,6 +169,7 @@
 			o.load()
 		}
 	case ownerActive:
+		o.advanceWaiting()
 		o.schedule()
 		o.flush()
 		o.pushAll()
@@ -253,6 +258,8 @@
 	c := o.c
 	fail := func() { o.busy, o.retryAt = false, c.now+loadRetry }
 	clear(o.jobs)
+	clear(o.waiting)
+	o.listed, o.withdrawing = false, nil
 	clear(o.machines)
 	o.list, o.blocks, o.shards, o.poked, o.endings = nil, nil, nil, nil, nil
 	o.proposed, o.proposedJobs = 0, 0
@@ -297,6 +304,8 @@
 	asked := c.now
 	step(prefixActive, func(entries []state.Entry, rev uint64) {
 		o.watchRev, o.knownTo = rev, asked
+		c.resetJobs(entries, rev)
+		o.listed = true
 		for _, e := range entries {
 			o.jobRecord(e.Key, e.Value, e.Version)
 		}
@@ -307,7 +316,7 @@
 // jobRecord takes an accepted job from its record.
 func (o *owner) jobRecord(key string, value []byte, version uint64) {
 	id := strings.TrimPrefix(key, prefixActive)
-	if o.jobs[id] != nil || o.c.ended[id] != 0 {
+	if o.jobs[id] != nil || o.waiting[id] != nil || o.c.ended[id] != 0 {
 		return
 	}
 	var rec jobRecord
@@ -315,7 +324,7 @@
 		o.c.log.Error("record cannot be read", "key", key, "error", err)
 		return
 	}
-	spec, err := rec.Job.Job()
+	spec, err := rec.spec()
 	if err != nil {
 		o.c.log.Error("record cannot be read", "key", key, "error", err)
 		return
@@ -324,16 +333,26 @@
 		return // another owner's
 	}
 	j := newJob(spec, version, micros.Micros(rec.Accepted))
-	o.jobs[id] = j
+	if rec.Waiting != nil {
+		j.parts = rec.Parts
+		o.addWaiting(j)
+		return
+	}
+	o.enqueue(j)
+}
+
+// enqueue adds a job to those that are placed.
+func (o *owner) enqueue(j *job) {
+	o.jobs[j.ID] = j
 	i, _ := slices.BinarySearchFunc(o.queue, j, queueOrder)
 	o.queue = slices.Insert(o.queue, i, j)
 	o.noteClass(j)
 	o.wantSchedule = true
 }
 
-// queueOrder: higher priority first, then who came first.
+// queueOrder: higher priority first, then who came, or was ready, first.
 func queueOrder(a, b *job) int {
-	return cmp.Or(-cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.accepted, b.accepted), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(-cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.since, b.since), cmp.Compare(a.ID, b.ID))
 }
 
 func (o *owner) activate() {
@@ -356,26 +375,20 @@
 		if o.over() {
 			return
 		}
-		var ch state.Changes
 		switch {
 		case r.outcome == outGone:
 			o.resync("the watch fell behind")
 			return
-		case r.outcome != outOK || !r.decode(&ch):
+		case r.outcome != outOK:
 			// Again after a pause, which the slow tick gives.
 			o.rewatch(after)
 			return
-		}
-		for _, e := range ch.Events {
-			if e.Put != "" {
-				o.jobRecord(e.Put, e.Value, e.Version)
-			} else {
-				// Users may have been told as early as what was known before ends.
-				o.jobGone(strings.TrimPrefix(e.Delete, prefixActive), o.knownTo)
-			}
+		case !c.takeChanges(after, r):
+			o.resync("the watch cannot be followed")
+			return
 		}
 		o.knownTo = asked
-		o.watchJobs(max(after, ch.Revision))
+		o.watchJobs(c.jobs.revision)
 	})
 }
 
@@ -386,6 +399,11 @@
 // jobGone handles a job that is over: by our own commit, or cancelled, of which users were
 // told at since or later.
 func (o *owner) jobGone(id string, since micros.Micros) {
+	if j := o.waiting[id]; j != nil && !j.writing {
+		o.c.log.Info("job cancelled while it waits", "job", id)
+		o.waitingGone(j)
+		return
+	}
 	j := o.jobs[id]
 	if j == nil || j.state == jobEnded || j.state == jobFinishing && j.writing {
 		return // the watch may tell of our own commit before its answer comes
@@ -401,6 +419,7 @@
 	o.setJob(j, jobEnded)
 	o.queue = slices.DeleteFunc(o.queue, func(q *job) bool { return q == j })
 	o.dropChunks(j)
+	o.dropParts(j)
 	if len(j.attempts) == 0 {
 		delete(o.jobs, j.ID)
 	}
--- a/controller/records.go
+++ b/controller/records.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"encoding/base64"
+	"errors"
 	"fmt"
 	"io"
 	"net/url"
@@ -11,7 +12,10 @@
 	"strings"
 	"sync"
 
+	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
 )
 
 // Keys in the state service. What each record says is told in docs/design.md.
@@ -23,6 +27,7 @@
 	keyTypes      = "types"
 	prefixMachine = "m/" // blocks of machines
 	prefixActive  = "a/" // accepted jobs that are not over
+	prefixPart    = "w/" // parts of long lists of jobs that a job awaits
 	prefixFinal   = "f/" // final states, kept forever
 	prefixDone    = "p/" // shards of completed tasks of active jobs
 	prefixRental  = "r/"
@@ -35,6 +40,12 @@
 func finalKey(id string) string    { return prefixFinal + id }
 func holdKey(id string) string     { return prefixHold + id }
 
+// partKey names a part of the list of jobs that a job awaits.
+func partKey(id, part string) string { return prefixPart + id + "/" + part }
+
+// partName numbers the parts.
+func partName(n int) string { return strconv.Itoa(n) }
+
 // shardKey names a record of completed tasks of a team's jobs.
 func shardKey(team, name string) string {
 	return prefixDone + url.PathEscape(team) + "/" + name
@@ -59,16 +70,76 @@
 	Heir  []string `cbor:"h"`
 }
 
-// jobRecord is an accepted job.
+// jobRecord is an accepted job. The description of one that waits for others stands under a
+// name of its own, so that versions which would not wait cannot place it.
 type jobRecord struct {
-	Job      wire.Submission `cbor:"j"`
-	Accepted int64           `cbor:"at"` // time of day, in microseconds
+	Job      *wire.Submission `cbor:"j,omitempty"`
+	Accepted int64            `cbor:"at"` // time of day, in microseconds
+	Waiting  *wire.Submission `cbor:"w,omitempty"`
+	Parts    int              `cbor:"p,omitempty"` // records that hold the list of those it awaits; 0: it stands here
+}
+
+// spec is the job as it was described.
+func (r *jobRecord) spec() (*sched.Job, error) {
+	switch {
+	case r.Waiting != nil:
+		return r.Waiting.Job()
+	case r.Job != nil:
+		return r.Job.Job()
+	}
+	return nil, errors.New("without description")
+}
+
+// partRecord is a part of a long list of jobs that a job awaits.
+type partRecord struct {
+	IDs []string `cbor:"l"`
+}
+
+// plainRecord is the record of a job that awaits none.
+func plainRecord(j *sched.Job, accepted micros.Micros) jobRecord {
+	s := wire.FromJob(j)
+	return jobRecord{Job: &s, Accepted: int64(accepted)}
+}
+
+// jobWrites are the writes that accept a job, and the size of their values. A list of jobs
+// that does not fit the record's value goes to further keys.
+func jobWrites(j *sched.Job, accepted micros.Micros, valueBytes int) ([]state.Write, int) {
+	rec := plainRecord(j, accepted)
+	if len(j.Awaits) == 0 {
+		return []state.Write{{Put: activeKey(j.ID), Value: rec}}, state.Size(rec)
+	}
+	rec.Job, rec.Waiting = nil, rec.Job
+	if size := state.Size(rec); size <= valueBytes {
+		return []state.Write{{Put: activeKey(j.ID), Value: rec}}, size
+	}
+	rec.Waiting.Awaits = nil
+	writes := []state.Write{{Put: activeKey(j.ID)}}
+	size := 0
+	for ids := j.Awaits; len(ids) > 0; rec.Parts++ {
+		n, bytes := 0, 32
+		for ; n < len(ids) && (n == 0 || bytes+len(ids[n])+3 <= valueBytes); n++ {
+			bytes += len(ids[n]) + 3 // with its quotes and comma
+		}
+		writes = append(writes, state.Write{Put: partKey(j.ID, partName(rec.Parts)), Value: partRecord{ids[:n]}})
+		ids, size = ids[n:], size+bytes+guardBytes
+	}
+	writes[0].Value = rec
+	return writes, size + state.Size(rec)
 }
 
 // finalRecord is kept forever.
 type finalRecord struct {
 	Status string `cbor:"s"`
-	At     int64  `cbor:"at,omitempty"` // time of day of a cancellation, in microseconds
+	At     int64  `cbor:"at,omitempty"` // time of day, in microseconds
+	Before string `cbor:"b,omitempty"`  // the job before it with which it was cancelled
+}
+
+// root is the job that its user cancelled, of one that is cancelled.
+func (r *finalRecord) root(id string) string {
+	if r.Before != "" {
+		return r.Before
+	}
+	return id
 }
 
 // blockRecord holds some machines of one owner. Writes are scarce, so the entries of
--- a/controller/users.go
+++ b/controller/users.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"strings"
 
 	"tamarindlead/internal/state"
@@ -23,6 +24,7 @@
 	waiting    []*acceptance
 	byID       map[string]*acceptance
 	committing bool
+	checking   int // submissions whose awaited jobs are looked up
 	pause      micros.Micros
 	finals     map[string]string
 	order      []string // of finals, the oldest first
@@ -33,6 +35,9 @@
 	job   *sched.Job
 	reqs  []uint64
 	since micros.Micros
+	ops   int // writes
+	// What is told once it is accepted: it may be cancelled with one before it, the root.
+	status, root string
 }
 
 func (u *users) init() {
@@ -115,18 +120,19 @@
 		c.refuse(r.ID, 503, storeSilent)
 		return
 	}
-	if state.Size(jobRecord{Job: wire.FromJob(j)}) > c.cfg.ValueBytes {
-		c.respond(r.ID, 400, wire.Problem{Error: "description too long"})
-		return
+	refusal, why := 422, c.neverRuns(j)
+	writes, size := jobWrites(j, c.day, c.cfg.ValueBytes)
+	if len(writes) > c.cfg.TxnOps || size > commitBytes || state.Size(writes[0].Value) > c.cfg.ValueBytes {
+		refusal, why = 400, "description too long"
 	}
-	if why := c.neverRuns(j); why != "" {
-		// The types on offer may have changed since the job was accepted.
+	if why != "" {
+		// The types on offer may have changed since the job was accepted, and the limits.
 		c.lookup(j.ID, func(st lookupState, status string, _ uint64) {
 			switch st {
 			case lookupFound:
 				c.respond(r.ID, 200, wire.JobState{Ref: j.ID, Status: status})
 			case lookupNone:
-				c.respond(r.ID, 422, wire.Problem{Error: why})
+				c.respond(r.ID, refusal, wire.Problem{Error: why})
 			default:
 				c.refuse(r.ID, 503, storeSilent)
 			}
@@ -138,15 +144,66 @@
 		a.reqs = append(a.reqs, r.ID)
 		return
 	}
-	if len(u.waiting) >= maxWaiting {
+	if len(u.waiting)+u.checking >= maxWaiting {
 		c.refuse(r.ID, 429, "too many submissions wait")
 		return
 	}
-	a := &acceptance{job: j, reqs: []uint64{r.ID}, since: c.now}
+	a := &acceptance{job: j, reqs: []uint64{r.ID}, since: c.now, ops: len(writes), status: wire.JobQueued}
 	u.byID[j.ID] = a
+	if len(j.Awaits) > 0 {
+		u.check(c, a)
+		return
+	}
 	u.waiting = append(u.waiting, a)
 }
 
+// check sees that all jobs were accepted that a submission awaits, and how they stand. That
+// a job was accepted is final, so a read before the commit suffices.
+func (u *users) check(c *Core, a *acceptance) {
+	id := a.job.ID
+	// instead answers about the job as it is known already, whatever became of those it awaits.
+	instead := func(status int, why string) {
+		c.lookup(id, func(st lookupState, now string, _ uint64) {
+			u.finish(c, a, func(req uint64) {
+				switch {
+				case st == lookupFound:
+					c.respond(req, 200, wire.JobState{Ref: id, Status: now})
+				case st == lookupNone && status == 422:
+					c.respond(req, 422, wire.Problem{Error: why})
+				default:
+					c.refuse(req, 503, why)
+				}
+			})
+		})
+	}
+	switch {
+	case slices.Contains(a.job.Awaits, id):
+		instead(422, "awaits itself")
+		return
+	case c.users.finals[id] != "" || c.knownVersion(id) != 0:
+		u.known(c, a)
+		return
+	case !c.jobs.whole:
+		instead(503, "the jobs are not known yet")
+		return
+	}
+	u.checking++
+	c.standingOf(a.job.Awaits, c.now+acceptWithin, func(st standing, root string) {
+		u.checking--
+		switch st {
+		case standingUnknown:
+			instead(503, storeSilent)
+			return
+		case standingNever:
+			instead(422, "awaits a job that was never accepted")
+			return
+		case standingCancelled:
+			a.status, a.root = wire.JobCancelled, root
+		}
+		u.waiting = append(u.waiting, a)
+	})
+}
+
 // neverRuns tells why a job can never run, or "".
 func (c *Core) neverRuns(j *sched.Job) string {
 	team, ok := c.cfg.Team(j.Team)
@@ -184,12 +241,16 @@
 		kept = append(kept, a)
 	}
 	u.waiting = kept
-	room := min(c.budget.room(forUsers, c.now), c.cfg.TxnOps, len(u.waiting))
-	if c.now < u.pause || room == 0 {
+	room, n := min(c.budget.room(forUsers, c.now), c.cfg.TxnOps), 0
+	for n < len(u.waiting) && u.waiting[n].ops <= room {
+		room -= u.waiting[n].ops
+		n++
+	}
+	if c.now < u.pause || n == 0 {
 		return
 	}
-	batch := append([]*acceptance(nil), u.waiting[:room]...)
-	u.waiting = u.waiting[room:]
+	batch := append([]*acceptance(nil), u.waiting[:n]...)
+	u.waiting = u.waiting[n:]
 	u.commit(c, batch)
 }
 
@@ -198,14 +259,14 @@
 	var writes []state.Write
 	size := 0
 	for i, a := range batch {
-		rec := jobRecord{Job: wire.FromJob(a.job), Accepted: int64(c.day)}
-		if size += state.Size(rec); i > 0 && size > wire.MaxBody/2 {
+		puts, bytes := jobWrites(a.job, c.day, c.cfg.ValueBytes)
+		if size += bytes; i > 0 && size > wire.MaxBody/2 {
 			u.waiting = append(batch[i:len(batch):len(batch)], u.waiting...)
 			batch = batch[:i]
 			break
 		}
 		guards = append(guards, state.Guard{Key: activeKey(a.job.ID)}, state.Guard{Key: finalKey(a.job.ID)})
-		writes = append(writes, state.Write{Put: activeKey(a.job.ID), Value: rec})
+		writes = append(writes, puts...)
 	}
 	u.committing = true
 	c.store(forUsers, state.Commit(guards, writes), func(r storeReply) {
@@ -219,9 +280,7 @@
 	case outOK:
 		for _, a := range batch {
 			c.log.Debug("job accepted", "job", a.job.ID)
-			u.finish(c, a, func(id uint64) {
-				c.respond(id, 201, wire.JobState{Ref: a.job.ID, Status: wire.JobQueued})
-			})
+			u.accepted(c, a)
 		}
 	case outConflict:
 		// Some job is known already: those are looked up, the rest is tried again.
@@ -251,6 +310,25 @@
 	}
 }
 
+// accepted answers a submission that was recorded just now.
+func (u *users) accepted(c *Core, a *acceptance) {
+	answer := func() {
+		u.finish(c, a, func(id uint64) { c.respond(id, 201, wire.JobState{Ref: a.job.ID, Status: a.status}) })
+	}
+	if a.status != wire.JobCancelled {
+		answer()
+		return
+	}
+	c.disclose(a.root, c.now+acceptWithin, func(ok bool) {
+		if !ok {
+			u.finish(c, a, func(id uint64) { c.refuse(id, 503, "a controller has not confirmed yet") })
+			return
+		}
+		u.remember(a.job.ID, wire.JobCancelled)
+		answer()
+	})
+}
+
 func (u *users) known(c *Core, a *acceptance) {
 	c.lookup(a.job.ID, func(st lookupState, status string, _ uint64) {
 		u.finish(c, a, func(id uint64) {
--- /dev/null
+++ b/controller/waiting.go
@@ -0,0 +1,152 @@
+package controller
+
+import (
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// This file is the owner's part in jobs that wait for others. They are kept apart from the
+// jobs that are placed: what looks for room, counts demand or shares out a guarantee does not
+// see them. A job leaves this state in one way, by jobReady, when the final records of all
+// that it awaits were read as done, or when a record shows that an earlier owner placed it.
+
+// addWaiting takes a job of an own team that awaits others.
+func (o *owner) addWaiting(j *job) {
+	o.setJob(j, jobWaiting)
+	o.waiting[j.ID] = j
+	switch w := o.c.jobs.waiting[j.ID]; {
+	case w == nil: // its record is gone already; the watch will tell
+	case w.root != "":
+		o.jobWithdrawn(j.ID)
+	case w.ready():
+		o.jobReady(w)
+	}
+}
+
+// jobReady lets a job be placed: all that it awaits is done. Its times count from then.
+func (o *owner) jobReady(w *waiting) {
+	j := o.waiting[w.id]
+	if j == nil {
+		return
+	}
+	delete(o.waiting, w.id)
+	j.since = max(j.accepted, w.since)
+	o.setJob(j, jobActive)
+	o.c.log.Info("job is ready", "job", j.ID, "class", j.Class, "waited_s", (o.c.day - j.accepted).Seconds())
+	o.enqueue(j)
+}
+
+// jobNamed finds a job that a record of an earlier owner names as placed. That owner had
+// read that all that the job awaits is done, which never changes.
+func (o *owner) jobNamed(id string) *job {
+	if j := o.waiting[id]; j != nil {
+		w := o.c.jobs.waiting[id]
+		if w == nil {
+			return nil
+		}
+		for _, x := range sortedKeys(w.need) {
+			o.c.unlink(w, x)
+		}
+		w.complete = true
+		delete(o.c.jobs.partial, id)
+		o.jobReady(w)
+	}
+	return o.jobs[id]
+}
+
+// jobWithdrawn notes that a waiting job is cancelled with one before it, which must be
+// recorded. Users are told by what the records before it say, recorded or not.
+func (o *owner) jobWithdrawn(id string) {
+	if j := o.waiting[id]; j != nil && !j.withdrawing {
+		j.withdrawing = true
+		o.withdrawing = append(o.withdrawing, id)
+	}
+}
+
+// advanceWaiting reads what the waiting jobs need to go on: how awaited jobs ended, and
+// lists that are kept under several keys.
+func (o *owner) advanceWaiting() {
+	g := &o.c.jobs
+	if g.resolving || o.c.now < g.resolveAt || o.c.storeDown() {
+		return
+	}
+	switch {
+	case len(g.ended) > 0:
+		o.c.resolve(nil)
+	case len(g.partial) > 0:
+		g.resolveAt = o.c.now + loadRetry
+		w := g.waiting[sortedKeys(g.partial)[0]]
+		o.c.readParts(w, func(ok bool) {
+			if ok {
+				g.resolveAt = 0
+			}
+		})
+	}
+}
+
+// flushWithdrawn records jobs that are cancelled with one before them, a few with each
+// commit: nobody waits for it.
+func (o *owner) flushWithdrawn(t *txn, full func() bool) {
+	for len(o.withdrawing) > 0 && !full() {
+		id := o.withdrawing[0]
+		o.withdrawing = o.withdrawing[1:]
+		j, w := o.waiting[id], o.c.jobs.waiting[id]
+		if j == nil {
+			continue
+		}
+		j.withdrawing = false
+		if w == nil || w.root == "" || j.unsure {
+			continue
+		}
+		j.writing = true
+		t.guards[activeKey(id)] = j.version
+		t.writes = append(t.writes, state.Write{Delete: activeKey(id)})
+		t.put(finalKey(id), finalRecord{Status: wire.JobCancelled, At: int64(o.c.day), Before: w.root})
+		t.results = append(t.results, func(ok bool, _ uint64) {
+			j.writing = false
+			switch {
+			case o.waiting[id] != j:
+			case !ok:
+				o.jobWithdrawn(id)
+			default:
+				o.c.log.Info("job cancelled with one before it", "job", id, "before", w.root)
+				o.waitingGone(j)
+			}
+		})
+	}
+}
+
+// waitingGone forgets a waiting job whose record is gone.
+func (o *owner) waitingGone(j *job) {
+	delete(o.waiting, j.ID)
+	o.dropParts(j)
+	o.setJob(j, jobEnded)
+}
+
+// dropParts has the further keys of a job's list deleted: they serve while its record exists.
+func (o *owner) dropParts(j *job) {
+	for i := range j.parts {
+		o.garbage = append(o.garbage, partKey(j.ID, partName(i)))
+	}
+	j.parts = 0
+}
+
+// waitingUnsure handles a waiting job's record that is not as it was: it was cancelled.
+func (o *owner) waitingUnsure(j *job) {
+	j.unsure = true
+	o.c.refresh(func(ok bool) {
+		if o.over() || o.waiting[j.ID] != j {
+			return // the refresh has shown that it is gone
+		}
+		j.unsure = false
+		if ok {
+			j.version = max(j.version, o.c.jobs.versions[j.ID])
+		}
+		o.c.after(micros.Second, func() {
+			if w := o.c.jobs.waiting[j.ID]; !o.over() && w != nil && w.root != "" {
+				o.jobWithdrawn(j.ID)
+			}
+		})
+	})
+}
--- a/controller/work.go
+++ b/controller/work.go
@@ -109,7 +109,7 @@
 func (o *owner) keptFrom(k keptLimits, j *job) sched.Resources {
 	var sum sched.Resources
 	for _, g := range k[j.Team] {
-		if g.Priority > j.Priority || o.c.day-g.accepted > gangPatience {
+		if g.Priority > j.Priority || o.c.day-g.since > gangPatience {
 			sum = sum.Add(g.Need.Times(g.Tasks))
 		}
 	}
@@ -121,7 +121,7 @@
 
 // starves tells that a job has waited for long and not begun.
 func (o *owner) starves(j *job) bool {
-	return !j.began && j.state == jobActive && o.c.day-j.accepted > o.c.cfg.Tuning.StarveAfter
+	return !j.began && j.state == jobActive && o.c.day-j.since > o.c.cfg.Tuning.StarveAfter
 }
 
 // inTurn lists the jobs in the order in which they are placed. Those that starve come first,
@@ -137,7 +137,7 @@
 		case x != y:
 			return first(x)
 		case x:
-			return cmp.Compare(a.accepted, b.accepted)
+			return cmp.Compare(a.since, b.since)
 		case a.Priority == b.Priority && covered[a] != covered[b]:
 			return first(covered[a])
 		}
@@ -325,6 +325,8 @@
 	if most > 0 {
 		o.flushClaims(t, room)
 		o.flushFinals(t, func() bool { return room() < 2 || full() })
+		half := len(t.writes) + max(2, c.cfg.TxnOps/2)
+		o.flushWithdrawn(t, func() bool { return room() < 2 || full() || len(t.writes)+2 > half })
 		o.flushRentals(t, func() bool { return room() < 2 || full() })
 		o.flushHolds(t, full)
 		o.flushRecords(t, room)
@@ -432,6 +434,10 @@
 			o.resync("a record of ours was changed: " + key)
 			return
 		}
+		if j := o.waiting[id]; j != nil {
+			o.waitingUnsure(j)
+			continue
+		}
 		j := o.jobs[id]
 		if j == nil {
 			continue
@@ -490,7 +496,7 @@
 	o.setGang(j, gangStarting)
 	j.began = true
 	o.c.log.Info("gang placed", "job", j.ID, "class", j.Class, "tasks", j.Tasks, "ordinary", j.Ordinary,
-		"since_accepted_s", math.Round((o.c.day - j.accepted).Seconds()))
+		"since_accepted_s", math.Round((o.c.day - j.since).Seconds()))
 	for _, b := range j.attempts {
 		o.poke(b.machine)
 	}
@@ -537,7 +543,7 @@
 		j.writing = true
 		t.guards[activeKey(j.ID)] = j.version
 		t.writes = append(t.writes, state.Write{Delete: activeKey(j.ID)})
-		t.put(finalKey(j.ID), finalRecord{Status: wire.JobDone})
+		t.put(finalKey(j.ID), finalRecord{Status: wire.JobDone, At: int64(o.c.day)})
 		t.results = append(t.results, func(ok bool, _ uint64) {
 			j.writing = false
 			if !ok || j.state == jobEnded {
@@ -545,6 +551,7 @@
 			}
 			o.c.users.remember(j.ID, wire.JobDone)
 			o.c.log.Info("job done", "job", j.ID, "class", j.Class)
+			o.c.awaitedDone(j.ID, o.c.day)
 			for _, a := range j.sorted() {
 				if a.state == attemptFinished {
 					o.finishedRecorded(a)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"regexp"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -77,6 +78,7 @@
 	SnapshotS *float64  `cbor:"snapshotS"`
 	StowS     *float64  `cbor:"stowS"`
 	DueS      *float64  `cbor:"dueS"`
+	Awaits    *[]string `cbor:"awaits,omitempty"`
 }
 
 var refForm = regexp.MustCompile(`^req-[0-9]{6,12}$`)
@@ -199,6 +201,16 @@
 	if s.DueS != nil {
 		j.Deadline = micros.FromSeconds(c.amount("dueS", s.DueS, maxSeconds))
 	}
+	if s.Awaits != nil && len(*s.Awaits) > 0 {
+		j.Awaits = slices.Clone(*s.Awaits)
+		for _, id := range j.Awaits {
+			if !ValidRef(id) {
+				c.fail("awaits", "not of the form req-000000")
+			}
+		}
+		slices.Sort(j.Awaits)
+		j.Awaits = slices.Compact(j.Awaits)
+	}
 	if c.err != nil {
 		return nil, c.err
 	}
@@ -238,6 +250,9 @@
 		due := j.Deadline.Seconds()
 		s.DueS = &due
 	}
+	if len(j.Awaits) > 0 {
+		s.Awaits = &j.Awaits
+	}
 	return s
 }
 
--- a/sched/types.go
+++ b/sched/types.go
@@ -99,6 +99,7 @@
 	Checkpoint micros.Micros
 	Save       micros.Micros
 	Deadline   micros.Micros // from submission, 0 for none
+	Awaits     []string      // jobs that must be done before any of its tasks starts, in order
 }
 
 // Allows tells whether the job's tasks may run on a kind of machine.
