--- a/controller/pipelines_test.go
+++ b/controller/pipelines_test.go
@@ -556,6 +556,20 @@
 		}
 		p.note("%s", text)
 	}
+	p.drawBadAwaits(r)
+}
+
+// drawBadAwaits submits a job that awaits one that nobody submitted, and one whose list cannot
+// be read, in the middle of the troubles.
+func (p *pairs) drawBadAwaits(r *rand.Rand) {
+	w := p.w
+	for i, awaits := range []any{[]string{"req-000100", "req-000950"}, []any{"req-000100", nil}} {
+		id := jobName(910 + i)
+		j := &sched.Job{ID: id, Class: "stage", Team: "red", Tasks: 1, Need: sched.NewResources(1, 0, 1), Image: "img", ImageGB: 1}
+		p.bad[id] = []int{422, 400}[i]
+		w.submitted[id], w.bodies[id] = j, withField(wire.Encode(wire.FromJob(j)), "awaits", awaits)
+		w.after(pairsLead+micros.FromSeconds(30*r.Float64()), func() { w.asked[id] = w.now; p.submit(id, false) })
+	}
 }
 
 // drawStage draws one job of a pipeline.
