--- a/controller/users.go
+++ b/controller/users.go
@@ -130,7 +130,7 @@
 		c.lookup(j.ID, func(st lookupState, status string, _ uint64) {
 			switch st {
 			case lookupFound:
-				c.respond(r.ID, 200, wire.JobState{Ref: j.ID, Status: status})
+				c.respond(r.ID, 200, wire.JobState{Ref: j.ID, Status: c.shown(j.ID, status)})
 			case lookupNone:
 				c.respond(r.ID, refusal, wire.Problem{Error: why})
 			default:
@@ -167,7 +167,7 @@
 			u.finish(c, a, func(req uint64) {
 				switch {
 				case st == lookupFound:
-					c.respond(req, 200, wire.JobState{Ref: id, Status: now})
+					c.respond(req, 200, wire.JobState{Ref: id, Status: c.shown(id, now)})
 				case st == lookupNone && status == 422:
 					c.respond(req, 422, wire.Problem{Error: why})
 				default:
@@ -333,7 +333,7 @@
 	c.lookup(a.job.ID, func(st lookupState, status string, _ uint64) {
 		u.finish(c, a, func(id uint64) {
 			if st == lookupFound {
-				c.respond(id, 200, wire.JobState{Ref: a.job.ID, Status: status})
+				c.respond(id, 200, wire.JobState{Ref: a.job.ID, Status: c.shown(a.job.ID, status)})
 				return
 			}
 			c.refuse(id, 503, storeSilent)
@@ -372,6 +372,16 @@
 	})
 }
 
+// shown is a job's state as users see it: one that is not over may run.
+func (c *Core) shown(id, status string) string {
+	if status == wire.JobQueued {
+		if _, running := c.countsOf(id); running > 0 {
+			return wire.JobRunning
+		}
+	}
+	return status
+}
+
 // countsOf tells how many tasks of a job are done and run, for display.
 func (c *Core) countsOf(id string) (done, running int) {
 	if c.owner != nil && c.owner.jobs[id] != nil {
