--- a/controller/graph.go
+++ b/controller/graph.go
@@ -45,6 +45,7 @@
 	knownTo   micros.Micros // when what was read last was asked for
 
 	questions  []func(ok bool) // that need the present state
+	askedAt    micros.Micros   // the first of them
 	refreshing bool
 	resolving  bool
 	resolved   []func(ok bool)
@@ -386,7 +387,11 @@
 // refresh hands over once this node's view is at least as new as the question; false: the
 // present state cannot be known now. One read serves all that ask before it is sent.
 func (c *Core) refresh(done func(ok bool)) {
-	c.jobs.questions = append(c.jobs.questions, done)
+	g := &c.jobs
+	if len(g.questions) == 0 {
+		g.askedAt = c.now
+	}
+	g.questions = append(g.questions, done)
 	c.sendRefresh()
 }
 
@@ -395,6 +400,10 @@
 	if g.refreshing || len(g.questions) == 0 {
 		return
 	}
+	if !enough(c.budget.requests, forUsers, 1, c.now) && c.now-g.askedAt < acceptWithin {
+		c.after(fastTick, c.sendRefresh)
+		return
+	}
 	batch, after := g.questions, g.revision
 	g.questions = nil
 	answer := func(ok bool) {
@@ -409,6 +418,7 @@
 	g.refreshing = true
 	c.storeWithin(forUsers, state.Watch(prefixActive, after, 0), storeTimeout, func(r storeReply) {
 		g.refreshing = false
+		g.askedAt = c.now // what came meanwhile goes out now
 		ok := c.takeChanges(after, r)
 		if r.outcome == outGone && c.owner != nil && c.owner.listed {
 			c.owner.resync("changes of jobs were missed")
--- a/controller/lookups.go
+++ b/controller/lookups.go
@@ -1,6 +1,9 @@
 package controller
 
 import (
+	"cmp"
+	"slices"
+
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -86,20 +89,34 @@
 		}
 	}
 	l.waiting = rest
-	if len(derived) > 0 {
-		if !enough(c.budget.requests, forReads, 1, c.now) {
-			l.waiting = append(derived, append(known, rest...)...)
-			return
-		}
-		c.derive(derived)
+	// Who came first goes first: neither kind may starve the other.
+	kinds := []func() []*lookup{
+		func() []*lookup {
+			if len(known) > 0 && enough(c.budget.requests, forReads, 1, c.now) {
+				c.compare(known, guards)
+				known = nil
+			}
+			return known
+		},
+		func() []*lookup {
+			if len(derived) > 0 && enough(c.budget.requests, forReads, 1, c.now) {
+				c.derive(derived)
+				derived = nil
+			}
+			return derived
+		},
 	}
-	if len(known) > 0 {
-		if enough(c.budget.requests, forReads, 1, c.now) {
-			c.compare(known, guards)
-		} else {
-			l.waiting = append(known, rest...)
-			return
-		}
+	if len(derived) > 0 && (len(known) == 0 || derived[0].since < known[0].since) {
+		slices.Reverse(kinds)
+	}
+	var left []*lookup
+	for _, kind := range kinds {
+		left = append(left, kind()...)
+	}
+	if len(left) > 0 {
+		slices.SortStableFunc(left, func(a, b *lookup) int { return cmp.Compare(a.since, b.since) })
+		l.waiting = append(left, l.waiting...)
+		return
 	}
 	for len(l.waiting) > 0 && enough(c.budget.requests, forReads, 1, c.now) {
 		q := l.waiting[0]
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -39,6 +39,7 @@
 	jobs        map[string]*job
 	waiting     map[string]*job // those that wait for others, which are not among the jobs
 	listed      bool            // the jobs were listed; changes since are taken
+	swept       bool            // leftovers of long lists were looked for
 	queue       []*job          // active jobs in the order in which they are placed
 	rentals     map[string]*rental
 	holds       map[string]*hold         // by job
@@ -186,6 +187,7 @@
 		o.watchJobs(o.watchRev)
 	}
 	o.readEndings()
+	o.sweepParts()
 	o.findSilent()
 	o.inspectSome()
 	o.tickHolds()
--- a/controller/status.go
+++ b/controller/status.go
@@ -81,6 +81,6 @@
 		}
 	}
 	o.c.log.Info("work", "jobs", len(o.queue), "waiting_jobs", jobs, "waiting_gangs", gangs, "waiting_tasks", tasks,
-		"proposed", o.proposed, "blocks", len(o.blocks), "shards", len(o.shards), "holds", len(o.holds), "spot_losses_per_h",
+		"awaiting_others", len(o.waiting), "proposed", o.proposed, "blocks", len(o.blocks), "shards", len(o.shards), "holds", len(o.holds), "spot_losses_per_h",
 		math.Round(o.c.perSecond()*36000)/10)
 }
--- a/controller/users.go
+++ b/controller/users.go
@@ -241,16 +241,26 @@
 		kept = append(kept, a)
 	}
 	u.waiting = kept
-	room, n := min(c.budget.room(forUsers, c.now), c.cfg.TxnOps), 0
-	for n < len(u.waiting) && u.waiting[n].ops <= room {
-		room -= u.waiting[n].ops
-		n++
+	room := min(c.budget.room(forUsers, c.now), c.cfg.TxnOps)
+	if c.now < u.pause || room == 0 || len(u.waiting) == 0 {
+		return
+	}
+	if first := u.waiting[0]; first.ops > room && room >= c.budget.writes.Burst() {
+		room = first.ops // more than there ever is room for: it is owed
+	}
+	var batch, rest []*acceptance
+	for _, a := range u.waiting {
+		if a.ops <= room {
+			room -= a.ops
+			batch = append(batch, a)
+		} else {
+			rest = append(rest, a)
+		}
 	}
-	if c.now < u.pause || n == 0 {
+	if len(batch) == 0 {
 		return
 	}
-	batch := append([]*acceptance(nil), u.waiting[:n]...)
-	u.waiting = u.waiting[n:]
+	u.waiting = rest
 	u.commit(c, batch)
 }
 
--- a/controller/waiting.go
+++ b/controller/waiting.go
@@ -1,6 +1,9 @@
 package controller
 
 import (
+	"slices"
+	"strings"
+
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -137,11 +140,12 @@
 	j.unsure = true
 	o.c.refresh(func(ok bool) {
 		if o.over() || o.waiting[j.ID] != j {
-			return // the refresh has shown that it is gone
+			return
 		}
 		j.unsure = false
-		if ok {
-			j.version = max(j.version, o.c.jobs.versions[j.ID])
+		if ok && !o.c.jobs.active[j.ID] {
+			o.waitingGone(j)
+			return
 		}
 		o.c.after(micros.Second, func() {
 			if w := o.c.jobs.waiting[j.ID]; !o.over() && w != nil && w.root != "" {
@@ -150,3 +154,38 @@
 		})
 	})
 }
+
+// sweepParts finds keys of lists whose jobs were over before an owner could have them
+// deleted. A list is accepted with its job in one commit: where a view that is newer than
+// the list lacks the job, it is over.
+func (o *owner) sweepParts() {
+	if o.swept || o.c.now-o.since < sweepAfter || !enough(o.c.budget.requests, forTidying, 1, o.c.now) {
+		return
+	}
+	o.swept = true
+	o.c.store(forTidying, state.List(prefixPart, ""), func(r storeReply) {
+		var p state.Page
+		if o.over() {
+			return
+		}
+		if r.outcome != outOK || !r.decode(&p) {
+			o.swept = false
+			return
+		}
+		o.c.refresh(func(ok bool) {
+			if o.over() || !ok {
+				o.swept = o.over()
+				return
+			}
+			for _, e := range p.Entries {
+				id, _, _ := strings.Cut(strings.TrimPrefix(e.Key, prefixPart), "/")
+				if !o.c.jobs.active[id] && !slices.Contains(o.garbage, e.Key) {
+					o.garbage = append(o.garbage, e.Key)
+				}
+			}
+		})
+	})
+}
+
+// sweepAfter lets a takeover do first what is urgent.
+const sweepAfter = 20 * micros.Second
