--- a/controller/limits_test.go
+++ b/controller/limits_test.go
@@ -88,10 +88,10 @@
 	o.c.cfg.ValueBytes, o.c.cfg.TxnOps = 2<<10, 500
 	for i := range 400 {
 		id := fmt.Sprintf("req-%06d", i*7919%1000000)
-		o.jobRecord(activeKey(id), wire.Encode(jobRecord{Job: wire.FromJob(&sched.Job{
+		o.jobRecord(activeKey(id), wire.Encode(plainRecord(&sched.Job{
 			ID: id, Class: "work", Team: "red", Priority: sched.Normal, Tasks: 1 + i%5, Image: "img",
 			Need: sched.NewResources(float64(1+i%3)/4, 0, float64(1+i%7)/8), Estimate: 30 * micros.Second,
-		})}), uint64(i+1))
+		}, 0)), uint64(i+1))
 	}
 	for i := range 30 {
 		m := o.newMachine(fmt.Sprintf("m-%06d", i), "mid", o.c.cfg.Zones[0], false, "worker")
