--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -1,7 +1,9 @@
 package wire
 
 import (
+	"bytes"
 	"math"
+	"slices"
 	"testing"
 
 	"tamarindlead/sched"
@@ -43,6 +45,9 @@
 		{"infinite", "expectS", math.Inf(1)}, {"shape", "shape", "ring"}, {"urgency", "urgency", "now"},
 		{"empty team", "desk", ""}, {"types as text", "builds", "g8"}, {"flag as number", "apart", 1},
 		{"no flag", "loaners", nil}, {"empty zone", "hall", ""},
+		{"awaits as text", "awaits", "req-000001"}, {"awaits as number", "awaits", 7}, {"awaits as map", "awaits", map[string]int{"req-000001": 1}},
+		{"awaits numbers", "awaits", []int{1}}, {"awaits null", "awaits", []any{"req-000001", nil}}, {"awaits nothing", "awaits", []string{""}},
+		{"awaits other form", "awaits", []string{"req-000001", "job-2"}}, {"awaits bytes", "awaits", [][]byte{[]byte("req-000001")}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -63,6 +68,42 @@
 	}
 }
 
+// TestAwaits guards that duplicates are one, that none has three forms, and that a job that
+// awaits none is written as it always was.
+func TestAwaits(t *testing.T) {
+	for name, c := range map[string]struct {
+		value any
+		want  []string
+	}{
+		"absent": {}, "null": {value: nil}, "empty": {value: []string{}},
+		"one":        {[]string{"req-000002"}, []string{"req-000002"}},
+		"duplicates": {[]string{"req-000007", "req-000002", "req-000007"}, []string{"req-000002", "req-000007"}},
+	} {
+		m := valid()
+		plain, err := DecodeJob(Encode(m))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if name != "absent" {
+			m["awaits"] = c.value
+		}
+		j, err := DecodeJob(Encode(m))
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if !slices.Equal(j.Awaits, c.want) {
+			t.Errorf("%s: taken as %v", name, j.Awaits)
+		}
+		if same := bytes.Equal(Encode(FromJob(j)), Encode(FromJob(plain))); same != (c.want == nil) {
+			t.Errorf("%s: written like a job that awaits none: %v", name, same)
+		}
+		back := FromJob(j)
+		if again, err := back.Job(); err != nil || !slices.Equal(again.Awaits, c.want) {
+			t.Errorf("%s: not kept: %v", name, err)
+		}
+	}
+}
+
 func TestDecodeReportRefuses(t *testing.T) {
 	good := Report{Machine: "m-000001", Session: 1, Seq: 1}
 	if _, err := DecodeReport(Encode(good)); err != nil {
