--- a/controller/limits_test.go
+++ b/controller/limits_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
 
 	"tamarindlead/config"
 	"tamarindlead/internal/standin"
+	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 	"tamarindlead/sched"
@@ -175,3 +177,47 @@
 		t.Fatalf("room for %d and %d", b.room(forUsers, now), b.room(forWork, now))
 	}
 }
+
+// TestShardsMove guards against completions that are lost while chunks change their shard:
+// those of two records count together, and an old record goes only after the new one is
+// written.
+func TestShardsMove(t *testing.T) {
+	o := testOwner()
+	o.c.cfg.ValueBytes = 1024
+	var entries []state.Entry
+	rec := doneRecord{Chunks: map[string]string{}}
+	for i := range 12 {
+		id := jobName(i)
+		o.jobRecord(activeKey(id), wire.Encode(jobRecord{Job: wire.FromJob(&sched.Job{
+			ID: id, Class: "work", Team: "red", Tasks: 800, Need: sched.NewResources(1, 0, 1), Image: "img", Estimate: micros.Second,
+		})}), uint64(i+1))
+		bits := make(bitmap, 100)
+		bits.set(5)
+		rec.Chunks[numbered(id, 0)] = bits.chunk(0)
+	}
+	other := make(bitmap, 100)
+	other.set(700)
+	entries = append(entries, state.Entry{Key: shardKey("red", "1"), Value: wire.Encode(rec), Version: 20},
+		state.Entry{Key: shardKey("red", "2"), Value: wire.Encode(doneRecord{Chunks: map[string]string{numbered(jobName(3), 0): other.chunk(0)}}), Version: 19})
+	o.loadDone(entries)
+	if j := o.jobs[jobName(3)]; !j.done.has(5) || !j.done.has(700) || j.doneN != 2 {
+		t.Fatalf("%d completions are known", j.doneN)
+	}
+	dropped := func() bool { return slices.Contains(o.garbage, shardKey("red", "1")) }
+	for range 20 {
+		if o.dropShards(); dropped() && slices.ContainsFunc(o.shards, func(s *shard) bool { return s.version == 0 }) {
+			t.Fatal("the old record goes before the new ones are written")
+		}
+		tx := &txn{guards: map[string]uint64{}}
+		o.flushRecords(tx, func() int { return 1 - len(tx.writes) })
+		for _, w := range tx.writes {
+			if state.Size(w.Value) > 2*o.c.cfg.ValueBytes {
+				t.Fatalf("%s is too large", w.Put)
+			}
+		}
+		o.settle(tx, true, 30)
+	}
+	if !dropped() {
+		t.Fatal("the old record stays")
+	}
+}
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -275,6 +275,12 @@
 		Estimate: argSeconds(t, d, "estimate", run.Seconds()), Checkpoint: argSeconds(t, d, "checkpoint", 0), Save: argSeconds(t, d, "save", 0),
 		Zone: arg(t, d, "zone", ""),
 	}
+	for i := range arg(t, d, "types", 0) { // so many names of types, of which one is on offer
+		j.Types = append(j.Types, fmt.Sprintf("type-of-machine-%04d", i))
+	}
+	if j.Types != nil {
+		j.Types[0] = "small"
+	}
 	w.submitted[id], w.asked[id] = j, w.now
 	w.bodies[id] = wire.Encode(wire.FromJob(j))
 	w.infos[id] = standin.TaskInfo{
