Priority inheritance and deadlines among jobs that wait for others

Users give priority and deadline to the last job of a pipeline only, so an idle first stage let all normal work pass. A job now has the highest priority of itself and of all active jobs that need it (order, limits kept, preemption on both sides, renting), until the last of them ends, and the latest end that lets each of them meet its deadline; among equals those with less than 30 s of slack go first.

Tests compare it with what all records say after drawn events, and count the edges that an event looks at.

--- a/controller/graph.go
+++ b/controller/graph.go
@@ -50,6 +50,9 @@
 	resolved   []func(ok bool)
 	resolveAt  micros.Micros
 	touched    int // waiting jobs looked at, for tests
+
+	inherited map[string]inherited // by each job that others await
+	walked    int                  // edges looked at for what is inherited, for tests
 }
 
 // waiting is an active job that awaits others. Priority, estimate and deadline are the
@@ -57,6 +60,7 @@
 type waiting struct {
 	id       string
 	team     string
+	class    string
 	version  uint64
 	priority sched.Priority
 	accepted micros.Micros
@@ -67,6 +71,10 @@
 	need     map[string]bool
 	since    micros.Micros // the latest time at which a job that it awaited was done
 	root     string        // the job before it that was cancelled by its user, or ""
+	lasts    micros.Micros // the estimate as corrected when it began to pass on
+	passed   inherited     // what it passes on to those that it needs, while it does
+	passing  bool
+	queued   bool // in the walk that goes on
 }
 
 // settled tells that nothing before the job can change its state any more.
@@ -84,6 +92,7 @@
 	clear(g.versions)
 	g.active, g.waiting, g.dependents = map[string]bool{}, map[string]*waiting{}, map[string]map[string]*waiting{}
 	g.ended, g.partial = map[string]bool{}, map[string]bool{}
+	g.inherited = map[string]inherited{}
 }
 
 func (g *graph) learn(id string, version uint64) {
@@ -265,7 +274,8 @@
 		c.log.Error("record cannot be read", "key", activeKey(id), "error", err)
 		return w // neither ready nor answered about
 	}
-	w.team, w.priority, w.estimate, w.deadline = spec.Team, spec.Priority, spec.Estimate, spec.Deadline
+	w.team, w.class = spec.Team, spec.Class
+	w.priority, w.estimate, w.deadline = spec.Priority, spec.Estimate, spec.Deadline
 	if rec.Parts > 0 {
 		g.partial[id] = true
 		return w
@@ -295,6 +305,9 @@
 			c.jobCancelled(w, v.root)
 		}
 	}
+	if w.root == "" {
+		c.passOn(w, false)
+	}
 	if w.ready() {
 		c.jobReady(w)
 	}
@@ -310,12 +323,14 @@
 	if len(deps) == 0 {
 		delete(g.dependents, x)
 		delete(g.ended, x)
+		c.disinherit(x)
 	}
 }
 
 // dropWaiting forgets a waiting job that is over.
 func (c *Core) dropWaiting(w *waiting) {
 	g := &c.jobs
+	c.passOn(w, true)
 	for x := range w.need {
 		c.unlink(w, x)
 	}
@@ -371,6 +386,7 @@
 	for list := []*waiting{w}; len(list) > 0; {
 		w, list = list[0], list[1:]
 		g.touched++
+		c.passOn(w, true)
 		if c.owner != nil {
 			c.owner.jobWithdrawn(w.id)
 		}
--- a/controller/job.go
+++ b/controller/job.go
@@ -33,8 +33,10 @@
 	state    jobState
 	version  uint64 // of its record
 	accepted micros.Micros
-	since    micros.Micros // accepted, or ready if it waited for others: its times count from here
-	parts    int           // further keys of its list of jobs that it awaits
+	since    micros.Micros  // accepted, or ready if it waited for others: its times count from here
+	own      sched.Priority // as submitted: the priority may be inherited
+	mustEnd  micros.Micros  // for it and those that need it to meet their deadlines, 0: any time
+	parts    int            // further keys of its list of jobs that it awaits
 	tasks    []taskState
 	pending  int
 	lowest   int // no task below it is pending
@@ -75,7 +77,7 @@
 
 func newJob(j *sched.Job, version uint64, accepted micros.Micros) *job {
 	return &job{
-		Job: j, version: version, accepted: accepted, since: accepted,
+		Job: j, version: version, accepted: accepted, since: accepted, own: j.Priority,
 		pending:  j.Tasks,
 		shards:   map[int]*shard{},
 		finished: map[int][]*attempt{},
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -344,12 +344,17 @@
 // enqueue adds a job to those that are placed.
 func (o *owner) enqueue(j *job) {
 	o.jobs[j.ID] = j
-	i, _ := slices.BinarySearchFunc(o.queue, j, queueOrder)
-	o.queue = slices.Insert(o.queue, i, j)
+	o.inherit(j)
+	o.queueJob(j)
 	o.noteClass(j)
 	o.wantSchedule = true
 }
 
+func (o *owner) queueJob(j *job) {
+	i, _ := slices.BinarySearchFunc(o.queue, j, queueOrder)
+	o.queue = slices.Insert(o.queue, i, j)
+}
+
 // queueOrder: higher priority first, then who came, or was ready, first.
 func queueOrder(a, b *job) int {
 	return cmp.Or(-cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.since, b.since), cmp.Compare(a.ID, b.ID))
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -332,10 +332,14 @@
 // estimate is the owner's estimate of a task's run time, corrected by what tasks of
 // its class really took.
 func (o *owner) estimate(j *job) micros.Micros {
-	if c := o.classes[j.Class]; c != nil {
-		return micros.Micros(float64(j.Estimate) * c.factor)
+	return o.corrected(j.Class, j.Estimate)
+}
+
+func (o *owner) corrected(class string, estimate micros.Micros) micros.Micros {
+	if c := o.classes[class]; c != nil {
+		return micros.Micros(float64(estimate) * c.factor)
 	}
-	return j.Estimate
+	return estimate
 }
 
 // demandKey tells which jobs fit the same machines.
@@ -355,11 +359,11 @@
 		key := demandKey{j.Gang, j.Spot, j.Zone, o.classes[j.Class].key}
 		g := groups[key]
 		if g == nil {
-			g = &demand{first: j, horizon: o.horizon(j), usable: map[offer]float64{}, on: map[offer]sched.Resources{}}
+			g = &demand{first: j, horizon: o.mayWait(j), usable: map[offer]float64{}, on: map[offer]sched.Resources{}}
 			groups[key] = g
 			list = append(list, g)
 		}
-		g.horizon = min(g.horizon, o.horizon(j))
+		g.horizon = min(g.horizon, o.mayWait(j))
 		for _, a := range j.attempts {
 			if !a.freed {
 				of := offer{a.machine.kind, a.machine.zone, a.machine.spot}
@@ -373,7 +377,7 @@
 		if n > 0 && o.c.now+5*micros.Second >= j.notUntil {
 			work := float64(n) * max(j.Need.CPUs(), 0.01) * max(o.estimate(j).Seconds(), 1)
 			g.waiting += work
-			if j.Priority == sched.Low {
+			if j.Priority == sched.Low && !o.pressing(j) {
 				g.low += work
 				g.lowWait = max(g.lowWait, o.horizon(j))
 			}
--- a/controller/work.go
+++ b/controller/work.go
@@ -127,7 +127,7 @@
 // inTurn lists the jobs in the order in which they are placed. Those that starve come first,
 // whatever their priority, so that under lasting overload every job begins; then, of equal
 // priority, those that their teams' guarantees cover, which need not wait for other teams;
-// then who came first.
+// then those in pipelines whose deadlines press; then who came first.
 func (o *owner) inTurn() []*job {
 	covered := o.guaranteed()
 	list := slices.Clone(o.queue)
@@ -140,6 +140,8 @@
 			return cmp.Compare(a.since, b.since)
 		case a.Priority == b.Priority && covered[a] != covered[b]:
 			return first(covered[a])
+		case a.Priority == b.Priority:
+			return cmp.Or(o.inTime(a, b), queueOrder(a, b))
 		}
 		return queueOrder(a, b)
 	})
