--- a/controller/limits_test.go
+++ b/controller/limits_test.go
@@ -188,9 +188,9 @@
 	rec := doneRecord{Chunks: map[string]string{}}
 	for i := range 12 {
 		id := jobName(i)
-		o.jobRecord(activeKey(id), wire.Encode(jobRecord{Job: wire.FromJob(&sched.Job{
+		o.jobRecord(activeKey(id), wire.Encode(plainRecord(&sched.Job{
 			ID: id, Class: "work", Team: "red", Tasks: 800, Need: sched.NewResources(1, 0, 1), Image: "img", Estimate: micros.Second,
-		})}), uint64(i+1))
+		}, 0)), uint64(i+1))
 		bits := make(bitmap, 100)
 		bits.set(5)
 		rec.Chunks[numbered(id, 0)] = bits.chunk(0)
