--- a/controller/faults_workers_test.go
+++ b/controller/faults_workers_test.go
@@ -27,8 +27,8 @@
 	slowBy    micros.Micros
 	slowThere bool          // only on the way there
 	lag       micros.Micros // of commits
-	owners    map[int]*owner
-	acting    map[int]*owner
+	owners    map[int]any
+	acting    map[int]any
 }
 
 type keptReport struct{ body []byte }
@@ -93,7 +93,7 @@
 // and again as it becomes active, a report that was held back once it has acted.
 func (w *world) noteLeader() {
 	if w.owners == nil {
-		w.owners, w.acting = map[int]*owner{}, map[int]*owner{}
+		w.owners, w.acting = map[int]any{}, map[int]any{}
 	}
 	copies := func() {
 		for _, r := range w.kept {
@@ -103,16 +103,16 @@
 		}
 	}
 	for i, n := range w.nodes {
-		if !n.up || n.core.owner == nil {
+		o, active := n.owns()
+		if o == nil {
 			w.owners[i], w.acting[i] = nil, nil
 			continue
 		}
-		o := n.core.owner
 		if w.owners[i] != o {
 			w.owners[i] = o
 			copies()
 		}
-		if o.state == ownerActive && w.acting[i] != o {
+		if active && w.acting[i] != o {
 			w.acting[i] = o
 			copies()
 			w.kept = nil
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -102,6 +102,9 @@
 		w.cloud.Add(arg(t, d, "type", "small"), zones[i%len(zones)], false, 0)
 	}
 	w.loss, w.late, w.dup = argNumber(t, d, "loss", 0), argNumber(t, d, "late", 0), argNumber(t, d, "dup", 0)
+	if n := arg(t, d, "production", -1); n >= 0 { // so many nodes begin with that version
+		w.beginOld(t, n)
+	}
 	return w
 }
 
@@ -239,6 +242,9 @@
 		if out, ok := userVerb(t, w, d); ok {
 			return out
 		}
+		if productionVerb(t, w, d, node) {
+			return ""
+		}
 		if !workerFaultCommand(t, w, d, during) {
 			d.Fatalf(t, "unknown command %s", d.Cmd)
 		}
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -57,12 +57,16 @@
 	faults    stateFaults
 	crowd     crowd
 
+	production *production // runs the nodes of that version
+
 	workerFaults
 }
 
 type simNode struct {
 	index   int
-	core    *Core
+	core    *Core    // nil while it is of the version in production
+	old     *oldCore // nil otherwise
+	version version  // with which it starts
 	life    int
 	downTo  micros.Micros
 	up      bool
@@ -148,6 +152,11 @@
 	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: w.worldTime})).With("node", cfg.Node)
 	n.life++
 	n.up, n.pending, n.nextID, n.open = true, map[uint64]func(Respond){}, 0, 0
+	n.core, n.old = nil, nil
+	if n.version == inProduction {
+		w.startOld(n, &cfg)
+		return
+	}
 	n.core = New(&cfg, w.rng.Uint64(), log, w.now, w.now)
 }
 
@@ -181,7 +190,7 @@
 		return
 	}
 	life := n.life
-	for _, e := range n.core.Handle(w.now, w.now, ev) {
+	for _, e := range n.handle(w, ev) {
 		switch e := e.(type) {
 		case Respond:
 			if answer := n.pending[e.ID]; answer != nil {
@@ -618,5 +627,5 @@
 
 // leader finds the node that leads, or -1.
 func (w *world) leader() int {
-	return slices.IndexFunc(w.nodes, func(n *simNode) bool { return n.up && n.core.owner != nil })
+	return slices.IndexFunc(w.nodes, func(n *simNode) bool { by, _ := n.owns(); return by != nil })
 }
