--- /dev/null
+++ b/controller/dump_test.go
@@ -0,0 +1,337 @@
+package controller
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"tamarindlead/config"
+	"tamarindlead/internal/standin"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// dump is a world at one moment, with nodes of the version in production: its records, what
+// its machines ran and its users knew, and messages between siblings up to then. For each
+// record and message it holds what that version reads in it. production/README.md tells how
+// the dumps are made.
+type dump struct {
+	Commit   string
+	Settings config.Settings
+	Now      micros.Micros
+	Revision uint64
+	Records  []standin.Record
+	Readings []string
+	Messages [][]byte
+	Said     []string // what is read in those
+	Types    []wire.MachineType
+	Capacity map[string]int
+	Grants   map[string][]string
+	Rented   int
+	Machines []dumpMachine
+	Jobs     []dumpJob
+	Done     []string // tasks
+}
+
+type dumpMachine struct {
+	standin.CloudMachine
+	Worker, Hung        bool
+	Session, Seq, Token uint64
+	Tasks               []dumpTask
+}
+
+type dumpTask struct {
+	Name    string
+	Attempt uint64
+	Phase   wire.TaskPhase
+	Cause   wire.Cause
+	Saved   bool
+	Left    micros.Micros
+}
+
+type dumpJob struct {
+	Job       sched.Job
+	Info      standin.TaskInfo
+	Accepted  bool
+	WantsEnd  bool
+	Told      string
+	Cancelled micros.Micros
+}
+
+// noteMessage passes on what a node said to another.
+func (w *world) noteMessage(body []byte) {
+	if w.onMessage != nil && len(body) > 0 {
+		w.onMessage(body)
+	}
+}
+
+// save takes a dump; the messages come from elsewhere.
+func (w *world) save() *dump {
+	d := &dump{Settings: *w.cfg, Now: w.now, Types: w.cloud.Types, Capacity: w.cloud.Capacity, Done: sortedKeys(w.done)}
+	d.Records, d.Revision = w.state.Records()
+	d.Grants, d.Rented = w.cloud.Grants()
+	for _, r := range d.Records {
+		d.Readings = append(d.Readings, w.production.reads(r.Key, r.Value))
+	}
+	for _, name := range w.cloud.Names() {
+		m := dumpMachine{CloudMachine: *w.cloud.Machines[name]}
+		if k := w.workers[name]; k != nil {
+			m.Worker, m.Hung, m.Session, m.Seq, m.Token = true, k.Hung, k.Session, k.Seq, k.Token
+			for _, n := range sortedKeys(k.Tasks) {
+				t := k.Tasks[n]
+				m.Tasks = append(m.Tasks, dumpTask{t.Name, t.Attempt, t.Phase, t.Cause, t.Saved, t.Left(w.now)})
+			}
+		}
+		d.Machines = append(d.Machines, m)
+	}
+	for _, id := range sortedKeys(w.submitted) {
+		d.Jobs = append(d.Jobs, dumpJob{*w.submitted[id], w.infos[id], w.accepted[id], w.wantsEnd[id], w.told[id], w.cancelled[id]})
+	}
+	return d
+}
+
+// dumpLease is how long the leases of the nodes of a dump last still.
+const dumpLease = 2 * micros.Second
+
+// loadWorld makes a world that goes on from a dump; its users ask for their jobs.
+func loadWorld(d *dump) *world {
+	cfg := d.Settings
+	w := newWorld(1, &cfg)
+	w.now, w.state.Now, w.cloud.Now = d.Now, d.Now, d.Now
+	w.state.Load(d.Records, d.Revision, dumpLease)
+	w.cloud.Types, w.cloud.Capacity = d.Types, d.Capacity
+	w.cloud.Granted(d.Grants, d.Rented)
+	for _, task := range d.Done {
+		w.done[task] = true
+	}
+	for _, j := range d.Jobs {
+		job := j.Job
+		id := job.ID
+		w.submitted[id], w.infos[id], w.bodies[id] = &job, j.Info, wire.Encode(wire.FromJob(&job))
+		w.asked[id], w.wantsEnd[id] = w.now, j.WantsEnd
+		if j.Accepted {
+			w.accepted[id], w.crowd.acceptedAt[id] = true, w.now
+		}
+		if j.Told != "" {
+			w.told[id], w.crowd.toldAt[id] = j.Told, w.now
+		}
+		if j.Cancelled > 0 {
+			w.cancelled[id] = j.Cancelled
+		}
+		if j.WantsEnd && j.Told == "" {
+			w.cancel(id, 0)
+		}
+		if !j.Accepted {
+			w.submit(id, 0)
+		}
+		w.after(micros.Second, func() { w.poll(id, 0) })
+	}
+	for _, m := range d.Machines {
+		cm := m.CloudMachine
+		w.cloud.Machines[cm.Name] = &cm
+		if !m.Worker {
+			continue
+		}
+		k := w.bootWorker(&cm, w.typeOf(cm.Type))
+		k.Hung, k.Session, k.Seq, k.Token = m.Hung, m.Session, m.Seq, m.Token
+		for _, t := range m.Tasks {
+			task := &standin.Task{Name: t.Name, Attempt: t.Attempt, Phase: t.Phase, Cause: t.Cause, Saved: t.Saved}
+			task.Lasts(w.now, t.Left)
+			k.Tasks[t.Name] = task
+			if t.Phase != wire.PhaseExited && !cm.Gone {
+				w.running[t.Name] = cm.Name
+			}
+		}
+	}
+	return w
+}
+
+// readDumps reads the dumps of the version in production.
+func readDumps(t *testing.T) map[string]*dump {
+	t.Helper()
+	paths, err := filepath.Glob("production/*.cbor")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no dumps: %v", err)
+	}
+	commit, err := productionCommit()
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := map[string]*dump{}
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if data, err = unsqueeze(data); err != nil {
+			t.Fatal(err)
+		}
+		var d dump
+		if err := wire.Decode(data, &d); err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		if d.Commit != commit {
+			t.Errorf("%s is of %s, in production is %s: see production/README.md", path, d.Commit, commit)
+		}
+		all[strings.TrimSuffix(filepath.Base(path), ".cbor")] = &d
+	}
+	return all
+}
+
+// TestProductionRecords has the present version read what the one in production wrote, and
+// go on from there: all jobs end, and the rules hold.
+func TestProductionRecords(t *testing.T) {
+	for name, d := range readDumps(t) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for i, r := range d.Records {
+				if got := readingOf(r.Key, r.Value); got != d.Readings[i] {
+					t.Errorf("%s is read as\n%s\nin production as\n%s", r.Key, got, d.Readings[i])
+				}
+			}
+			for i, m := range d.Messages {
+				if got := messageReading(m); got != d.Said[i] {
+					t.Errorf("a message is read as\n%s\nin production as\n%s", got, d.Said[i])
+				}
+			}
+			w := loadWorld(d)
+			playOut(t, w)
+		})
+	}
+}
+
+// playOut plays until all jobs have ended.
+func playOut(t *testing.T, w *world) {
+	t.Helper()
+	for end := w.now + 300*micros.Second; w.now < end && len(unfinished(w)) > 0 && len(w.broken) == 0; {
+		w.run(micros.Second)
+	}
+	if len(w.broken) > 0 {
+		t.Errorf("rules broken:\n%s", strings.Join(w.broken, "\n"))
+	}
+	if left := unfinished(w); len(left) > 0 {
+		t.Errorf("not done: %s", strings.Join(left, " "))
+	}
+}
+
+// TestProductionOwnerEnds goes on from the dumps with the owner of the production version
+// still alive, which leads until it ends; the others are new.
+func TestProductionOwnerEnds(t *testing.T) {
+	for name, d := range readDumps(t) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := loadWorld(d)
+			w.beginOld(t, 1)
+			for _, n := range w.nodes[1:] { // so that the old one leads first
+				n.downTo = w.now + 6*micros.Second
+			}
+			w.run(12 * micros.Second)
+			if w.leader() != 0 {
+				t.Fatal("the node of the production version does not lead")
+			}
+			w.nodes[0].version = present
+			w.crash(w.nodes[0], worldLife)
+			playOut(t, w)
+		})
+	}
+}
+
+// kindOfRecord is the part of a key that tells what is recorded.
+func kindOfRecord(key string) string {
+	for _, p := range []string{prefixMember, prefixTeam, prefixMachine, prefixActive, prefixFinal, prefixDone, prefixRental, prefixHold} {
+		if strings.HasPrefix(key, p) {
+			return p
+		}
+	}
+	return key
+}
+
+// kinds that a world of each version must have written, so that nothing goes unchecked.
+var recordKinds = []string{keyLeader, keyTypes, prefixMember, prefixTeam, prefixMachine, prefixActive, prefixFinal, prefixDone, prefixRental, prefixHold}
+
+// TestDumpsHoldAll sees that the dumps hold every kind of record and message.
+func TestDumpsHoldAll(t *testing.T) {
+	seen, said := map[string]bool{}, ""
+	condemned := false
+	for _, d := range readDumps(t) {
+		for i, r := range d.Records {
+			seen[kindOfRecord(r.Key)] = true
+			condemned = condemned || strings.Contains(d.Readings[i], `"condemned":true`)
+		}
+		said += strings.Join(d.Said, "\n")
+	}
+	for _, k := range recordKinds {
+		if !seen[k] {
+			t.Errorf("no record %s", k)
+		}
+	}
+	if !condemned {
+		t.Error("no condemned machine")
+	}
+	for _, m := range messageKinds {
+		if !strings.Contains(said, `"`+m+`":`) {
+			t.Errorf("no message %s", m)
+		}
+	}
+}
+
+var messageKinds = []string{"beat", "storeCall", "storeReply", "jobEnded", "want", "given"}
+
+// differences collects what two versions read differently.
+type differences struct {
+	of    *production
+	seen  map[string]bool
+	kinds map[string]bool
+	list  []string
+}
+
+func (f *differences) record(key string, value []byte) {
+	text := key + " " + string(value)
+	if f.seen[text] {
+		return
+	}
+	f.seen[text], f.kinds[kindOfRecord(key)] = true, true
+	f.compare(key, readingOf(key, value), f.of.reads(key, value))
+}
+
+func (f *differences) message(body []byte) {
+	if f.seen[string(body)] {
+		return
+	}
+	f.seen[string(body)] = true
+	own := messageReading(body)
+	for _, m := range messageKinds {
+		if strings.Contains(own, `"`+m+`":`) {
+			f.kinds[m] = true
+		}
+	}
+	f.compare("a message", own, f.of.readsMessage(body))
+}
+
+func (f *differences) compare(what, own, old string) {
+	if own != old || strings.HasPrefix(own, "error") {
+		f.list = append(f.list, what+" means\n"+own+"\nand in production\n"+old)
+	}
+}
+
+// TestProductionReads has the version in production read all that the present one writes and
+// says while plain jobs are all that there is: each record and message must mean to it what
+// it means to us.
+func TestProductionReads(t *testing.T) {
+	f := &differences{of: startProduction(t), seen: map[string]bool{}, kinds: map[string]bool{}}
+	playDumpScript(t, func(w *world) {
+		w.state.OnPut = func(key string, value []byte, _ uint64) { f.record(key, value) }
+		w.onMessage = f.message
+	}, nil)
+	if len(f.list) > 0 {
+		t.Errorf("%d differences, the first:\n%s", len(f.list), f.list[0])
+	}
+	for _, k := range slices.Concat(recordKinds, messageKinds) {
+		if !f.kinds[k] {
+			t.Errorf("no %s was written", k)
+		}
+	}
+}
--- /dev/null
+++ b/controller/dump_write_test.go
@@ -0,0 +1,53 @@
+//go:build dump
+
+package controller
+
+import (
+	"os"
+	"testing"
+
+	"tamarindlead/internal/wire"
+)
+
+// mostMessages is how many messages of each kind a dump holds.
+const mostMessages = 6
+
+// TestDump writes the dumps of production/*.cbor. See production/README.md.
+func TestDump(t *testing.T) {
+	commit, err := productionCommit()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var bodies [][]byte
+	count := map[string]int{}
+	playDumpScript(t, func(w *world) {
+		bodies, count = nil, map[string]int{}
+		f := &differences{of: w.production, seen: map[string]bool{}}
+		w.onMessage = func(body []byte) {
+			f.kinds = map[string]bool{}
+			f.message(body)
+			for kind := range f.kinds {
+				if kind == "beat" && len(body) < 200 && count[kind] > 0 {
+					continue // rather those that say more
+				}
+				if count[kind]++; count[kind] <= mostMessages {
+					bodies = append(bodies, body)
+				}
+			}
+		}
+	}, func(w *world, name string) {
+		d := w.save()
+		d.Commit, d.Messages = commit, bodies
+		for _, m := range bodies {
+			d.Said = append(d.Said, w.production.readsMessage(m))
+		}
+		if err := os.WriteFile("production/"+name+".cbor", squeeze(wire.Encode(d)), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		kinds := map[string]int{}
+		for _, r := range d.Records {
+			kinds[kindOfRecord(r.Key)]++
+		}
+		t.Logf("%s: %v %v", name, kinds, count)
+	})
+}
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -57,7 +57,8 @@
 	faults    stateFaults
 	crowd     crowd
 
-	production *production // runs the nodes of that version
+	production *production       // runs the nodes of that version
+	onMessage  func(body []byte) // is shown what siblings say
 
 	workerFaults
 }
@@ -305,7 +306,9 @@
 	case strings.HasPrefix(c.Addr, "peer:"):
 		i, _ := strconv.Atoi(strings.TrimPrefix(c.Addr, "peer:"))
 		to := w.nodes[i]
+		w.noteMessage(c.Body)
 		w.ask(to, Request{Peer: true, Method: c.Method, Path: c.Target, Body: c.Body}, c.Timeout, func(r Respond) {
+			w.noteMessage(r.Body)
 			if r.Status != 0 && !w.peerLost(c, true) {
 				answer(standin.Reply{Status: r.Status, Body: r.Body})
 			}
@@ -393,15 +396,21 @@
 		}
 		m.Started = true
 		t := w.typeOf(m.Type)
-		w.workers[name] = &standin.Worker{
-			Machine: m, CPU: t.CPUs, Mem: t.MemGB, Session: 1, Tasks: map[string]*standin.Task{},
-			Lease: w.cfg.Lease, LastSent: w.now, Changed: true,
-			Node: w.rng.IntN(len(w.nodes)), NextAt: w.now,
-			Info:    func(task string) (standin.TaskInfo, bool) { return w.info(task) },
-			OnStart: w.onStart, OnExit: w.onExit, GangReady: w.gangReady, GangWhole: w.gangWhole, GangPeer: w.cfg.GangPeer,
-			GangTold: w.gangTold, GangWait: w.cfg.GangWait, Completed: func(task string) bool { return w.done[task] },
-		}
+		w.bootWorker(m, t)
+	}
+}
+
+func (w *world) bootWorker(m *standin.CloudMachine, t wire.MachineType) *standin.Worker {
+	k := &standin.Worker{
+		Machine: m, CPU: t.CPUs, Mem: t.MemGB, Session: 1, Tasks: map[string]*standin.Task{},
+		Lease: w.cfg.Lease, LastSent: w.now, Changed: true,
+		Node: w.rng.IntN(len(w.nodes)), NextAt: w.now,
+		Info:    func(task string) (standin.TaskInfo, bool) { return w.info(task) },
+		OnStart: w.onStart, OnExit: w.onExit, GangReady: w.gangReady, GangWhole: w.gangWhole, GangPeer: w.cfg.GangPeer,
+		GangTold: w.gangTold, GangWait: w.cfg.GangWait, Completed: func(task string) bool { return w.done[task] },
 	}
+	w.workers[m.Name] = k
+	return k
 }
 
 func (w *world) typeOf(name string) wire.MachineType {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -48,6 +48,7 @@
 	Ops      int  // puts and deletes in one commit, 0 for no limit
 	Value    int  // bytes of a value in JSON, 0 for no limit
 	Invalid  int  // commits that were refused for their size
+	OnPut    func(key string, value []byte, version uint64)
 	revision uint64
 	keys     map[string]kvEntry
 	leases   map[uint64]*stateLease
@@ -119,6 +120,9 @@
 		delete(s.keys, key)
 	} else {
 		s.keys[key] = kvEntry{value, s.revision, lease}
+		if s.OnPut != nil {
+			s.OnPut(key, value, s.revision)
+		}
 	}
 	s.events = append(s.events, kvEvent{s.revision, key, deleted, value})
 }
