--- a/controller/dump_play_test.go
+++ b/controller/dump_play_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+
+	"tamarindlead/micros"
 )
 
 // playDumpScript plays production/script.txt: with nodes of the version in production where
@@ -28,6 +30,13 @@
 			}
 			return ""
 		}
+		if d.Cmd == "until-record" {
+			text := ""
+			if d.HasArg("condemned") {
+				text = `"condemned":true`
+			}
+			return w.untilRecord(arg(t, d, "prefix", ""), text)
+		}
 		out := scenarioCommand(t, w, d)
 		if len(w.broken) > 0 {
 			t.Fatalf("%s: rules broken:\n%s", filepath.Base(d.Pos), strings.Join(w.broken, "\n"))
@@ -35,3 +44,15 @@
 		return out
 	})
 }
+
+// untilRecord plays until there is a record with a prefix in which a text is read.
+func (w *world) untilRecord(prefix, text string) string {
+	for end := w.now + 60*micros.Second; w.now < end; w.run(worldStep) {
+		for _, k := range w.state.Keys(prefix) {
+			if v, _ := w.state.Get(k); strings.Contains(readingOf(k, v), text) {
+				return "seen"
+			}
+		}
+	}
+	return "not seen"
+}
--- a/controller/dump_write_test.go
+++ b/controller/dump_write_test.go
@@ -3,6 +3,7 @@
 package controller
 
 import (
+	"bytes"
 	"os"
 	"testing"
 
@@ -27,8 +28,8 @@
 			f.kinds = map[string]bool{}
 			f.message(body)
 			for kind := range f.kinds {
-				if kind == "beat" && len(body) < 200 && count[kind] > 0 {
-					continue // rather those that say more
+				if kind == "beat" && bytes.Contains([]byte(messageReading(body)), []byte(`"idle"`)) {
+					kind = "beat of an owner"
 				}
 				if count[kind]++; count[kind] <= mostMessages {
 					bodies = append(bodies, body)
