--- a/controller/dump_test.go
+++ b/controller/dump_test.go
@@ -335,3 +335,45 @@
 		}
 	}
 }
+
+// TestWaitingJobInProduction is what the version in production does with a job that waits
+// for others, should a node go back to it all the same: its description is kept where that
+// version does not look, so it starts nothing, goes on calling the job queued, and accepts it
+// no second time.
+func TestWaitingJobInProduction(t *testing.T) {
+	d := readDumps(t)["begun"]
+	id := "req-000099"
+	j := sched.Job{ID: id, Class: "work", Team: "red", Tasks: 2, Need: sched.NewResources(1, 0, 1), Image: "img", ImageGB: 1, Estimate: micros.Second}
+	value := wire.Encode(map[string]any{"w": wire.FromJob(&j), "at": int64(d.Now)})
+	d.Records = append(d.Records, standin.Record{Key: activeKey(id), Value: value, Version: d.Revision + 1})
+	d.Revision++
+	d.Jobs = append(d.Jobs, dumpJob{Job: j, Info: standin.TaskInfo{CPU: 1, Mem: 1, Run: micros.Second, Fetch: micros.Second, Tasks: 2}, Accepted: true})
+	w := loadWorld(d)
+	w.beginOld(t, len(w.nodes))
+	if old := w.production.reads(activeKey(id), value); !strings.HasPrefix(old, "error") {
+		t.Errorf("the version in production reads %s", old)
+	}
+	w.run(60 * micros.Second)
+	statuses := map[string]int{}
+	for i := range w.nodes {
+		for _, r := range []Request{{Method: "GET", Path: "/api/jobs/" + id}, {Method: "POST", Path: "/api/jobs", Body: w.bodies[id]}} {
+			w.ask(w.nodes[i], r, 5*micros.Second, func(a Respond) {
+				var st wire.JobState
+				if wire.Decode(a.Body, &st) != nil {
+					st.Status = "unreadable"
+				}
+				statuses[strings.Join([]string{r.Method, st.Status}, " ")]++
+			})
+		}
+	}
+	w.run(6 * micros.Second)
+	if statuses["GET queued"] != len(w.nodes) || statuses["POST queued"] != len(w.nodes) {
+		t.Errorf("answers: %v", statuses)
+	}
+	if w.began[id] != 0 || w.running[numbered(id, 0)] != "" || w.done[numbered(id, 0)] {
+		t.Error("it has started")
+	}
+	if len(w.broken) > 0 {
+		t.Errorf("rules broken:\n%s", strings.Join(w.broken, "\n"))
+	}
+}
