--- a/controller/pairs_test.go
+++ b/controller/pairs_test.go
@@ -65,6 +65,33 @@
 	}
 }
 
+// upgradeSeeds are played by TestUpgradePairs.
+var upgradeSeeds = []uint64{1, 2, 3, 4, 5, 6, 7, 8}
+
+// TestUpgradePairs plays drawn troubles while the running service is upgraded: all nodes
+// begin with the version in production and return one by one with the present one. A node
+// that ends before its turn comes back old.
+func TestUpgradePairs(t *testing.T) {
+	for _, seed := range upgradeSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			p := newPairs(seed)
+			w := p.w
+			w.beginOld(t, len(w.nodes))
+			for i, n := range w.nodes {
+				w.after(8*micros.Second+micros.Micros(i)*p.seconds(4, 8), func() {
+					n.version = present
+					w.crash(n, worldLife)
+				})
+			}
+			p.play()
+			if len(w.broken) > 0 {
+				t.Errorf("rules broken:\n%s\n\nplayed:\n%s", strings.Join(w.broken, "\n"), strings.Join(p.notes, "\n"))
+			}
+		})
+	}
+}
+
 // pairs is one drawn run.
 type pairs struct {
 	w        *world
@@ -538,10 +565,13 @@
 	w := p.w
 	var owners, likely []*simNode
 	for _, n := range w.nodes {
-		if !n.up || n.core.owner == nil {
+		if by, _ := n.owns(); by == nil {
 			continue
 		}
 		owners = append(owners, n)
+		if n.old != nil {
+			continue
+		}
 		for id := range n.core.owner.jobs {
 			if w.wantsEnd[id] {
 				likely = append(likely, n)
--- a/controller/production_test.go
+++ b/controller/production_test.go
@@ -41,7 +41,7 @@
 var productionLine = regexp.MustCompile(`(?m)^production = "([0-9a-f]{40})"$`)
 
 // productionVerb plays the commands of this file; ok is false for any other.
-func productionVerb(t *testing.T, w *world, d *datadriven.TestData, node func() *simNode) (ok bool) {
+func productionVerb(t *testing.T, w *world, d *datadriven.TestData, node func() *simNode) (out string, ok bool) {
 	down := argSeconds(t, d, "for", worldLife.Seconds())
 	switch d.Cmd {
 	case "upgrade": // a node ends and returns with the present version
@@ -62,10 +62,15 @@
 			n.version = present
 			w.crash(n, down)
 		}
+	case "leader-version":
+		if i := w.leader(); i >= 0 {
+			return w.nodes[i].version.String(), true
+		}
+		return "nobody leads", true
 	default:
-		return false
+		return "", false
 	}
-	return true
+	return "", true
 }
 
 // beginOld has the world's first nodes begin with the version in production.
@@ -280,6 +285,8 @@
 	inProduction
 )
 
+func (v version) String() string { return [...]string{"present", "production"}[v] }
+
 func (n *simNode) handle(w *world, ev Event) []Effect {
 	if n.old != nil {
 		return n.old.handle(w, ev)
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -242,8 +242,8 @@
 		if out, ok := userVerb(t, w, d); ok {
 			return out
 		}
-		if productionVerb(t, w, d, node) {
-			return ""
+		if out, ok := productionVerb(t, w, d, node); ok {
+			return out
 		}
 		if !workerFaultCommand(t, w, d, during) {
 			d.Fatalf(t, "unknown command %s", d.Cmd)
