--- a/controller/dump_test.go
+++ b/controller/dump_test.go
@@ -197,7 +197,10 @@
 					t.Errorf("a message is read as\n%s\nin production as\n%s", got, d.Said[i])
 				}
 			}
-			w := loadWorld(d)
+			playOut(t, loadWorld(d))
+			w := loadWorld(d) // and with the smaller limits at once
+			w.next = nextLimits{on: true, value: 1 << 10, ops: 5, writes: 15, rps: 150}
+			w.state.Value, w.state.Ops, w.state.WriteRate, w.state.Rate = 1<<10, 5, 15, 150
 			playOut(t, w)
 		})
 	}
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -61,6 +61,7 @@
 	onMessage  func(body []byte) // is shown what siblings say
 
 	workerFaults
+	next nextLimits
 }
 
 type simNode struct {
@@ -140,6 +141,9 @@
 	cfg := *w.cfg
 	cfg.Zone = w.nodeZone(n.index)
 	cfg.Node = nodeName(n.index)
+	if n.version != inProduction { // that version does not know of them
+		w.next.apply(&cfg)
+	}
 	cfg.Siblings = nil
 	for i := range w.nodes {
 		if i != n.index {
