--- a/controller/readings_test.go
+++ b/controller/readings_test.go
@@ -22,7 +22,56 @@
 	if err != nil {
 		return "error: " + err.Error()
 	}
-	return text
+	return meaning(text)
+}
+
+// meaning leaves out what is not set, so that a field which only one version knows makes no
+// difference as long as it is not used.
+func meaning(text string) string {
+	var v any
+	d := json.NewDecoder(strings.NewReader(text))
+	d.UseNumber()
+	if d.Decode(&v) != nil {
+		return text // an error
+	}
+	out, err := json.Marshal(withoutUnset(v))
+	if err != nil {
+		return text
+	}
+	return string(out)
+}
+
+func withoutUnset(v any) any {
+	switch v := v.(type) {
+	case map[string]any:
+		for name, x := range v {
+			if x = withoutUnset(x); x == nil {
+				delete(v, name)
+			} else {
+				v[name] = x
+			}
+		}
+	case []any:
+		if len(v) == 0 {
+			return nil
+		}
+		for i := range v { // a list keeps its length
+			v[i] = withoutUnset(v[i])
+		}
+	case json.Number:
+		if v == "0" {
+			return nil
+		}
+	case string:
+		if v == "" {
+			return nil
+		}
+	case bool:
+		if !v {
+			return nil
+		}
+	}
+	return v
 }
 
 func readRecord(key string, value []byte) (string, error) {
