--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -44,10 +44,11 @@
 	Down    bool            // answers 503 to everybody
 	Refused map[string]bool // answers 503 to these callers
 	Writes  int
-	Compact bool // forgets all history: watches get 410 once
-	Ops     int  // puts and deletes in one commit, 0 for no limit
-	Value   int  // bytes of a value in JSON, 0 for no limit
-	Invalid int  // commits that were refused for their size
+	Compact bool                                           // forgets all history: watches get 410 once
+	Ops     int                                            // puts and deletes in one commit, 0 for no limit
+	Value   int                                            // bytes of a value in JSON, 0 for no limit
+	Invalid int                                            // commits that were refused for their size
+	OnPut   func(key string, value []byte, version uint64) // is shown what is written
 	// Requests and changes a second, with bursts of one second's worth; 0 for no limit.
 	Rate, WriteRate  float64
 	Limited          int // requests that were refused for these
@@ -149,6 +150,9 @@
 		delete(s.keys, key)
 	} else {
 		s.keys[key] = kvEntry{value, s.revision, lease}
+		if s.OnPut != nil {
+			s.OnPut(key, value, s.revision)
+		}
 	}
 	s.events = append(s.events, kvEvent{s.revision, key, deleted, value})
 }
