--- a/controller/graph_test.go
+++ b/controller/graph_test.go
@@ -193,8 +193,15 @@
 				default:
 					if rng.IntN(2) == 0 {
 						stale, staleAt = r.list(), r.revision
-					} else {
-						c.resetJobs(stale, staleAt)
+					} else { // its later pages were read later
+						from := activeKey(jobName(rng.IntN(step + 1)))
+						entries := slices.DeleteFunc(slices.Clone(stale), func(e state.Entry) bool { return e.Key >= from })
+						for _, e := range r.list() {
+							if e.Key >= from {
+								entries = append(entries, e)
+							}
+						}
+						c.resetJobs(entries, staleAt)
 					}
 				}
 				if rng.IntN(3) == 0 {
@@ -213,6 +220,16 @@
 						c.awaitedOver(id, r.finals[id])
 					}
 				}
+				if c.applyJobs(0, r.since(0)); len(g.ended) > 0 {
+					t.Fatalf("step %d: changes that were applied before are taken for news: %v", step, sortedKeys(g.ended))
+				}
+				for x, deps := range g.dependents {
+					for id, w := range deps {
+						if g.waiting[id] != w || !w.need[x] {
+							t.Fatalf("step %d: %s is kept as waiting for %s", step, id, x)
+						}
+					}
+				}
 				for id := range r.jobs {
 					if g.active[id] != (r.accepted[id] != 0) {
 						t.Fatalf("step %d: %s is active: %v", step, id, g.active[id])
--- a/controller/work.go
+++ b/controller/work.go
@@ -325,11 +325,13 @@
 	if most > 0 {
 		o.flushClaims(t, room)
 		o.flushFinals(t, func() bool { return room() < 2 || full() })
-		half := len(t.writes) + max(2, c.cfg.TxnOps/2)
-		o.flushWithdrawn(t, func() bool { return room() < 2 || full() || len(t.writes)+2 > half })
+		// The cancelled that nobody waits for leave half to the rest, or take what is left.
+		half := most / 2
+		o.flushWithdrawn(t, func() bool { return room() < 2+half || full() })
 		o.flushRentals(t, func() bool { return room() < 2 || full() })
 		o.flushHolds(t, full)
 		o.flushRecords(t, room)
+		o.flushWithdrawn(t, func() bool { return room() < 2 || full() })
 	}
 	if len(t.writes) == 0 {
 		o.tidy()
