--- a/controller/graph_test.go
+++ b/controller/graph_test.go
@@ -215,10 +215,11 @@
 				if !c.applyJobs(after, r.since(after)) || !c.applyJobs(after, r.since(after)) {
 					t.Fatal("changes that continue the view were refused")
 				}
-				for len(g.ended) > 0 {
-					for _, id := range sortedKeys(g.ended) {
-						c.awaitedOver(id, r.finals[id])
+				for _, id := range sortedKeys(g.ended) {
+					if _, over := r.finals[id]; !over {
+						t.Fatalf("step %d: %s is taken to be over", step, id)
 					}
+					c.awaitedOver(id, r.finals[id])
 				}
 				if c.applyJobs(0, r.since(0)); len(g.ended) > 0 {
 					t.Fatalf("step %d: changes that were applied before are taken for news: %v", step, sortedKeys(g.ended))
