--- a/controller/graph_test.go
+++ b/controller/graph_test.go
@@ -193,8 +193,15 @@
 				default:
 					if rng.IntN(2) == 0 {
 						stale, staleAt = r.list(), r.revision
-					} else {
-						c.resetJobs(stale, staleAt)
+					} else { // its later pages were read later
+						from := activeKey(jobName(rng.IntN(step + 1)))
+						entries := slices.DeleteFunc(slices.Clone(stale), func(e state.Entry) bool { return e.Key >= from })
+						for _, e := range r.list() {
+							if e.Key >= from {
+								entries = append(entries, e)
+							}
+						}
+						c.resetJobs(entries, staleAt)
 					}
 				}
 				if rng.IntN(3) == 0 {
@@ -208,9 +215,20 @@
 				if !c.applyJobs(after, r.since(after)) || !c.applyJobs(after, r.since(after)) {
 					t.Fatal("changes that continue the view were refused")
 				}
-				for len(g.ended) > 0 {
-					for _, id := range sortedKeys(g.ended) {
-						c.awaitedOver(id, r.finals[id])
+				for _, id := range sortedKeys(g.ended) {
+					if _, over := r.finals[id]; !over {
+						t.Fatalf("step %d: %s is taken to be over", step, id)
+					}
+					c.awaitedOver(id, r.finals[id])
+				}
+				if c.applyJobs(0, r.since(0)); len(g.ended) > 0 {
+					t.Fatalf("step %d: changes that were applied before are taken for news: %v", step, sortedKeys(g.ended))
+				}
+				for x, deps := range g.dependents {
+					for id, w := range deps {
+						if g.waiting[id] != w || !w.need[x] {
+							t.Fatalf("step %d: %s is kept as waiting for %s", step, id, x)
+						}
 					}
 				}
 				for id := range r.jobs {
