Scenario awaits_no_owner: its premise is checked, and holds

It was red for a wrong premise: the jobs after the cancelled one were recorded before commits grew slow.

--- a/controller/pipelines_test.go
+++ b/controller/pipelines_test.go
@@ -438,6 +438,11 @@
 			return "not ended", true
 		}
 		return "ended", true
+	case "until-recorded": // a job's final state, whoever was told
+		for end := w.now + argSeconds(t, d, "s", 240); w.now < end && w.recorded(id) == ""; {
+			w.run(worldStep)
+		}
+		return w.recorded(id), true
 	case "until-told":
 		for end := w.now + argSeconds(t, d, "s", 240); w.now < end && w.told[id] == ""; {
 			w.run(worldStep)
