With few writes a commit, more jobs may wait for their records at a time

The bound was for the guards of a commit, which blocks bound themselves now. 24 at the least; unchanged with 12 changes a commit and more.

Ruled out: blocks that give no room (none was too large). Also: what a task takes in a record is not taken from records that hold few.

--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -369,7 +369,9 @@
 	}
 	rec := d.record(o.c.ownID())
 	if placed > 0 {
-		b.taskBytes = float64(rec.size()-len(kept)*entryBytes) / float64(placed)
+		// With few tasks most of this is the entries: taken for the tasks', nothing more would be
+		// placed on machines that stand idle, and so it would stay.
+		b.taskBytes = min(float64(rec.size()-len(kept)*entryBytes)/float64(placed), freshBytes)
 	}
 	if rec.size() > o.c.cfg.ValueBytes && len(kept) > 0 {
 		o.outgrown(b, rec.size(), ch.proposed)
--- a/controller/limits_test.go
+++ b/controller/limits_test.go
@@ -221,3 +221,31 @@
 		t.Fatal("the old record stays")
 	}
 }
+
+// TestSlotsOfIdle guards against machines that stand idle for ever: where a block's record
+// holds few tasks, its size is that of the entries, not of tasks.
+func TestSlotsOfIdle(t *testing.T) {
+	o := testOwner()
+	o.c.cfg.ValueBytes = 2 << 10
+	id := jobName(1)
+	o.jobRecord(activeKey(id), wire.Encode(plainRecord(&sched.Job{
+		ID: id, Class: "work", Team: "red", Tasks: 40, Need: sched.NewResources(2, 0, 2), Image: "img", Estimate: micros.Second,
+	}, 0)), 1)
+	for i := range 6 {
+		m := o.newMachine(fmt.Sprintf("m-%06d", i*7919), "mid", "a", false, fmt.Sprintf("10.1.%d.%d:9000", i*37, i*91%256))
+		m.token, m.state, m.heard = uint64(1000+i*4711), machineUp, o.c.now
+	}
+	if len(o.blocks) != 1 {
+		t.Fatalf("%d blocks", len(o.blocks))
+	}
+	o.attach(o.jobs[id], 0, 1<<20|1, o.list[0], attemptLive)
+	o.flushRecords(&txn{guards: map[string]uint64{}}, func() int { return 1 })
+	if !o.blocks[0].writing {
+		t.Fatal("the block was not written")
+	}
+	for _, m := range o.list {
+		if n := o.slotsOf(m, map[*block]float64{}); n < 5 {
+			t.Errorf("%s takes %d more tasks", m.name, n)
+		}
+	}
+}
--- a/controller/work.go
+++ b/controller/work.go
@@ -23,6 +23,7 @@
 	guardBytes    = 64 // of a guard, at most, as a rule
 	passGap       = 100 * micros.Millisecond
 	mostProposed  = 1000 // attempts that wait for their record
+	fewestJobs    = 24   // jobs that may have such, however few guards a commit takes
 	foreignLife   = 10 * micros.Second
 )
 
@@ -37,7 +38,7 @@
 	kept := keptLimits{}
 	looked, nowhere := 0, map[shape]bool{}
 	for _, j := range o.inTurn() {
-		if looked >= jobsPerPass || o.proposedJobs >= 2*o.c.cfg.TxnOps {
+		if looked >= jobsPerPass || o.proposedJobs >= max(2*o.c.cfg.TxnOps, fewestJobs) {
 			break // the guards of a commit are bounded
 		}
 		if j.state != jobActive || j.pending == 0 || j.unsure || o.c.now < j.notUntil {
