--- a/controller/users.go
+++ b/controller/users.go
@@ -397,12 +397,14 @@
 	if c.owner != nil && c.owner.jobs[id] != nil {
 		return c.owner.countsOf(id)
 	}
-	for _, s := range c.peers {
-		if n := s.jobs[id]; n != nil {
-			return int(n.Done), int(n.Running)
+	latest := micros.Micros(0)
+	for _, cfg := range c.cfg.Siblings { // an earlier owner may still say what it knew
+		s := c.peers[cfg.Node]
+		if n := s.jobs[id]; n != nil && s.lastAt > latest {
+			latest, done, running = s.lastAt, int(n.Done), int(n.Running)
 		}
 	}
-	return 0, 0
+	return done, running
 }
 
 func (c *Core) cancel(req uint64, id string) {
