--- /dev/null
+++ b/controller/effects_test.go
@@ -0,0 +1,171 @@
+package controller
+
+import (
+	"encoding/hex"
+	"fmt"
+	"hash"
+	"hash/fnv"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/fxamacker/cbor/v2"
+	"google.golang.org/protobuf/proto"
+
+	"tamarindlead/internal/peer"
+	"tamarindlead/micros"
+)
+
+// TestRecordedEffects plays scenarios and compares all events and effects of the nodes with
+// those that were recorded: a refactoring must not change any of them. A change of behaviour
+// does, and then records them anew, in the commit that makes it:
+//
+//	go test ./controller -run TestRecordedEffects -rewrite
+func TestRecordedEffects(t *testing.T) {
+	datadriven.RunTest(t, filepath.Join("recorded", "effects.txt"), func(t *testing.T, d *datadriven.TestData) string {
+		if d.Cmd != "play" {
+			d.Fatalf(t, "unknown command %s", d.Cmd)
+		}
+		return playRecorded(t, arg(t, d, "scenario", "")).String()
+	})
+}
+
+// TestRecordedEffectsDiffer shows that the comparison notices each kind of difference.
+func TestRecordedEffectsDiffer(t *testing.T) {
+	base := []Effect{Call{ID: 1, Addr: "state", Method: "GET", Target: "/kv/types", Timeout: 5, MaxBody: 6}, Respond{ID: 2, Status: 200, Body: []byte("x")}}
+	digest := func(ev Event, effects []Effect) string {
+		r := newEffectRecord()
+		r.note(0, micros.Second, ev, effects)
+		return r.String()
+	}
+	same := digest(Tick{}, base)
+	if again := digest(Tick{}, base); again != same {
+		t.Fatalf("the same effects differ: %s, %s", same, again)
+	}
+	changed := map[string]string{
+		"event":       digest(Request{ID: 1}, base),
+		"event body":  digest(CallDone{ID: 1, Body: []byte("y")}, base),
+		"address":     digest(Tick{}, []Effect{Call{ID: 1, Addr: "cloud", Method: "GET", Target: "/kv/types", Timeout: 5, MaxBody: 6}, base[1]}),
+		"method":      digest(Tick{}, []Effect{Call{ID: 1, Addr: "state", Method: "PUT", Target: "/kv/types", Timeout: 5, MaxBody: 6}, base[1]}),
+		"target":      digest(Tick{}, []Effect{Call{ID: 1, Addr: "state", Method: "GET", Target: "/kv/other", Timeout: 5, MaxBody: 6}, base[1]}),
+		"call body":   digest(Tick{}, []Effect{Call{ID: 1, Addr: "state", Method: "GET", Target: "/kv/types", Timeout: 5, MaxBody: 6, Body: []byte("b")}, base[1]}),
+		"timeout":     digest(Tick{}, []Effect{Call{ID: 1, Addr: "state", Method: "GET", Target: "/kv/types", Timeout: 7, MaxBody: 6}, base[1]}),
+		"most body":   digest(Tick{}, []Effect{Call{ID: 1, Addr: "state", Method: "GET", Target: "/kv/types", Timeout: 5, MaxBody: 7}, base[1]}),
+		"status":      digest(Tick{}, []Effect{base[0], Respond{ID: 2, Status: 201, Body: []byte("x")}}),
+		"answer":      digest(Tick{}, []Effect{base[0], Respond{ID: 2, Status: 200, Body: []byte("z")}}),
+		"retry after": digest(Tick{}, []Effect{base[0], Respond{ID: 2, Status: 200, Body: []byte("x"), RetryAfter: 1}}),
+		"one less":    digest(Tick{}, base[:1]),
+		"order":       digest(Tick{}, []Effect{base[1], base[0]}),
+	}
+	for what, got := range changed {
+		if got == same {
+			t.Errorf("a change of the %s is not noticed", what)
+		}
+	}
+}
+
+// playRecorded plays a scenario and digests what its nodes took and returned.
+func playRecorded(t *testing.T, scenario string) *effectRecord {
+	record := newEffectRecord()
+	var w *world
+	datadriven.RunTest(t, filepath.Join("testdata", scenario+".txt"), func(t *testing.T, d *datadriven.TestData) string {
+		if d.Cmd == "world" {
+			w = scenarioWorld(t, d)
+			w.onEffects = func(n *simNode, ev Event, effects []Effect) { record.note(n.index, w.now-micros.Hour, ev, effects) }
+			return ""
+		}
+		return scenarioCommand(t, w, d)
+	})
+	return record
+}
+
+// recordedEvery is how much simulated time one line of a record covers: the first line that
+// differs tells about when the behaviour does.
+const recordedEvery = 10 * micros.Second
+
+// effectRecord digests events and effects. Each line holds the digest of all up to its time.
+type effectRecord struct {
+	sum     hash.Hash64
+	events  int
+	effects int
+	next    micros.Micros
+	lines   []string
+}
+
+func newEffectRecord() *effectRecord {
+	return &effectRecord{sum: fnv.New64a(), next: recordedEvery}
+}
+
+func (r *effectRecord) note(node int, now micros.Micros, ev Event, effects []Effect) {
+	for now >= r.next {
+		r.line()
+		r.next += recordedEvery
+	}
+	r.events++
+	r.effects += len(effects)
+	fmt.Fprintf(r.sum, "%d %d ", node, now)
+	switch e := ev.(type) {
+	case Request:
+		fmt.Fprintf(r.sum, "request %d %t %q %q %x", e.ID, e.Peer, e.Method, e.Path, canonical(e.Body))
+	case CallDone:
+		fmt.Fprintf(r.sum, "done %d %d %t %x", e.ID, e.Status, e.Sent, canonical(e.Body))
+	case Tick:
+		fmt.Fprint(r.sum, "tick")
+	}
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case Call:
+			fmt.Fprintf(r.sum, " call %d %q %q %q %d %d %x", e.ID, e.Addr, e.Method, e.Target, e.Timeout, e.MaxBody, canonical(e.Body))
+		case Respond:
+			fmt.Fprintf(r.sum, " respond %d %d %d %x", e.ID, e.Status, e.RetryAfter, canonical(e.Body))
+		}
+	}
+	fmt.Fprintln(r.sum)
+}
+
+// canonical orders the keys of maps in a CBOR body, since their order on the wire means nothing,
+// also in one that a message between controllers carries. A body of another form stays as it is.
+func canonical(body []byte) []byte {
+	var value any
+	if cbor.Unmarshal(body, &value) == nil {
+		return canonicalValue(value, body)
+	}
+	var message peer.Message
+	if proto.Unmarshal(body, &message) != nil {
+		return body
+	}
+	if call := message.GetStoreCall(); call != nil {
+		call.Body = canonical(call.Body)
+	}
+	if reply := message.GetStoreReply(); reply != nil {
+		reply.Body = canonical(reply.Body)
+	}
+	ordered, err := proto.MarshalOptions{Deterministic: true}.Marshal(&message)
+	if err != nil {
+		return body
+	}
+	return ordered
+}
+
+func canonicalValue(value any, body []byte) []byte {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	ordered, err := mode.Marshal(value)
+	if err != nil {
+		return body
+	}
+	return ordered
+}
+
+func (r *effectRecord) line() {
+	r.lines = append(r.lines, fmt.Sprintf("%ds events=%d effects=%d digest=%s",
+		r.next/micros.Second, r.events, r.effects, hex.EncodeToString(r.sum.Sum(nil))))
+}
+
+func (r *effectRecord) String() string {
+	r.line()
+	return strings.Join(r.lines, "\n") + "\n"
+}
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -60,6 +60,7 @@
 
 	production *production       // runs the nodes of that version
 	onMessage  func(body []byte) // is shown what siblings say
+	onEffects  func(n *simNode, ev Event, effects []Effect)
 
 	workerFaults
 	next nextLimits
@@ -196,7 +197,11 @@
 		return
 	}
 	life := n.life
-	for _, e := range n.handle(w, ev) {
+	effects := n.handle(w, ev)
+	if w.onEffects != nil {
+		w.onEffects(n, ev, effects)
+	}
+	for _, e := range effects {
 		switch e := e.(type) {
 		case Respond:
 			if answer := n.pending[e.ID]; answer != nil {
