Split the owner, the core's timers, machine types and cloud calls into files of one job

owner.go mixed the owner's states with loading, the job queue and the list of machines; leader.go held the table of machine types and the calls to the cloud.

No code changes.

--- /dev/null
+++ b/controller/cloud.go
@@ -0,0 +1,20 @@
+package controller
+
+import (
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+const cloudTimeout = 5 * micros.Second
+
+// cloud calls the cloud; status 0: no response.
+func (c *Core) cloud(method, target string, body any, done func(status int, body []byte)) {
+	var data []byte
+	if body != nil {
+		data = wire.Encode(body)
+	}
+	c.call(Call{
+		Addr: c.cfg.CloudAddr, Method: method, Target: target, Body: data,
+		Timeout: cloudTimeout, MaxBody: maxStoreBody,
+	}, func(e CallDone) { done(e.Status, e.Body) })
+}
--- a/controller/core.go
+++ b/controller/core.go
@@ -10,7 +10,6 @@
 	"tamarindlead/config"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
-	"tamarindlead/sched"
 )
 
 // Core is the state of a controller node.
@@ -98,43 +97,6 @@
 	return c.out
 }
 
-// How often the slower duties are looked at, and how exactly time is seen to pass.
-const (
-	slowTick = 250 * micros.Millisecond
-	fastTick = 50 * micros.Millisecond // while something waits for a moment
-)
-
-type timer struct {
-	at micros.Micros
-	do func()
-}
-
-// after calls do once d has passed, as exactly as ticks come.
-func (c *Core) after(d micros.Micros, do func()) {
-	c.timers = append(c.timers, timer{c.now + d, do})
-}
-
-func (c *Core) runTimers() {
-	due := c.timers
-	c.timers = nil
-	for _, t := range due {
-		if c.now >= t.at {
-			t.do()
-		} else {
-			c.timers = append(c.timers, t)
-		}
-	}
-}
-
-// TickEvery tells how often the time must be passed to the core now.
-func (c *Core) TickEvery() micros.Micros {
-	if c.owner != nil || len(c.users.waiting) > 0 || len(c.asked.waiting) > 0 ||
-		len(c.timers) > 0 || len(c.disclosing) > 0 {
-		return fastTick
-	}
-	return slowTick
-}
-
 func (c *Core) tick() {
 	c.runTimers()
 	if c.now >= c.nextSlow {
@@ -184,22 +146,3 @@
 
 // retryAfter is what users are told, in seconds: the least they wait anyway.
 const retryAfter = 1
-
-// typeTable is what the node knows of machine types.
-type typeTable struct {
-	list     []sched.MachineType
-	asking   bool
-	next     micros.Micros
-	fromAPI  bool
-	raw      wire.MachineTypes
-	recorded bool // in the state service, by this life of the node
-}
-
-func (t *typeTable) find(name string) *sched.MachineType {
-	for i := range t.list {
-		if t.list[i].Name == name {
-			return &t.list[i]
-		}
-	}
-	return nil
-}
--- /dev/null
+++ b/controller/job_queue.go
@@ -0,0 +1,151 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"tamarindlead/internal/peer"
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// jobRecord takes an accepted job from its record.
+func (o *owner) jobRecord(key string, value []byte, version uint64) {
+	id := strings.TrimPrefix(key, prefixActive)
+	if o.jobs[id] != nil || o.waiting[id] != nil || o.c.ended[id] != 0 {
+		return
+	}
+	var rec jobRecord
+	if err := wire.Decode(value, &rec); err != nil {
+		o.c.log.Error("record cannot be read", "key", key, "error", err)
+		return
+	}
+	spec, err := rec.spec()
+	if err != nil {
+		o.c.log.Error("record cannot be read", "key", key, "error", err)
+		return
+	}
+	if o.teams[spec.Team] == nil {
+		return // another owner's
+	}
+	j := newJob(spec, version, micros.Micros(rec.Accepted))
+	if rec.Waiting != nil {
+		j.parts = rec.Parts
+		o.addWaiting(j)
+		return
+	}
+	o.enqueue(j)
+}
+
+// enqueue adds a job to those that are placed.
+func (o *owner) enqueue(j *job) {
+	j.idleSince = o.c.now
+	o.jobs[j.ID] = j
+	o.inherit(j)
+	o.queueJob(j)
+	o.noteClass(j)
+	o.wantSchedule = true
+}
+
+func (o *owner) queueJob(j *job) {
+	i, _ := slices.BinarySearchFunc(o.queue, j, queueOrder)
+	o.queue = slices.Insert(o.queue, i, j)
+}
+
+// queueOrder: higher priority first, then who came, or was ready, first.
+func queueOrder(a, b *job) int {
+	return cmp.Or(-cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.since, b.since), cmp.Compare(a.ID, b.ID))
+}
+
+// watchJobs follows jobs that are accepted, and those that are over.
+func (o *owner) watchJobs(after uint64) {
+	c := o.c
+	asked := c.now
+	c.storeWithin(forOwnership, state.Watch(prefixActive, after, c.watchWait()), watchTimeout, func(r storeReply) {
+		if o.over() {
+			return
+		}
+		switch {
+		case r.outcome == outGone:
+			o.resync("the watch fell behind")
+			return
+		case r.outcome != outOK:
+			// Again after a pause, which the slow tick gives.
+			o.rewatch(after)
+			return
+		case !c.takeChanges(after, r):
+			o.resync("the watch cannot be followed")
+			return
+		}
+		o.knownTo = asked
+		o.watchJobs(c.jobs.revision)
+	})
+}
+
+func (o *owner) rewatch(after uint64) {
+	o.watchRev, o.watchDown, o.retryAt = after, true, o.c.now+loadRetry
+}
+
+// jobGone handles a job that is over: by our own commit, or cancelled, of which users were
+// told at since or later.
+func (o *owner) jobGone(id string, since micros.Micros) {
+	if j := o.waiting[id]; j != nil && !j.writing {
+		o.c.log.Info("job cancelled while it waits", "job", id)
+		o.waitingGone(j)
+		return
+	}
+	j := o.jobs[id]
+	if j == nil || j.state == jobEnded || j.state == jobFinishing && j.writing {
+		return // the watch may tell of our own commit before its answer comes
+	}
+	o.c.log.Info("job cancelled", "job", id, "attempts", len(j.attempts))
+	o.endJob(j)
+	j.endedAt = since
+	o.stopJob(j, 0, "cancelled")
+}
+
+// endJob takes a job out of the queue; its record is gone.
+func (o *owner) endJob(j *job) {
+	o.setJob(j, jobEnded)
+	o.queue = slices.DeleteFunc(o.queue, func(q *job) bool { return q == j })
+	o.dropChunks(j)
+	o.dropParts(j)
+	if len(j.attempts) == 0 {
+		delete(o.jobs, j.ID)
+	}
+	for _, a := range j.sorted() {
+		if a.state != attemptFinished {
+			continue
+		}
+		if o.machines[a.machine.name] == a.machine {
+			o.setAttempt(a, attemptLeaving)
+		} else {
+			o.setAttempt(a, attemptClosed)
+		}
+	}
+	o.wantSchedule = true
+}
+
+// counts tells siblings what to show their users.
+func (o *owner) counts() []*peer.JobCount {
+	const most = 200
+	var list []*peer.JobCount
+	for _, j := range o.queue {
+		if len(list) == most {
+			break
+		}
+		if len(j.attempts) > 0 || j.doneN > 0 {
+			list = append(list, &peer.JobCount{Id: j.ID, Done: uint32(j.doneN), Running: uint32(j.runs)})
+		}
+	}
+	return list
+}
+
+func (o *owner) countsOf(id string) (done, running int) {
+	if j := o.jobs[id]; j != nil {
+		return j.doneN, j.runs
+	}
+	return 0, 0
+}
