--- a/controller/dump_test.go
+++ b/controller/dump_test.go
@@ -68,31 +68,6 @@
 	}
 }
 
-// save takes a dump; the messages come from elsewhere.
-func (w *world) save() *dump {
-	d := &dump{Settings: *w.cfg, Now: w.now, Types: w.cloud.Types, Capacity: w.cloud.Capacity, Done: sortedKeys(w.done)}
-	d.Records, d.Revision = w.state.Records()
-	d.Grants, d.Rented = w.cloud.Grants()
-	for _, r := range d.Records {
-		d.Readings = append(d.Readings, w.production.reads(r.Key, r.Value))
-	}
-	for _, name := range w.cloud.Names() {
-		m := dumpMachine{CloudMachine: *w.cloud.Machines[name]}
-		if k := w.workers[name]; k != nil {
-			m.Worker, m.Hung, m.Session, m.Seq, m.Token = true, k.Hung, k.Session, k.Seq, k.Token
-			for _, n := range sortedKeys(k.Tasks) {
-				t := k.Tasks[n]
-				m.Tasks = append(m.Tasks, dumpTask{t.Name, t.Attempt, t.Phase, t.Cause, t.Saved, t.Left(w.now)})
-			}
-		}
-		d.Machines = append(d.Machines, m)
-	}
-	for _, id := range sortedKeys(w.submitted) {
-		d.Jobs = append(d.Jobs, dumpJob{*w.submitted[id], w.infos[id], w.accepted[id], w.wantsEnd[id], w.told[id], w.cancelled[id]})
-	}
-	return d
-}
-
 // dumpLease is how long the leases of the nodes of a dump last still.
 const dumpLease = 2 * micros.Second
 
