Settings: three properties renamed with aliases, typed errors and objectives, fields documented

machine.dark_s -> machine.partition_s, machine.sick_after -> machine.faulty_after, machine.most -> machine.max; the old keys stay valid and are documented. Tuning.DarkPatience -> PartitionPatience, SickAfter -> FaultyAfter, knob -> property.

--- a/config/config.go
+++ b/config/config.go
@@ -30,42 +30,68 @@
 	Limit     sched.Resources
 }
 
-// Objective is one of the users' aims.
+// ObjectiveKind is what an objective measures. Kinds that are not listed here are ignored.
+type ObjectiveKind string
+
+// Kinds of objectives that scheduling takes into account.
+const (
+	ObjectiveStart  ObjectiveKind = "wait"     // from submission to the start of a task
+	ObjectiveFinish ObjectiveKind = "finished" // from submission to the end of the job
+)
+
+// Objective is a service level objective of a class of jobs.
 type Objective struct {
-	Kind   string
+	Kind   ObjectiveKind
 	Class  string
 	Within micros.Micros
-	Share  float64
+	Share  float64 // of the tasks or jobs of the class
 }
 
 // Settings are all settings of a controller.
 type Settings struct {
-	Node        string
-	Zone        string
-	Listen      string
-	PeerListen  string
-	Siblings    []Sibling
-	CloudAddr   string
-	StateAddr   string
-	Zones       []string
-	ClockBound  micros.Micros
-	Teams       []Team
-	Objectives  []Objective
+	// Node and Zone are this controller's name and place.
+	Node string
+	Zone string
+	// Listen is the address for users, workers and health checks.
+	Listen string
+	// PeerListen is the address for the other controllers.
+	PeerListen string
+	// Siblings are the other controllers.
+	Siblings []Sibling
+	// CloudAddr and StateAddr are the addresses of the cloud and the state service.
+	CloudAddr string
+	StateAddr string
+	// Zones are all zones of the deployment.
+	Zones []string
+	// ClockBound is how far the time of day may be from true time.
+	ClockBound micros.Micros
+	Teams      []Team
+	Objectives []Objective
+	// ReportEvery is the interval of workers' reports.
 	ReportEvery micros.Micros
-	Lease       micros.Micros
-	GangWait    micros.Micros
-	GangPeer    micros.Micros
-	CancelIn    micros.Micros
-	StateRPS    float64
-	WriteRPS    float64
-	ValueBytes  int
-	TxnOps      int
-	CloudRPS    float64
-	ListLag     micros.Micros
+	// Lease is the time after its last answered report at which a worker kills its tasks.
+	Lease micros.Micros
+	// GangWait is how long a task waits for the other tasks of its gang.
+	GangWait micros.Micros
+	// GangPeer is the time within which tasks notice that their gang lost one.
+	GangPeer micros.Micros
+	// CancelIn is the time within which the tasks of a cancelled job must be gone.
+	CancelIn micros.Micros
+	// StateRPS and WriteRPS are the state service's limits on requests and writes a second.
+	StateRPS float64
+	WriteRPS float64
+	// ValueBytes is the largest value, and TxnOps the most writes of one transaction.
+	ValueBytes int
+	TxnOps     int
+	// CloudRPS is the cloud's limit on requests a second, and ListLag how old its list may be.
+	CloudRPS float64
+	ListLag  micros.Micros
+	// MemoryBytes, Cores and Sockets are this process's quota; Cores is a share of one processor.
 	MemoryBytes int64
-	Cores       float64 // share of a processor
+	Cores       float64
 	Sockets     int
-	Tuning      Tuning
+	// Tuning holds the operators' own settings.
+	Tuning Tuning
 }
 
 // SilentAfter is the silence after which a machine is given up: never less than two
@@ -307,7 +333,7 @@
 	for i, o := range p.Objectives {
 		key := fmt.Sprintf("params.objectives[%d].", i)
 		s.Objectives = append(s.Objectives, Objective{
-			c.text(key+"kind", o.Kind), o.Class,
+			ObjectiveKind(c.text(key+"kind", o.Kind)), o.Class,
 			micros.FromSeconds(c.atLeastZero(key+"within_s", o.WithinS)),
 			c.atLeastZero(key+"share", o.Share),
 		})
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
@@ -159,11 +160,40 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for key, k := range knobs {
-		if !strings.Contains(string(page), "`"+key+"`") || !strings.Contains(string(page), k.about) {
-			t.Errorf("docs/operating.md lacks %s (%s)", key, k.about)
+	for key, p := range tuningProperties {
+		if !strings.Contains(string(page), "`"+key+"`") || !strings.Contains(string(page), p.about) {
+			t.Errorf("docs/operating.md lacks %s (%s)", key, p.about)
 		}
 	}
+	for old := range aliases {
+		if !strings.Contains(string(page), "`"+old+"`") {
+			t.Errorf("docs/operating.md lacks the old name %s", old)
+		}
+	}
+}
+
+// TestRenamedProperties keeps files with old names of properties valid.
+func TestRenamedProperties(t *testing.T) {
+	for old, current := range aliases {
+		if _, exists := tuningProperties[old]; exists {
+			t.Errorf("%s is both a property and an alias", old)
+		}
+		byOld, err := ParseTuning([]byte(old + " = 7"))
+		if err != nil {
+			t.Errorf("%s: %v", old, err)
+		}
+		byCurrent, err := ParseTuning([]byte(current + " = 7"))
+		if err != nil || byOld != byCurrent || byOld == DefaultTuning() {
+			t.Errorf("%s is read as %+v, %s as %+v, %v", old, byOld, current, byCurrent, err)
+		}
+		_, err = ParseTuning([]byte(old + " = 7\n" + current + " = 7"))
+		if !errors.Is(err, ErrSetTwice) {
+			t.Errorf("%s with %s: error %v", old, current, err)
+		}
+	}
+	if _, err := ParseTuning([]byte("machine.idel_s = 1")); !errors.Is(err, ErrUnknownProperty) {
+		t.Errorf("a misspelt key: error %v", err)
+	}
 }
 
 // TestPatienceFollowsReports guards against giving up machines whose reports come too
--- a/config/tuning.go
+++ b/config/tuning.go
@@ -1,8 +1,9 @@
 package config
 
 import (
+	"errors"
 	"fmt"
-	"sort"
+	"slices"
 	"strconv"
 
 	"github.com/magiconair/properties"
@@ -10,76 +11,100 @@
 	"tamarindlead/micros"
 )
 
-// Tuning holds the operators' own settings.
+// Tuning holds the operators' own settings, which the properties file sets.
 type Tuning struct {
-	LeaderTTL     micros.Micros // life of the leader's lease in the state service
-	SilentAfter   micros.Micros // a machine unheard for this long is given up
-	TakeoverGrace micros.Micros // what is added to it after a takeover
-	DarkPatience  micros.Micros // one with a gang, while its whole zone is silent
-	IdleReturn    micros.Micros // an idle machine is returned after this
-	QueueTarget   micros.Micros // waiting work that justifies no further machine
-	BootPatience  float64       // times the nominal boot time until a machine is given up
-	RentalRetry   micros.Micros // pause after a refusal for want of capacity
-	SickAfter     int           // failures in a row that set a machine aside
-	HoldWait      micros.Micros // how long freed machines are held after the last stop
-	DomainList    int           // domains tried for one gang at a time
-	ROIThreshold  float64       // ROIs that differ by less count as equal
-	MaxMachines   int           // never rent above this many; 0: no bound of ours
-	StarveAfter   micros.Micros // a job that has not begun after this comes first
-	SpotLoss      float64       // losses of a spot machine an hour, until its own are seen
-	SpreadTeams   bool          // part teams among all controllers
+	// LeaderTTL is the time to live of the leader's lease in the state service.
+	LeaderTTL micros.Micros
+	// SilentAfter is the time without a report after which a machine is given up.
+	SilentAfter micros.Micros
+	// TakeoverGrace is added to SilentAfter after a change of owner.
+	TakeoverGrace micros.Micros
+	// PartitionPatience replaces SilentAfter for a machine that runs a gang while its
+	// whole zone is silent.
+	PartitionPatience micros.Micros
+	// IdleReturn is the idle time after which a machine is returned.
+	IdleReturn micros.Micros
+	// QueueTarget is the queueing delay that justifies no further machine.
+	QueueTarget micros.Micros
+	// BootPatience is the multiple of the nominal boot time after which a machine that
+	// has not come up is given up.
+	BootPatience float64
+	// RentalRetry is the pause after a rental was refused for lack of capacity.
+	RentalRetry micros.Micros
+	// FaultyAfter is the number of failures in a row after which a machine is drained.
+	FaultyAfter int
+	// HoldWait is how long freed machines are held for a gang after the last stop.
+	HoldWait micros.Micros
+	// DomainList is the number of domains tried for one gang at a time.
+	DomainList int
+	// ROIThreshold is the difference below which two ROIs count as equal.
+	ROIThreshold float64
+	// MaxMachines bounds the machines rented at a time; 0 means no bound.
+	MaxMachines int
+	// StarveAfter is the wait after which a job that has not begun is placed first.
+	StarveAfter micros.Micros
+	// SpotLoss is the expected number of losses of a spot machine per hour, until
+	// enough losses were observed.
+	SpotLoss float64
+	// SpreadTeams spreads the teams over all controllers instead of one.
+	SpreadTeams bool
 }
 
 // DefaultTuning returns the documented defaults.
 func DefaultTuning() Tuning {
 	return Tuning{
-		LeaderTTL:     3 * micros.Second,
-		SilentAfter:   10 * micros.Second,
-		TakeoverGrace: 8 * micros.Second,
-		DarkPatience:  90 * micros.Second,
-		IdleReturn:    30 * micros.Second,
-		QueueTarget:   20 * micros.Second,
-		BootPatience:  3,
-		RentalRetry:   15 * micros.Second,
-		SickAfter:     3,
-		HoldWait:      30 * micros.Second,
-		DomainList:    4,
-		ROIThreshold:  0.05,
-		MaxMachines:   0,
-		StarveAfter:   100 * micros.Second,
-		SpotLoss:      2,
-		SpreadTeams:   false,
+		LeaderTTL:         3 * micros.Second,
+		SilentAfter:       10 * micros.Second,
+		TakeoverGrace:     8 * micros.Second,
+		PartitionPatience: 90 * micros.Second,
+		IdleReturn:        30 * micros.Second,
+		QueueTarget:       20 * micros.Second,
+		BootPatience:      3,
+		RentalRetry:       15 * micros.Second,
+		FaultyAfter:       3,
+		HoldWait:          30 * micros.Second,
+		DomainList:        4,
+		ROIThreshold:      0.05,
+		MaxMachines:       0,
+		StarveAfter:       100 * micros.Second,
+		SpotLoss:          2,
+		SpreadTeams:       false,
 	}
 }
 
-type knob struct {
-	about string // shown by the documentation test
+// property is one key of the operators' file: what it means, and how its text is checked
+// and stored.
+type property struct {
+	about string // shown in docs/operating.md
 	set   func(t *Tuning, text string) error
 }
 
-func seconds(field func(*Tuning) *micros.Micros, least, most float64) func(*Tuning, string) error {
+// seconds stores decimal seconds within bounds.
+func seconds(field func(*Tuning) *micros.Micros, minimum, maximum float64) func(*Tuning, string) error {
 	return func(t *Tuning, text string) error {
 		v, err := strconv.ParseFloat(text, 64)
-		if err != nil || !(v >= least && v <= most) {
-			return fmt.Errorf("must be seconds from %g to %g", least, most)
+		if err != nil || !(v >= minimum && v <= maximum) {
+			return fmt.Errorf("must be seconds from %g to %g", minimum, maximum)
 		}
 		*field(t) = micros.FromSeconds(v)
 		return nil
 	}
 }
 
-func number(field func(*Tuning) *float64, least, most float64) func(*Tuning, string) error {
+// number stores a decimal number within bounds.
+func number(field func(*Tuning) *float64, minimum, maximum float64) func(*Tuning, string) error {
 	return func(t *Tuning, text string) error {
 		v, err := strconv.ParseFloat(text, 64)
-		if err != nil || !(v >= least && v <= most) {
-			return fmt.Errorf("must be a number from %g to %g", least, most)
+		if err != nil || !(v >= minimum && v <= maximum) {
+			return fmt.Errorf("must be a number from %g to %g", minimum, maximum)
 		}
 		*field(t) = v
 		return nil
 	}
 }
 
-func yesNo(field func(*Tuning) *bool) func(*Tuning, string) error {
+// boolean stores true or false.
+func boolean(field func(*Tuning) *bool) func(*Tuning, string) error {
 	return func(t *Tuning, text string) error {
 		v, err := strconv.ParseBool(text)
 		if err != nil {
@@ -90,56 +115,87 @@
 	}
 }
 
-func count(field func(*Tuning) *int, least, most int) func(*Tuning, string) error {
+// count stores a whole number within bounds.
+func count(field func(*Tuning) *int, minimum, maximum int) func(*Tuning, string) error {
 	return func(t *Tuning, text string) error {
 		v, err := strconv.Atoi(text)
-		if err != nil || v < least || v > most {
-			return fmt.Errorf("must be a whole number from %d to %d", least, most)
+		if err != nil || v < minimum || v > maximum {
+			return fmt.Errorf("must be a whole number from %d to %d", minimum, maximum)
 		}
 		*field(t) = v
 		return nil
 	}
 }
 
-var knobs = map[string]knob{
+// Keys that were renamed, old and new. Files with the old key stay valid.
+const (
+	keyPartitionPatience = "machine.partition_s"
+	keyFaultyAfter       = "machine.faulty_after"
+	keyMaxMachines       = "machine.max"
+)
+
+// aliases are the old names of properties, by their old key.
+var aliases = map[string]string{
+	"machine.dark_s":     keyPartitionPatience,
+	"machine.sick_after": keyFaultyAfter,
+	"machine.most":       keyMaxMachines,
+}
+
+// tuningProperties are all keys of the operators' file.
+var tuningProperties = map[string]property{
 	"leader.ttl_s":          {"life of the leader's lease", seconds(func(t *Tuning) *micros.Micros { return &t.LeaderTTL }, 1, 60)},
 	"machine.silent_s":      {"silence after which a machine is given up", seconds(func(t *Tuning) *micros.Micros { return &t.SilentAfter }, 2, 600)},
 	"machine.takeover_s":    {"added to machine.silent_s after a takeover", seconds(func(t *Tuning) *micros.Micros { return &t.TakeoverGrace }, 0, 600)},
-	"machine.dark_s":        {"the same for a machine with a gang whose whole zone is silent", seconds(func(t *Tuning) *micros.Micros { return &t.DarkPatience }, 0, 3600)},
+	keyPartitionPatience:    {"the same for a machine with a gang whose whole zone is silent", seconds(func(t *Tuning) *micros.Micros { return &t.PartitionPatience }, 0, 3600)},
 	"machine.idle_s":        {"idle time after which a machine is returned", seconds(func(t *Tuning) *micros.Micros { return &t.IdleReturn }, 0, 3600)},
 	"machine.boot_patience": {"times the nominal boot time until a machine is given up", number(func(t *Tuning) *float64 { return &t.BootPatience }, 1, 20)},
-	"machine.sick_after":    {"failures in a row that set a machine aside", count(func(t *Tuning) *int { return &t.SickAfter }, 1, 100)},
-	"machine.most":          {"most machines rented at once, 0 for no bound", count(func(t *Tuning) *int { return &t.MaxMachines }, 0, 100000)},
+	keyFaultyAfter:          {"failures in a row after which a machine is drained", count(func(t *Tuning) *int { return &t.FaultyAfter }, 1, 100)},
+	keyMaxMachines:          {"most machines rented at once, 0 for no bound", count(func(t *Tuning) *int { return &t.MaxMachines }, 0, 100000)},
 	"rental.queue_target_s": {"waiting work that justifies no further machine", seconds(func(t *Tuning) *micros.Micros { return &t.QueueTarget }, 0, 3600)},
 	"rental.retry_s":        {"pause after a refusal for want of capacity", seconds(func(t *Tuning) *micros.Micros { return &t.RentalRetry }, 1, 600)},
 	"jobs.starve_s":         {"wait after which a job that has not begun comes first", seconds(func(t *Tuning) *micros.Micros { return &t.StarveAfter }, 1, 86400)},
 	"spot.losses_per_h":     {"losses of a spot machine an hour, until enough are seen", number(func(t *Tuning) *float64 { return &t.SpotLoss }, 0, 1000)},
-	"teams.spread":          {"part the teams among all controllers instead of gathering them", yesNo(func(t *Tuning) *bool { return &t.SpreadTeams })},
+	"teams.spread":          {"spread the teams over all controllers instead of gathering them", boolean(func(t *Tuning) *bool { return &t.SpreadTeams })},
 	"preempt.hold_s":        {"how long freed machines are held after the last stop", seconds(func(t *Tuning) *micros.Micros { return &t.HoldWait }, 1, 600)},
 	"preempt.domains":       {"domains tried for one gang at a time", count(func(t *Tuning) *int { return &t.DomainList }, 1, 100)},
 	"preempt.roi_threshold": {"ROIs that differ by less count as equal", number(func(t *Tuning) *float64 { return &t.ROIThreshold }, 0, 1)},
 }
 
+// Errors of the operators' file, wrapped with the key they are about.
+var (
+	ErrUnknownProperty = errors.New("unknown property")
+	ErrSetTwice        = errors.New("set twice, also under its old name")
+)
+
 // ParseTuning reads the operators' properties over the defaults. Unknown keys are
 // errors, since a misspelt one would silently do nothing.
 func ParseTuning(data []byte) (Tuning, error) {
-	t := DefaultTuning()
+	tuning := DefaultTuning()
 	loader := properties.Loader{Encoding: properties.UTF8, DisableExpansion: true}
-	p, err := loader.LoadBytes(data)
+	file, err := loader.LoadBytes(data)
 	if err != nil {
-		return t, err
+		return tuning, err
 	}
-	keys := p.Keys()
-	sort.Strings(keys)
+	keys := file.Keys()
+	slices.Sort(keys)
+	set := map[string]bool{}
 	for _, key := range keys {
-		k, ok := knobs[key]
-		if !ok {
-			return t, fmt.Errorf("%s: unknown property", key)
+		current := key
+		if renamed, ok := aliases[key]; ok {
+			current = renamed
+		}
+		p, ok := tuningProperties[current]
+		switch {
+		case !ok:
+			return tuning, fmt.Errorf("%s: %w", key, ErrUnknownProperty)
+		case set[current]:
+			return tuning, fmt.Errorf("%s: %w", key, ErrSetTwice)
 		}
-		text, _ := p.Get(key)
-		if err := k.set(&t, text); err != nil {
-			return t, fmt.Errorf("%s: %w", key, err)
+		set[current] = true
+		text, _ := file.Get(key)
+		if err := p.set(&tuning, text); err != nil {
+			return tuning, fmt.Errorf("%s: %w", key, err)
 		}
 	}
-	return t, nil
+	return tuning, nil
 }
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -173,7 +173,7 @@
 		return false
 	}
 	if rep.Token == 0 || len(rep.Tasks) == 0 || !c.storeDown() || c.now-c.elsewhereAt < elsewhereFor*c.cfg.ReportEvery ||
-		c.now-c.route.lastOK > c.cfg.Tuning.DarkPatience || !c.mayRenew() {
+		c.now-c.route.lastOK > c.cfg.Tuning.PartitionPatience || !c.mayRenew() {
 		return false
 	}
 	for _, s := range c.peers {
@@ -424,7 +424,7 @@
 	if machineToo && len(j.failedOn) <= otherMachines {
 		m.errors++
 	}
-	if m.errors >= o.c.cfg.Tuning.SickAfter && m.state == machineUp {
+	if m.errors >= o.c.cfg.Tuning.FaultyAfter && m.state == machineUp {
 		o.setMachine(m, machineDraining, "fails task after task")
 		for _, b := range m.sorted() {
 			if b != a {
--- a/controller/machine_health.go
+++ b/controller/machine_health.go
@@ -166,7 +166,7 @@
 // would lose its work and find no other machine, or gangs will want it as soon as there is
 // light. Not one with tasks of a job that is over, which must be gone in time.
 func (o *owner) worksOn(m *machine, silent micros.Micros) bool {
-	if o.dark[m.zone] == 0 || silent > o.c.cfg.Tuning.DarkPatience || m.failed || m.notice != 0 {
+	if o.dark[m.zone] == 0 || silent > o.c.cfg.Tuning.PartitionPatience || m.failed || m.notice != 0 {
 		return false
 	}
 	gang := len(m.attempts) == 0 && o.scarce(m.kind, m.spot) && m.state <= machineUp
