The rate budget is a package of its own

A newcomer could not see the budget's rules without the rest of the controller, and its tests needed an owner. internal/budget has no clock and no settings; it gets the limits, a role and the time. Behaviour is unchanged.

| old | new | | --- | --- | | purpose, forLeading, forOwnership, forUsers | budget.Purpose, Leadership, Ownership, Users | | forWork, forReads, forTidying | Work, Reads, Cleanup | | room, take, enough | WriteRoom, Take, MayRequest | | userWrites, userMost, leastBurst | reservedUserWrites, maxUserWrites, Limits.MinWriteBurst | | role, setRole | Role, SetRole |

--- a/controller/assign.go
+++ b/controller/assign.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"tamarindlead/internal/budget"
 	"tamarindlead/internal/state"
 	"tamarindlead/micros"
 )
@@ -63,7 +64,7 @@
 	}
 	guards[keyLeader] = l.term
 	l.assigning = true
-	c.store(forLeading, state.Commit(guardList(guards), writes), func(r storeReply) {
+	c.store(budget.Leadership, state.Commit(guardList(guards), writes), func(r storeReply) {
 		// Whatever the outcome, the watch tells what holds.
 		l.assigning = false
 		l.assignAt = c.now + 2*slowTick
--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"tamarindlead/internal/budget"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -687,7 +688,7 @@
 		if o.jobs[j.ID] != j {
 			continue // its machines have reported
 		}
-		o.c.get(forReads, finalKey(j.ID), func(out outcome, e state.Entry) {
+		o.c.get(budget.Reads, finalKey(j.ID), func(out outcome, e state.Entry) {
 			var rec finalRecord
 			switch {
 			case o.over() || out == outMissing:
--- a/controller/cluster.go
+++ b/controller/cluster.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"tamarindlead/internal/budget"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -48,7 +49,7 @@
 func (c *Core) readCluster() {
 	cl := &c.cluster
 	cl.watching = true
-	c.store(forLeading, state.List(prefixCluster, ""), func(r storeReply) {
+	c.store(budget.Leadership, state.List(prefixCluster, ""), func(r storeReply) {
 		var p state.Page
 		if r.outcome != outOK || !r.decode(&p) {
 			cl.watching = false
@@ -70,7 +71,7 @@
 }
 
 func (c *Core) watchCluster(after uint64) {
-	c.storeWithin(forLeading, state.Watch(prefixCluster, after, watchWait), watchTimeout, func(r storeReply) {
+	c.storeWithin(budget.Leadership, state.Watch(prefixCluster, after, watchWait), watchTimeout, func(r storeReply) {
 		var ch state.Changes
 		if r.outcome != outOK || !r.decode(&ch) {
 			c.cluster.watching = false // read again with the next tick
@@ -181,12 +182,12 @@
 		m.pauseTo = c.now + joinRetry
 		c.setMember(memberOut, "could not join")
 	}
-	c.get(forLeading, memberKey(c.cfg.Node), func(out outcome, e state.Entry) {
+	c.get(budget.Leadership, memberKey(c.cfg.Node), func(out outcome, e state.Entry) {
 		if out != outOK && out != outMissing {
 			fail()
 			return
 		}
-		c.store(forLeading, state.Grant(c.cfg.Tuning.LeaderTTL), func(r storeReply) {
+		c.store(budget.Leadership, state.Grant(c.cfg.Tuning.LeaderTTL), func(r storeReply) {
 			var g state.Granted
 			if r.outcome != outOK || !r.decode(&g) {
 				fail()
@@ -194,7 +195,7 @@
 			}
 			guards := []state.Guard{{Key: memberKey(c.cfg.Node), Version: e.Version}}
 			writes := []state.Write{{Put: memberKey(c.cfg.Node), Lease: g.Lease, Value: memberRecord{c.life}}}
-			c.store(forLeading, state.Commit(guards, writes), func(r storeReply) {
+			c.store(budget.Leadership, state.Commit(guards, writes), func(r storeReply) {
 				var done state.Committed
 				if r.outcome != outOK || !r.decode(&done) {
 					fail()
@@ -215,7 +216,7 @@
 	}
 	m.renewing = true
 	lease := m.lease
-	c.store(forLeading, state.Renew(lease), func(r storeReply) {
+	c.store(budget.Leadership, state.Renew(lease), func(r storeReply) {
 		m.renewing = false
 		if m.state != memberIn || m.lease != lease {
 			return
@@ -239,7 +240,7 @@
 	m := &c.member
 	c.log.Warn("leaving: workers reach a sibling but not this node")
 	m.pauseTo = c.now + leavePause
-	c.store(forLeading, state.Revoke(m.lease), func(storeReply) {})
+	c.store(budget.Leadership, state.Revoke(m.lease), func(storeReply) {})
 	c.setMember(memberOut, "workers do not reach it")
 }
 
@@ -282,9 +283,9 @@
 
 // shareLimits sets this node's part of the state service's limits by who lives.
 func (c *Core) shareLimits() {
-	r := role{nodes: len(c.cluster.members), owns: c.owner != nil}
+	role := budget.Role{Nodes: len(c.cluster.members), Owns: c.owner != nil}
 	if _, ok := c.cluster.members[c.cfg.Node]; !ok {
-		r.nodes++
+		role.Nodes++
 	}
 	owners := map[string]bool{}
 	for _, t := range c.cluster.teams {
@@ -292,10 +293,10 @@
 			owners[t.Owner] = true
 		}
 	}
-	if r.owners = len(owners); r.owns && r.owners == 0 {
-		r.owners = 1
+	if role.Owners = len(owners); role.Owns && role.Owners == 0 {
+		role.Owners = 1
 	}
-	c.budget.setRole(c.cfg, r, c.now)
+	c.budget.SetRole(role, c.now)
 }
 
 // owners counts the nodes that own teams.
--- a/controller/core.go
+++ b/controller/core.go
@@ -8,6 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"tamarindlead/config"
+	"tamarindlead/internal/budget"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
@@ -27,7 +28,7 @@
 	calls   map[uint64]func(CallDone)
 
 	life    uint64 // tells this life of the node from earlier ones
-	budget  budget
+	budget  *budget.Budget
 	route   route
 	peers   map[string]*sibling
 	types   typeTable
@@ -70,7 +71,9 @@
 		c.peers[s.Node] = &sibling{Sibling: s, toldAt: now}
 		c.withholdTo = now + promiseFor + promiseFor/driftPart
 	}
-	c.budget.init(cfg)
+	c.budget = budget.New(budget.Limits{
+		Requests: cfg.StateRPS, Writes: cfg.WriteRPS, MinWriteBurst: cancelWrites + 1,
+	}, len(cfg.Siblings)+1)
 	c.cluster.members, c.cluster.teams = map[string]member{}, map[string]teamView{}
 	c.route.lastOK = now
 	c.users.init()
--- a/controller/graph.go
+++ b/controller/graph.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"tamarindlead/internal/budget"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -143,7 +144,7 @@
 			return
 		}
 		asked, after := c.now, g.revision
-		c.storeWithin(forReads, state.Watch(prefixActive, after, c.watchWait()), watchTimeout, func(r storeReply) {
+		c.storeWithin(budget.Reads, state.Watch(prefixActive, after, c.watchWait()), watchTimeout, func(r storeReply) {
 			if !c.takeChanges(after, r) {
 				g.following, g.next = false, c.now+indexPause
 				return
@@ -416,7 +417,7 @@
 	if g.refreshing || len(g.questions) == 0 {
 		return
 	}
-	if !enough(c.budget.requests, forUsers, 1, c.now) && c.now-g.askedAt < acceptWithin {
+	if !c.budget.MayRequest(budget.Users, c.now) && c.now-g.askedAt < acceptWithin {
 		c.after(fastTick, c.sendRefresh)
 		return
 	}
@@ -432,7 +433,7 @@
 		return
 	}
 	g.refreshing = true
-	c.storeWithin(forUsers, state.Watch(prefixActive, after, 0), storeTimeout, func(r storeReply) {
+	c.storeWithin(budget.Users, state.Watch(prefixActive, after, 0), storeTimeout, func(r storeReply) {
 		g.refreshing = false
 		g.askedAt = c.now // what came meanwhile goes out now
 		ok := c.takeChanges(after, r)
@@ -509,7 +510,7 @@
 // readParts reads a list that is kept under several keys.
 func (c *Core) readParts(w *waiting, done func(ok bool)) {
 	g := &c.jobs
-	c.store(forUsers, state.List(partKey(w.id, ""), ""), func(r storeReply) {
+	c.store(budget.Users, state.List(partKey(w.id, ""), ""), func(r storeReply) {
 		var p state.Page
 		if r.outcome != outOK || !r.decode(&p) {
 			done(false)
@@ -548,9 +549,9 @@
 		return
 	}
 	g.resolving = true
-	p := forWork
+	p := budget.Work
 	if done != nil {
-		p = forUsers
+		p = budget.Users
 	}
 	c.readFinals(p, sortedKeys(g.ended), c.now+acceptWithin, func(found map[string]finalRecord, ok bool) {
 		g.resolving, g.resolveAt = false, c.now+fastTick
@@ -570,7 +571,7 @@
 
 // readFinals reads final records of jobs, given in order. Few are read one by one, many by
 // listing the keys about them: never in more requests than there are jobs.
-func (c *Core) readFinals(p purpose, ids []string, until micros.Micros, done func(found map[string]finalRecord, ok bool)) {
+func (c *Core) readFinals(p budget.Purpose, ids []string, until micros.Micros, done func(found map[string]finalRecord, ok bool)) {
 	found := map[string]finalRecord{}
 	take := func(id string, value []byte) bool {
 		var rec finalRecord
@@ -660,7 +661,7 @@
 				rest = append(rest, id)
 			}
 		}
-		c.readFinals(forUsers, rest, until, func(found map[string]finalRecord, ok bool) {
+		c.readFinals(budget.Users, rest, until, func(found map[string]finalRecord, ok bool) {
 			if !ok {
 				done(standingUnknown, "")
 				return
--- a/controller/graph_test.go
+++ b/controller/graph_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"tamarindlead/internal/budget"
 	"tamarindlead/internal/standin"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
@@ -359,7 +360,7 @@
 		}
 		requests := 0
 		var found map[string]finalRecord
-		c.readFinals(forUsers, slices.Clone(ids), c.now+micros.Second, func(f map[string]finalRecord, ok bool) {
+		c.readFinals(budget.Users, slices.Clone(ids), c.now+micros.Second, func(f map[string]finalRecord, ok bool) {
 			if !ok {
 				t.Fatal("not read")
 			}
--- a/controller/job_queue.go
+++ b/controller/job_queue.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"tamarindlead/internal/budget"
 	"tamarindlead/internal/peer"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
@@ -63,7 +64,7 @@
 func (o *owner) watchJobs(after uint64) {
 	c := o.c
 	asked := c.now
-	c.storeWithin(forOwnership, state.Watch(prefixActive, after, c.watchWait()), watchTimeout, func(r storeReply) {
+	c.storeWithin(budget.Ownership, state.Watch(prefixActive, after, c.watchWait()), watchTimeout, func(r storeReply) {
 		if o.over() {
 			return
 		}
--- a/controller/leader.go
+++ b/controller/leader.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"tamarindlead/internal/budget"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -130,7 +131,7 @@
 		{Key: keyLeader, Version: l.term}, {Key: memberKey(c.cfg.Node), Version: c.member.version},
 	}
 	writes := []state.Write{{Put: keyLeader, Lease: c.member.lease, Value: leaderRecord{c.cfg.Node, c.life}}}
-	c.store(forLeading, state.Commit(guards, writes), func(r storeReply) {
+	c.store(budget.Leadership, state.Commit(guards, writes), func(r storeReply) {
 		var done state.Committed
 		if r.outcome != outOK || !r.decode(&done) || l.state != leadCampaigning {
 			c.campaignFailed()
@@ -150,7 +151,7 @@
 	}
 	l.pauseTo = max(l.pauseTo, c.now+2*campaignJitter)
 	c.setLead(leadVacant)
-	c.store(forLeading, state.Get(keyLeader), func(r storeReply) {
+	c.store(budget.Leadership, state.Get(keyLeader), func(r storeReply) {
 		var e state.Entry
 		switch {
 		case r.outcome == outOK && r.decode(&e):
--- a/controller/limits_test.go
+++ b/controller/limits_test.go
@@ -152,32 +152,6 @@
 	}
 }
 
-// TestBudgetOwes guards against commits that are larger than a burst: they would wait for
-// ever. What they take beyond it is owed.
-func TestBudgetOwes(t *testing.T) {
-	o := testOwner()
-	cfg := *o.c.cfg
-	cfg.StateRPS, cfg.WriteRPS, cfg.Siblings = 100, 15, make([]config.Sibling, 4)
-	var b budget
-	b.init(&cfg)
-	now := micros.Hour
-	b.setRole(&cfg, role{nodes: 5, owners: 1}, now)
-	for _, p := range []purpose{forUsers, forWork} {
-		now += micros.Minute
-		if !b.take(p, 5, now) {
-			t.Fatalf("purpose %d: five writes are refused with a full burst of %d", p, b.writes.Burst())
-		}
-		if b.take(p, 1, now+100*micros.Millisecond) {
-			t.Fatal("what is owed is forgotten")
-		}
-	}
-	cfg.WriteRPS = 4
-	b.setRole(&cfg, role{nodes: 5, owners: 5, owns: true}, now)
-	if now += micros.Minute; b.room(forUsers, now) < cancelWrites || b.room(forWork, now) < 2 {
-		t.Fatalf("room for %d and %d", b.room(forUsers, now), b.room(forWork, now))
-	}
-}
-
 // TestShardsMove guards against completions that are lost while chunks change their shard:
 // those of two records count together, and an old record goes only after the new one is
 // written.
--- a/controller/lookups.go
+++ b/controller/lookups.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"tamarindlead/internal/budget"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -92,14 +93,14 @@
 	// Who came first goes first: neither kind may starve the other.
 	kinds := []func() []*lookup{
 		func() []*lookup {
-			if len(known) > 0 && enough(c.budget.requests, forReads, 1, c.now) {
+			if len(known) > 0 && c.budget.MayRequest(budget.Reads, c.now) {
 				c.compare(known, guards)
 				known = nil
 			}
 			return known
 		},
 		func() []*lookup {
-			if len(derived) > 0 && enough(c.budget.requests, forReads, 1, c.now) {
+			if len(derived) > 0 && c.budget.MayRequest(budget.Reads, c.now) {
 				c.derive(derived)
 				derived = nil
 			}
@@ -118,7 +119,7 @@
 		l.waiting = append(left, l.waiting...)
 		return
 	}
-	for len(l.waiting) > 0 && enough(c.budget.requests, forReads, 1, c.now) {
+	for len(l.waiting) > 0 && c.budget.MayRequest(budget.Reads, c.now) {
 		q := l.waiting[0]
 		if c.knownVersion(q.id) != 0 || c.jobs.unsettled(q.id) != nil {
 			break // its turn comes with the next comparison
@@ -142,7 +143,7 @@
 // compare asks whether jobs' records are as this node knows them.
 func (c *Core) compare(known []*lookup, guards map[string]uint64) {
 	c.asked.open += len(known)
-	c.store(forReads, state.Commit(guardList(guards), nil), func(r storeReply) {
+	c.store(budget.Reads, state.Commit(guardList(guards), nil), func(r storeReply) {
 		var res state.Committed
 		failed := map[string]bool{}
 		switch {
@@ -179,7 +180,7 @@
 
 // read looks a job up by its records.
 func (c *Core) read(q *lookup) {
-	c.get(forReads, activeKey(q.id), func(out outcome, e state.Entry) {
+	c.get(budget.Reads, activeKey(q.id), func(out outcome, e state.Entry) {
 		switch out {
 		case outOK:
 			var rec waitRecord
@@ -194,7 +195,7 @@
 			c.jobs.learn(q.id, e.Version)
 			c.finish(q, lookupFound, wire.JobQueued, e.Version)
 		case outMissing:
-			c.get(forReads, finalKey(q.id), func(out outcome, e state.Entry) {
+			c.get(budget.Reads, finalKey(q.id), func(out outcome, e state.Entry) {
 				var rec finalRecord
 				switch {
 				case out == outMissing:
--- a/controller/machine_types.go
+++ b/controller/machine_types.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"tamarindlead/internal/budget"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -35,7 +36,7 @@
 	}
 	t.asking, t.next = true, c.now+2*micros.Second
 	if len(t.list) == 0 {
-		c.get(forLeading, keyTypes, func(out outcome, e state.Entry) {
+		c.get(budget.Leadership, keyTypes, func(out outcome, e state.Entry) {
 			t.asking = false
 			var m wire.MachineTypes
 			if out == outOK && wire.Decode(e.Value, &m) == nil && len(t.list) == 0 {
@@ -78,7 +79,7 @@
 		return
 	}
 	write := []state.Write{{Put: keyTypes, Value: t.raw}}
-	c.store(forWork, state.Commit(c.owner.guards(nil), write), func(r storeReply) {
+	c.store(budget.Work, state.Commit(c.owner.guards(nil), write), func(r storeReply) {
 		t.recorded = t.recorded || r.outcome == outOK
 	})
 }
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"tamarindlead/internal/budget"
 	"tamarindlead/internal/peer"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
@@ -205,7 +206,7 @@
 	if o.state != ownerActive {
 		return
 	}
-	o.c.get(forOwnership, prefixMachine+name, func(out outcome, e state.Entry) {
+	o.c.get(budget.Ownership, prefixMachine+name, func(out outcome, e state.Entry) {
 		var rec blockRecord
 		if o.over() || out != outOK || wire.Decode(e.Value, &rec) != nil || rec.Owner != o.c.ownID() {
 			return
--- a/controller/store.go
+++ b/controller/store.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"tamarindlead/internal/budget"
 	"tamarindlead/internal/peer"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
@@ -75,12 +76,12 @@
 }
 
 // store calls the state service within the budget.
-func (c *Core) store(p purpose, req state.Request, done func(storeReply)) {
+func (c *Core) store(p budget.Purpose, req state.Request, done func(storeReply)) {
 	c.storeWithin(p, req, storeTimeout, done)
 }
 
-func (c *Core) storeWithin(p purpose, req state.Request, timeout micros.Micros, done func(storeReply)) {
-	if !c.budget.take(p, req.Writes, c.now) {
+func (c *Core) storeWithin(p budget.Purpose, req state.Request, timeout micros.Micros, done func(storeReply)) {
+	if !c.budget.Take(p, req.Writes, c.now) {
 		done(storeReply{outcome: outLimited})
 		return
 	}
@@ -207,7 +208,7 @@
 }
 
 // get reads one key.
-func (c *Core) get(p purpose, key string, done func(outcome, state.Entry)) {
+func (c *Core) get(p budget.Purpose, key string, done func(outcome, state.Entry)) {
 	c.store(p, state.Get(key), func(r storeReply) {
 		var e state.Entry
 		if r.outcome == outOK && !r.decode(&e) {
@@ -224,7 +225,7 @@
 	var first uint64
 	var page func(after string)
 	page = func(after string) {
-		c.storeWithin(forOwnership, state.List(prefix, after), 2*storeTimeout, func(r storeReply) {
+		c.storeWithin(budget.Ownership, state.List(prefix, after), 2*storeTimeout, func(r storeReply) {
 			var p state.Page
 			if r.outcome == outLimited {
 				// To start over would use up the budget again before the end is reached.
--- a/controller/users.go
+++ b/controller/users.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"tamarindlead/internal/budget"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -241,11 +242,11 @@
 		kept = append(kept, a)
 	}
 	u.waiting = kept
-	room := min(c.budget.room(forUsers, c.now), c.cfg.TxnOps)
+	room := min(c.budget.WriteRoom(budget.Users, c.now), c.cfg.TxnOps)
 	if c.now < u.pause || room == 0 || len(u.waiting) == 0 {
 		return
 	}
-	if first := u.waiting[0]; first.ops > room && room >= c.budget.writes.Burst() {
+	if first := u.waiting[0]; first.ops > room && room >= c.budget.WriteBurst() {
 		room = first.ops // more than there ever is room for: it is owed
 	}
 	var batch, rest []*acceptance
@@ -279,7 +280,7 @@
 		writes = append(writes, puts...)
 	}
 	u.committing = true
-	c.store(forUsers, state.Commit(guards, writes), func(r storeReply) {
+	c.store(budget.Users, state.Commit(guards, writes), func(r storeReply) {
 		u.committing = false
 		u.committed(c, batch, r)
 	})
@@ -420,7 +421,7 @@
 		c.refuse(req, 503, storeSilent)
 		return
 	}
-	if c.budget.room(forUsers, c.now) < cancelWrites {
+	if c.budget.WriteRoom(budget.Users, c.now) < cancelWrites {
 		c.refuse(req, 429, "too many cancellations") // a read would be wasted
 		return
 	}
@@ -435,7 +436,7 @@
 // tryCancel reads the job's record and then cancels it.
 func (c *Core) tryCancel(req uint64, id string, until micros.Micros) {
 	fail := func() { c.refuse(req, 503, storeSilent) }
-	c.get(forUsers, activeKey(id), func(out outcome, e state.Entry) {
+	c.get(budget.Users, activeKey(id), func(out outcome, e state.Entry) {
 		switch out {
 		case outOK:
 			c.commitCancel(req, id, e.Version, until)
@@ -465,7 +466,7 @@
 		{Put: finalKey(id), Value: finalRecord{Status: wire.JobCancelled, At: int64(c.day)}},
 		{Delete: activeKey(id)},
 	}
-	c.store(forUsers, state.Commit(guards, writes), func(r storeReply) {
+	c.store(budget.Users, state.Commit(guards, writes), func(r storeReply) {
 		switch {
 		case r.outcome == outOK:
 			c.disclose(id, c.now+acceptWithin, func(ok bool) {
--- a/controller/waiting.go
+++ b/controller/waiting.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"tamarindlead/internal/budget"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -159,11 +160,11 @@
 // deleted. A list is accepted with its job in one commit: where a view that is newer than
 // the list lacks the job, it is over.
 func (o *owner) sweepParts() {
-	if o.swept || o.c.now-o.since < sweepAfter || !enough(o.c.budget.requests, forTidying, 1, o.c.now) {
+	if o.swept || o.c.now-o.since < sweepAfter || !o.c.budget.MayRequest(budget.Cleanup, o.c.now) {
 		return
 	}
 	o.swept = true
-	o.c.store(forTidying, state.List(prefixPart, ""), func(r storeReply) {
+	o.c.store(budget.Cleanup, state.List(prefixPart, ""), func(r storeReply) {
 		var p state.Page
 		if o.over() {
 			return
--- a/controller/work.go
+++ b/controller/work.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"tamarindlead/internal/budget"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -373,11 +374,11 @@
 		return
 	}
 	t := &txn{guards: map[string]uint64{}}
-	purpose := forWork
+	purpose := budget.Work
 	if o.claimsWait() {
-		purpose = forOwnership
+		purpose = budget.Ownership
 	}
-	most := min(c.budget.room(purpose, c.now), c.cfg.TxnOps)
+	most := min(c.budget.WriteRoom(purpose, c.now), c.cfg.TxnOps)
 	room := func() int { return most - len(t.writes) }
 	full := func() bool {
 		return room() < 1 || t.size > commitBytes/2 || len(t.guards) > 2*c.cfg.TxnOps
@@ -410,7 +411,7 @@
 	return false
 }
 
-func (o *owner) send(t *txn, p purpose, again bool) {
+func (o *owner) send(t *txn, p budget.Purpose, again bool) {
 	c := o.c
 	c.store(p, state.Commit(o.guards(t.guards), t.writes), func(r storeReply) {
 		if o.over() {
@@ -425,7 +426,7 @@
 			}
 			o.settle(t, true, res.Revision)
 			gap := flushGap
-			if c.budget.room(forWork, c.now) < c.cfg.TxnOps/2 {
+			if c.budget.WriteRoom(budget.Work, c.now) < c.cfg.TxnOps/2 {
 				gap = flushGapShort
 			}
 			o.flushAt = c.now + gap
@@ -459,7 +460,7 @@
 }
 
 // resend repeats a commit whose fate is unknown, with the next ticks.
-func (o *owner) resend(t *txn, p purpose) {
+func (o *owner) resend(t *txn, p budget.Purpose) {
 	o.c.after(flushRetry, func() {
 		if !o.over() {
 			o.send(t, p, true)
@@ -510,7 +511,7 @@
 				o.stop(a, 0, "job's record has changed")
 			}
 		}
-		o.c.get(forUsers, key, func(out outcome, e state.Entry) {
+		o.c.get(budget.Users, key, func(out outcome, e state.Entry) {
 			switch {
 			case o.over():
 			case out == outMissing:
@@ -640,7 +641,7 @@
 // tidy deletes what nobody reads any more, when writes are plentiful.
 func (o *owner) tidy() {
 	o.dropShards()
-	room := min(o.c.budget.room(forTidying, o.c.now), o.c.cfg.TxnOps, len(o.garbage))
+	room := min(o.c.budget.WriteRoom(budget.Cleanup, o.c.now), o.c.cfg.TxnOps, len(o.garbage))
 	if room < 1 {
 		return
 	}
@@ -649,7 +650,7 @@
 		writes = append(writes, state.Write{Delete: k})
 	}
 	o.flushing = true
-	o.c.store(forTidying, state.Commit(o.guards(nil), writes), func(r storeReply) {
+	o.c.store(budget.Cleanup, state.Commit(o.guards(nil), writes), func(r storeReply) {
 		if o.over() {
 			return
 		}
