--- a/controller/core.go
+++ b/controller/core.go
@@ -9,6 +9,7 @@
 
 	"tamarindlead/config"
 	"tamarindlead/internal/budget"
+	"tamarindlead/internal/jobgraph"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
@@ -34,7 +35,8 @@
 	types   typeTable
 	users   users
 	asked   lookups
-	jobs    graph
+	graph   *jobgraph.Graph // the active jobs
+	jobView jobView
 	member  membership
 	cluster cluster
 	lead    leadership
@@ -77,7 +79,7 @@
 	c.cluster.members, c.cluster.teams = map[string]member{}, map[string]teamView{}
 	c.route.lastOK = now
 	c.users.init()
-	c.jobs.init()
+	c.graph = jobgraph.New(prefixActive, jobObserver{c}, log)
 	return c
 }
 
@@ -109,7 +111,7 @@
 		c.tickTypes()
 		c.tickMembership()
 		c.tickLeadership()
-		c.tickIndex()
+		c.tickJobView()
 		c.tickStatus()
 		c.forgetEnded()
 		if c.owner != nil {
--- /dev/null
+++ b/controller/dependencies.go
@@ -0,0 +1,185 @@
+package controller
+
+import (
+	"tamarindlead/internal/budget"
+	"tamarindlead/internal/jobgraph"
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// This file finds out, by reads made for the question, how the jobs stand that a job or a
+// submission awaits.
+
+// settleTries bounds how often a question looks for what is not known yet: each look may
+// show more.
+const settleTries = 8
+
+// settlement is a question that goes on until it is known how all jobs ended that some jobs
+// depend on, directly or through others, and that are over.
+type settlement struct {
+	c      *Core
+	ids    []string
+	until  micros.Micros
+	resets int // of the graph, as the question began: it continues that view
+	tries  int // left
+	done   func(ok bool)
+}
+
+// settle starts a settlement. It continues a view that was refreshed.
+func (c *Core) settle(ids []string, until micros.Micros, done func(ok bool)) {
+	c.settleSince(c.graph.Resets(), ids, until, done)
+}
+
+// settleSince is settle for a question that began at a count of resets.
+func (c *Core) settleSince(resets int, ids []string, until micros.Micros, done func(ok bool)) {
+	s := &settlement{c: c, ids: ids, until: until, resets: resets, tries: settleTries, done: done}
+	s.step()
+}
+
+func (s *settlement) step() {
+	graph := s.c.graph
+	if !graph.Synced() || graph.Resets() != s.resets || s.tries == 0 || s.c.now > s.until {
+		s.done(false)
+		return
+	}
+	switch partial, unresolved := graph.MissingFor(s.ids); {
+	case partial != nil:
+		s.c.readParts(partial, s.again)
+	case unresolved:
+		s.c.resolveEnds(s.again)
+	default:
+		s.done(true)
+	}
+}
+
+func (s *settlement) again(ok bool) {
+	if !ok {
+		s.done(false)
+		return
+	}
+	s.tries--
+	s.step()
+}
+
+// readParts reads a list that is kept under several keys.
+func (c *Core) readParts(job *jobgraph.WaitingJob, done func(ok bool)) {
+	c.store(budget.Users, state.List(partKey(job.ID, ""), ""), func(r storeReply) {
+		var page state.Page
+		if r.outcome != outOK || !r.decode(&page) {
+			done(false)
+			return
+		}
+		if c.graph.Waiting(job.ID) != job || job.Complete() {
+			done(true)
+			return
+		}
+		ids, ok := c.joinParts(page.Entries)
+		if !ok || len(page.Entries) != job.Parts { // the job is over, which the view will show
+			done(false)
+			return
+		}
+		c.graph.CompleteList(job, ids)
+		done(true)
+	})
+}
+
+// joinParts joins the parts of a list; false: one cannot be read.
+func (c *Core) joinParts(entries []state.Entry) (ids []string, ok bool) {
+	for _, e := range entries {
+		var rec partRecord
+		if err := wire.Decode(e.Value, &rec); err != nil {
+			c.log.Error("record cannot be read", "key", e.Key, "error", err)
+			return nil, false
+		}
+		ids = append(ids, rec.IDs...)
+	}
+	return ids, true
+}
+
+// dependencyStatus is how the jobs stand that a submission awaits.
+type dependencyStatus int
+
+const (
+	dependenciesUnknown       dependencyStatus = iota // cannot be told now
+	dependenciesNeverAccepted                         // some job was never accepted
+	dependenciesOpen                                  // all were accepted, none is known to be cancelled
+	dependenciesCancelled                             // some job before it is cancelled
+)
+
+// dependencyResult is a dependency status, with the job that its user cancelled if one was.
+type dependencyResult struct {
+	status        dependencyStatus
+	cancelledRoot string
+}
+
+// dependencyCheck looks at the jobs that a submission awaits, by reads made for it.
+type dependencyCheck struct {
+	c      *Core
+	ids    []string
+	until  micros.Micros
+	resets int
+	done   func(dependencyResult)
+}
+
+// checkDependencies tells how the jobs stand that a submission awaits.
+func (c *Core) checkDependencies(ids []string, until micros.Micros, done func(dependencyResult)) {
+	check := &dependencyCheck{c: c, ids: ids, until: until, done: done}
+	c.refresh(check.refreshed)
+}
+
+// refreshed reads the final records of those that are not active.
+func (d *dependencyCheck) refreshed(ok bool) {
+	if !ok {
+		d.done(dependencyResult{})
+		return
+	}
+	d.resets = d.c.graph.Resets()
+	var inactive []string
+	for _, id := range d.ids {
+		if !d.c.graph.Active(id) && d.c.users.finals[id] != wire.JobDone {
+			inactive = append(inactive, id)
+		}
+	}
+	d.c.readFinals(budget.Users, inactive, d.until, func(found map[string]finalRecord, ok bool) {
+		if !ok {
+			d.done(dependencyResult{})
+			return
+		}
+		d.finalsRead(inactive, found)
+	})
+}
+
+// finalsRead answers if a final record decides, and else finds out what is before the active.
+func (d *dependencyCheck) finalsRead(inactive []string, found map[string]finalRecord) {
+	root := ""
+	for _, id := range inactive {
+		rec, accepted := found[id]
+		if !accepted {
+			d.done(dependencyResult{status: dependenciesNeverAccepted})
+			return
+		}
+		if rec.Status == wire.JobCancelled && root == "" {
+			root = rec.root(id)
+		}
+	}
+	if root != "" {
+		d.done(dependencyResult{dependenciesCancelled, root})
+		return
+	}
+	d.c.settleSince(d.resets, d.ids, d.until, d.settled)
+}
+
+func (d *dependencyCheck) settled(ok bool) {
+	if !ok {
+		d.done(dependencyResult{})
+		return
+	}
+	for _, id := range d.ids {
+		if job := d.c.graph.Waiting(id); job != nil && job.Cancelled() {
+			d.done(dependencyResult{dependenciesCancelled, job.CancelledRoot})
+			return
+		}
+	}
+	d.done(dependencyResult{status: dependenciesOpen})
+}
--- a/controller/disclosure.go
+++ b/controller/disclosure.go
@@ -163,7 +163,7 @@
 // that was read before is of no use any more.
 func (c *Core) jobEnded(job string) {
 	c.ended[job] = c.now
-	delete(c.jobs.versions, job)
+	c.graph.ForgetVersion(job)
 	if c.owner != nil {
 		c.owner.jobGone(job, c.now)
 	}
@@ -200,7 +200,7 @@
 
 // readTo is the time up to which this node's reads show all cancellations.
 func (c *Core) readTo() micros.Micros {
-	to := c.jobs.knownTo
+	to := c.jobView.cancellationsKnownUntil
 	if c.owner != nil && c.owner.state == ownerActive {
 		to = max(to, c.owner.knownTo)
 	}
--- /dev/null
+++ b/controller/finalreads.go
@@ -0,0 +1,172 @@
+package controller
+
+import (
+	"slices"
+	"strings"
+
+	"tamarindlead/internal/budget"
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// This file reads final records, alone or many at once, and has the graph of jobs take how
+// awaited jobs ended.
+
+// fewFinals is up to how many final records are read one by one: more cost fewer requests by
+// listing the keys about them.
+const fewFinals = 2
+
+// endResolution is the reading of how awaited jobs ended that left the active ones.
+type endResolution struct {
+	reading   bool
+	questions []func(ok bool)
+	nextTry   micros.Micros // for the owner, which asks by itself
+}
+
+// takeFinal takes the final record of a job that others await.
+func (c *Core) takeFinal(id string, rec finalRecord) {
+	switch rec.Status {
+	case wire.JobDone:
+		at := micros.Micros(rec.At)
+		if at == 0 { // an older version did not record when
+			at = c.day
+		}
+		c.graph.Done(id, min(at, c.day))
+	case wire.JobCancelled:
+		c.graph.Cancelled(id, rec.root(id))
+	}
+}
+
+// resolveEnds finds out how awaited jobs ended that left the active ones. Without a question
+// it is the owner's own work.
+func (c *Core) resolveEnds(done func(ok bool)) {
+	resolution := &c.jobView.resolution
+	if done != nil {
+		resolution.questions = append(resolution.questions, done)
+	}
+	if resolution.reading {
+		return
+	}
+	resolution.reading = true
+	purpose := budget.Work
+	if done != nil {
+		purpose = budget.Users
+	}
+	c.readFinals(purpose, c.graph.Unresolved(), c.now+acceptWithin, c.endsRead)
+}
+
+func (c *Core) endsRead(found map[string]finalRecord, ok bool) {
+	resolution := &c.jobView.resolution
+	resolution.reading, resolution.nextTry = false, c.now+fastTick
+	for _, id := range sortedKeys(found) {
+		c.takeFinal(id, found[id])
+	}
+	if !ok || len(found) == 0 {
+		resolution.nextTry = c.now + loadRetry
+	}
+	questions := resolution.questions
+	resolution.questions = nil
+	answerAll(questions, ok)
+}
+
+// finalsRead is a read of several jobs' final records.
+type finalsRead struct {
+	c       *Core
+	purpose budget.Purpose
+	ids     []string // not read yet, in order
+	until   micros.Micros
+	found   map[string]finalRecord
+	done    func(found map[string]finalRecord, ok bool)
+}
+
+// readFinals reads final records of jobs, given in order. Few are read one by one, many by
+// listing the keys about them: never in more requests than there are jobs.
+func (c *Core) readFinals(p budget.Purpose, ids []string, until micros.Micros, done func(found map[string]finalRecord, ok bool)) {
+	read := &finalsRead{c: c, purpose: p, ids: ids, until: until, found: map[string]finalRecord{}, done: done}
+	read.next()
+}
+
+func (r *finalsRead) next() {
+	switch {
+	case len(r.ids) == 0:
+		r.done(r.found, true)
+	case len(r.ids) <= fewFinals:
+		r.readFirst()
+	default:
+		r.listFromFirst()
+	}
+}
+
+func (r *finalsRead) readFirst() {
+	id := r.ids[0]
+	r.c.get(r.purpose, finalKey(id), func(out outcome, e state.Entry) {
+		if out != outMissing && (out != outOK || !r.take(id, e.Value)) {
+			r.failed(out)
+			return
+		}
+		r.ids = r.ids[1:]
+		r.next()
+	})
+}
+
+// listFromFirst reads the page of final records that begins with the first job.
+func (r *finalsRead) listFromFirst() {
+	list := state.List(prefixFinal, keyBefore(finalKey(r.ids[0])))
+	r.c.store(r.purpose, list, func(reply storeReply) {
+		var page state.Page
+		if reply.outcome != outOK || !reply.decode(&page) {
+			r.failed(reply.outcome)
+			return
+		}
+		if !r.takePage(&page) {
+			r.done(r.found, false)
+			return
+		}
+		r.next()
+	})
+}
+
+// takePage takes those of a page that are asked for; false: one cannot be read.
+func (r *finalsRead) takePage(page *state.Page) bool {
+	last := ""
+	for _, e := range page.Entries {
+		last = strings.TrimPrefix(e.Key, prefixFinal)
+		if _, asked := slices.BinarySearch(r.ids, last); asked && !r.take(last, e.Value) {
+			return false
+		}
+	}
+	if !page.More {
+		r.ids = nil
+	}
+	for len(r.ids) > 0 && r.ids[0] <= last {
+		r.ids = r.ids[1:]
+	}
+	return true
+}
+
+// take takes a final record; false: it cannot be read.
+func (r *finalsRead) take(id string, value []byte) bool {
+	var rec finalRecord
+	if err := wire.Decode(value, &rec); err != nil {
+		r.c.log.Error("record cannot be read", "key", finalKey(id), "error", err)
+		return false
+	}
+	r.found[id] = rec
+	return true
+}
+
+// failed tries again, in time, what the limit of requests did not let through.
+func (r *finalsRead) failed(out outcome) {
+	if out == outLimited && r.c.now < r.until {
+		r.c.after(limitedPause, r.next)
+		return
+	}
+	r.done(r.found, false)
+}
+
+// keyBefore is a key that comes before a given one, and after all others that do.
+func keyBefore(key string) string {
+	last := len(key) - 1
+	return key[:last] + string(key[last]-1) + "~"
+}
--- a/controller/inherit_test.go
+++ b/controller/inherit_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 
+	"tamarindlead/internal/jobgraph"
+	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 	"tamarindlead/sched"
@@ -13,17 +15,17 @@
 // tree is a core that owns team red, and the jobs whose records it was given.
 type tree struct {
 	*testing.T
-	c       *Core
-	o       *owner
-	version uint64
-	jobs    map[string]*sched.Job // active
+	c        *Core
+	o        *owner
+	jobs     map[string]*sched.Job // active
+	accepted map[string]micros.Micros
 }
 
 func newTree(t *testing.T) *tree {
 	o := testOwner()
 	o.listed = true
-	o.c.jobs.whole = true
-	return &tree{T: t, c: o.c, o: o, jobs: map[string]*sched.Job{}}
+	o.c.graph.Reset(nil, 0)
+	return &tree{T: t, c: o.c, o: o, jobs: map[string]*sched.Job{}, accepted: map[string]micros.Micros{}}
 }
 
 // submit has a job accepted at a second, which awaits others.
@@ -36,15 +38,24 @@
 	if len(awaits) > 0 {
 		rec.Job, rec.Waiting = nil, rec.Job
 	}
-	w.version++
-	w.c.jobPut(activeKey(j.ID), wire.Encode(rec), w.version)
-	w.jobs[j.ID] = &j
+	w.apply(state.Change{Put: activeKey(j.ID), Value: wire.Encode(rec)})
+	w.jobs[j.ID], w.accepted[j.ID] = &j, at
+}
+
+// apply has the core take one change of the jobs' records.
+func (w *tree) apply(change state.Change) {
+	w.Helper()
+	after := w.c.graph.Revision()
+	change.Version = after + 1
+	if !w.c.graph.Apply(after, &state.Changes{Revision: after + 1, Events: []state.Change{change}}, w.c.day) {
+		w.Fatal("a change is refused")
+	}
 }
 
 func (w *tree) over(id, status string) {
 	delete(w.jobs, id)
-	w.c.jobDeleted(id)
-	w.c.awaitedOver(id, finalRecord{Status: status, At: 1})
+	w.apply(state.Change{Delete: activeKey(id)})
+	w.c.takeFinal(id, finalRecord{Status: status, At: 1})
 }
 
 // check holds what the owner makes of a job against what is expected.
@@ -68,7 +79,7 @@
 }
 
 // TestInheritChain guards against a first stage that does not inherit from the last, of
-// another team, and against one that goes on doing so after the last is over. Guard: passOn.
+// another team, and against one that goes on doing so after the last is over. Guard: jobgraph's passOn.
 func TestInheritChain(t *testing.T) {
 	w := newTree(t)
 	w.submit(stage(9, 1, 10, 0), 0)
@@ -90,7 +101,7 @@
 }
 
 // TestInheritDiamond guards against an edge that is left out: the highest priority may come
-// by one way and the earliest end by another. Guard: inheritedBy.
+// by one way and the earliest end by another. Guard: jobgraph's inheritedBy.
 func TestInheritDiamond(t *testing.T) {
 	w := newTree(t)
 	w.submit(stage(1, 0, 10, 0), 0)
@@ -120,69 +131,14 @@
 	w.check(jobName(1), 1, 0)
 }
 
-// TestInheritFans guards against a pass over all jobs for each event: 600 jobs that one
-// awaits, 600 that await one, and a ladder of diamonds in which ways double with each step.
-// Guards: the versions' order in passOn, the early end in inheritedBy.
-func TestInheritFans(t *testing.T) {
-	const many = 600
-	w := newTree(t)
-	var all []string
-	for i := range many {
-		w.submit(stage(i, 0, 10, 0), 0)
-		all = append(all, jobName(i))
-	}
-	g := &w.c.jobs
-	cost := func(most int, what string, do func()) {
-		t.Helper()
-		before := g.walked
-		do()
-		if n := g.walked - before; n > most {
-			t.Errorf("%s: %d edges looked at, want %d at most", what, n, most)
-		}
-	}
-	cost(many, "fan-in", func() { w.submit(stage(1000, 2, 10, 100), 0, all...) })
-	w.check(jobName(7), 2, 90)
-	cost(1, "one of them done", func() { w.over(all[0], wire.JobDone) })
-	cost(2*many, "fan-in cancelled", func() { w.over(jobName(1000), wire.JobCancelled) })
-	w.check(jobName(7), 0, 0)
-
-	cost(many, "fan-out", func() {
-		for i := range many {
-			w.submit(stage(2000+i, 1, 10, 100), 0, jobName(7))
-		}
-	})
-	cost(20*many, "fan-out cancelled one by one", func() {
-		for i := range many - 1 {
-			w.over(jobName(2000+i), wire.JobCancelled)
-			w.check(jobName(7), 1, 90)
-		}
-	})
-	cost(2, "last of them cancelled", func() { w.over(jobName(2000+many-1), wire.JobCancelled) })
-	w.check(jobName(7), 0, 0)
-
-	const steps = 40
-	w.submit(stage(5000, 0, 1, 0), 0)
-	for i := range steps {
-		at := 5000 + 3*i
-		w.submit(stage(at+1, 0, 1, 0), 0, jobName(at))
-		w.submit(stage(at+2, 0, 2, 0), 0, jobName(at))
-		w.submit(stage(at+3, 0, 1, 0), 0, jobName(at+1), jobName(at+2))
-	}
-	last := 5000 + 3*steps
-	cost(4*steps+1, "ladder", func() { w.submit(stage(last+1, 2, 1, 500), 0, jobName(last)) })
-	w.check(jobName(5000), 2, 500-1-3*steps)
-	cost(12*steps, "ladder's last cancelled", func() { w.over(jobName(last+1), wire.JobCancelled) })
-	w.check(jobName(5000), 0, 0)
-}
-
 // TestInheritDrawn holds what is kept against what all records say, after each of many drawn
 // events.
 func TestInheritDrawn(t *testing.T) {
 	for seed := range uint64(20) {
 		r := rand.New(rand.NewPCG(seed, 6))
 		w := newTree(t)
-		withdrawn := map[string]bool{} // with one before them, which is not recorded yet
-		g := &w.c.jobs
+		cancelled := map[string]bool{} // with one before them, which is not recorded yet
+		g := w.c.graph
 		for i := range 150 {
 			ids := sortedKeys(w.jobs)
 			switch n := r.IntN(10); {
@@ -203,57 +159,63 @@
 				w.submit(j, micros.FromSeconds(float64(i)), slices.Compact(awaits)...)
 			case n < 8: // done, if it may be
 				id := ids[r.IntN(len(ids))]
-				if v := g.waiting[id]; v == nil || v.ready() {
+				if v := g.Waiting(id); v == nil || v.Ready() {
 					w.over(id, wire.JobDone)
 				}
 			default:
 				w.over(ids[r.IntN(len(ids))], wire.JobCancelled)
 			}
-			clear(withdrawn)
-			for id, v := range g.waiting {
-				withdrawn[id] = v.root != ""
+			clear(cancelled)
+			for id := range w.jobs {
+				if v := g.Waiting(id); v != nil {
+					cancelled[id] = v.Cancelled()
+				}
 			}
-			w.checkAll(seed, withdrawn)
+			w.checkAll(seed, cancelled)
 		}
 	}
 }
 
+// with is what is inherited from two jobs.
+func with(a, b jobgraph.Inheritance) jobgraph.Inheritance {
+	return jobgraph.Inheritance{Priority: max(a.Priority, b.Priority), MustEnd: jobgraph.Earlier(a.MustEnd, b.MustEnd)}
+}
+
 // checkAll computes anew what each active job inherits.
-func (w *tree) checkAll(seed uint64, withdrawn map[string]bool) {
+func (w *tree) checkAll(seed uint64, cancelled map[string]bool) {
 	w.Helper()
 	ids := sortedKeys(w.jobs)
-	want := map[string]inherited{}
+	want := map[string]jobgraph.Inheritance{}
 	for i := len(ids) - 1; i >= 0; i-- { // those submitted last first
 		j := w.jobs[ids[i]]
-		if withdrawn[j.ID] {
+		if cancelled[j.ID] {
 			continue
 		}
-		rec := w.c.jobs.waiting[j.ID]
-		if rec == nil {
+		if w.c.graph.Waiting(j.ID) == nil {
 			continue
 		}
-		in := inherited{j.Priority, dueAt(rec.accepted, j.Deadline)}
-		if h, ok := want[j.ID]; ok {
-			in = in.with(h)
-		}
-		if in.mustEnd != 0 {
-			in.mustEnd = max(1, in.mustEnd-j.Estimate)
+		in := with(jobgraph.Inheritance{Priority: j.Priority, MustEnd: jobgraph.DueAt(w.accepted[j.ID], j.Deadline)}, want[j.ID])
+		if in.MustEnd != 0 {
+			in.MustEnd = max(1, in.MustEnd-j.Estimate)
 		}
 		for _, x := range j.Awaits {
 			if w.jobs[x] != nil {
-				want[x] = want[x].with(in)
+				want[x] = with(want[x], in)
 			}
 		}
 	}
 	for _, id := range ids {
-		got := w.c.jobs.inherited[id]
-		if !withdrawn[id] && got != want[id] {
+		got, _ := w.c.graph.Inherited(id)
+		if !cancelled[id] && got != want[id] {
 			w.Fatalf("seed %d: %s inherits %v, want %v", seed, id, got, want[id])
 		}
-		if j := w.o.jobs[id]; j != nil && j.Priority != max(w.jobs[id].Priority, want[id].priority) {
+		if j := w.o.jobs[id]; j != nil && j.Priority != max(w.jobs[id].Priority, want[id].Priority) {
 			w.Fatalf("seed %d: %s has priority %d at its owner", seed, id, j.Priority)
 		}
 	}
+	if !slices.IsSortedFunc(w.o.queue, queueOrder) {
+		w.Fatalf("seed %d: the queue is out of order", seed)
+	}
 }
 
 // TestDeadlineDemand guards against waiting for cheaper machines with work of the lowest
--- a/controller/job.go
+++ b/controller/job.go
@@ -48,18 +48,18 @@
 	runs     int                // tasks that run, for display
 	attempts map[int]*attempt
 
-	gang        gangState
-	notUntil    micros.Micros // backing off
-	failures    int           // in a row, without any success
-	failedOn    map[string]bool
-	writing     bool          // its final record is being written
-	withdrawing bool          // to be recorded as cancelled with one before it
-	unsure      bool          // its record did not match: nothing is placed until that is cleared up
-	began       bool          // some of it was placed
-	idleSince   micros.Micros // nothing of it is on machines
-	evictAt     micros.Micros // room may be made for it again from then on
-	evictions   int           // in vain, in a row
-	endedAt     micros.Micros // users were not told before then that it is cancelled; 0: it was not
+	gang      gangState
+	notUntil  micros.Micros // backing off
+	failures  int           // in a row, without any success
+	failedOn  map[string]bool
+	writing   bool          // its final record is being written
+	cancelled bool          // to be recorded as cancelled with one before it
+	unsure    bool          // its record did not match: nothing is placed until that is cleared up
+	began     bool          // some of it was placed
+	idleSince micros.Micros // nothing of it is on machines
+	evictAt   micros.Micros // room may be made for it again from then on
+	evictions int           // in vain, in a row
+	endedAt   micros.Micros // users were not told before then that it is cancelled; 0: it was not
 }
 
 // gangState is the state machine of a gang's attempt.
--- a/controller/job_queue.go
+++ b/controller/job_queue.go
@@ -81,7 +81,7 @@
 			return
 		}
 		o.knownTo = asked
-		o.watchJobs(c.jobs.revision)
+		o.watchJobs(c.graph.Revision())
 	})
 }
 
--- /dev/null
+++ b/controller/jobview.go
@@ -0,0 +1,187 @@
+package controller
+
+import (
+	"tamarindlead/internal/budget"
+	"tamarindlead/internal/jobgraph"
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// This file keeps the view of the active jobs (package jobgraph) up to date at every node. It
+// is fed by a listing and by changes, whoever asked for them: the watch that a node without
+// teams follows here, that of an owner, or a read made for an answer.
+
+// followPause is the least time between two answers of the watch that the view follows at a
+// node that owns nothing: it need not be up to date, since what it says is always confirmed.
+const followPause = micros.Second
+
+// jobView is how this node reads the active jobs and how they ended.
+type jobView struct {
+	following bool
+	nextTry   micros.Micros
+	// cancellationsKnownUntil is when what was read last by the watch was asked for.
+	cancellationsKnownUntil micros.Micros
+
+	refresh    refreshQueue
+	resolution endResolution
+}
+
+// jobObserver passes on to the owner what the graph of jobs tells.
+type jobObserver struct{ c *Core }
+
+func (w jobObserver) JobPut(key string, value []byte, version uint64) {
+	if o := w.c.owner; o != nil && o.listed {
+		o.jobRecord(key, value, version)
+	}
+}
+
+func (w jobObserver) JobDeleted(id string) {
+	if o := w.c.owner; o != nil && o.listed {
+		// Users may have been told as early as what was known before ends.
+		o.jobGone(id, o.knownTo)
+	}
+}
+
+func (w jobObserver) JobReady(job *jobgraph.WaitingJob) {
+	if o := w.c.owner; o != nil {
+		o.jobReady(job)
+	}
+}
+
+func (w jobObserver) JobCancelled(id string) {
+	if o := w.c.owner; o != nil {
+		o.queueCancelled(id)
+	}
+}
+
+func (w jobObserver) InheritanceChanged(id string) {
+	o := w.c.owner
+	if o == nil {
+		return
+	}
+	if j := o.jobs[id]; j != nil && j.state != jobEnded {
+		o.inherit(j)
+	}
+}
+
+func (w jobObserver) EstimateOf(job *jobgraph.WaitingJob) micros.Micros {
+	if o := w.c.owner; o != nil {
+		return o.corrected(job.Class, job.Estimate)
+	}
+	return job.Estimate
+}
+
+func (w jobObserver) KnownDone(id string) bool { return w.c.users.finals[id] == wire.JobDone }
+
+// tickJobView follows the jobs at a node that does not own; an owner does so itself.
+func (c *Core) tickJobView() {
+	view := &c.jobView
+	if view.following || c.now < view.nextTry || c.owner != nil {
+		return
+	}
+	view.following = true
+	if c.graph.Synced() {
+		c.followJobs()
+		return
+	}
+	asked := c.now
+	c.listAll(prefixActive, func(ok bool, entries []state.Entry, revision uint64) {
+		if !ok {
+			view.stopFollowing(c.now)
+			return
+		}
+		if c.owner == nil { // else it lists, or has listed, itself
+			c.graph.Reset(entries, revision)
+			view.cancellationsKnownUntil = asked
+		}
+		c.followJobs()
+	})
+}
+
+// followJobs watches the jobs from the graph's revision on.
+func (c *Core) followJobs() {
+	view := &c.jobView
+	c.after(followPause, func() {
+		if c.owner != nil { // it follows the jobs itself
+			view.following = false
+			return
+		}
+		asked, after := c.now, c.graph.Revision()
+		c.storeWithin(budget.Reads, state.Watch(prefixActive, after, c.watchWait()), watchTimeout, func(r storeReply) {
+			if !c.takeChanges(after, r) {
+				view.stopFollowing(c.now)
+				return
+			}
+			view.cancellationsKnownUntil = asked
+			c.followJobs()
+		})
+	})
+}
+
+// stopFollowing lets the next try begin after a pause.
+func (v *jobView) stopFollowing(now micros.Micros) {
+	v.following, v.nextTry = false, now+followPause
+}
+
+// takeChanges applies the answer of a watch; false: it does not continue what is known.
+func (c *Core) takeChanges(after uint64, r storeReply) bool {
+	if r.outcome == outGone {
+		c.graph.Desync()
+	}
+	var changes state.Changes
+	return r.outcome == outOK && r.decode(&changes) && c.graph.Apply(after, &changes, c.day)
+}
+
+// refreshQueue is the questions that need a view of the present state. One read serves all
+// that ask before it is sent.
+type refreshQueue struct {
+	questions []func(ok bool)
+	askedAt   micros.Micros // the first of them
+	reading   bool
+}
+
+// refresh hands over once this node's view is at least as new as the question; false: the
+// present state cannot be known now.
+func (c *Core) refresh(done func(ok bool)) {
+	queue := &c.jobView.refresh
+	if len(queue.questions) == 0 {
+		queue.askedAt = c.now
+	}
+	queue.questions = append(queue.questions, done)
+	c.sendRefresh()
+}
+
+func (c *Core) sendRefresh() {
+	queue := &c.jobView.refresh
+	if queue.reading || len(queue.questions) == 0 {
+		return
+	}
+	if !c.budget.MayRequest(budget.Users, c.now) && c.now-queue.askedAt < acceptWithin {
+		c.after(fastTick, c.sendRefresh)
+		return
+	}
+	batch, after := queue.questions, c.graph.Revision()
+	queue.questions = nil
+	if !c.graph.Synced() {
+		answerAll(batch, false)
+		return
+	}
+	queue.reading = true
+	c.storeWithin(budget.Users, state.Watch(prefixActive, after, 0), storeTimeout, func(r storeReply) {
+		queue.reading = false
+		queue.askedAt = c.now // what came meanwhile goes out now
+		ok := c.takeChanges(after, r)
+		if r.outcome == outGone && c.owner != nil && c.owner.listed {
+			c.owner.resync("changes of jobs were missed")
+		}
+		answerAll(batch, ok)
+		c.sendRefresh()
+	})
+}
+
+func answerAll(questions []func(ok bool), ok bool) {
+	for _, answer := range questions {
+		answer(ok)
+	}
+}
--- a/controller/load.go
+++ b/controller/load.go
@@ -16,7 +16,7 @@
 	fail := func() { o.busy, o.retryAt = false, c.now+loadRetry }
 	clear(o.jobs)
 	clear(o.waiting)
-	o.listed, o.withdrawing = false, nil
+	o.listed, o.cancelled = false, nil
 	clear(o.machines)
 	o.list, o.blocks, o.shards, o.poked, o.endings = nil, nil, nil, nil, nil
 	o.proposed, o.proposedJobs = 0, 0
@@ -61,7 +61,7 @@
 	asked := c.now
 	step(prefixActive, func(entries []state.Entry, rev uint64) {
 		o.watchRev, o.knownTo = rev, asked
-		c.resetJobs(entries, rev)
+		c.graph.Reset(entries, rev)
 		o.listed = true
 		for _, e := range entries {
 			o.jobRecord(e.Key, e.Value, e.Version)
--- a/controller/lookups.go
+++ b/controller/lookups.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"tamarindlead/internal/budget"
+	"tamarindlead/internal/jobgraph"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -80,7 +81,7 @@
 	guards := map[string]uint64{}
 	for _, q := range l.waiting {
 		v := c.knownVersion(q.id)
-		if c.jobs.unsettled(q.id) != nil {
+		if c.graph.Unsettled(q.id) {
 			derived = append(derived, q)
 		} else if v != 0 && (guards[activeKey(q.id)] == v || len(guards) < 4*c.cfg.TxnOps) {
 			guards[activeKey(q.id)] = v
@@ -121,7 +122,7 @@
 	}
 	for len(l.waiting) > 0 && c.budget.MayRequest(budget.Reads, c.now) {
 		q := l.waiting[0]
-		if c.knownVersion(q.id) != 0 || c.jobs.unsettled(q.id) != nil {
+		if c.knownVersion(q.id) != 0 || c.graph.Unsettled(q.id) {
 			break // its turn comes with the next comparison
 		}
 		l.waiting = l.waiting[1:]
@@ -137,7 +138,7 @@
 			return j.version
 		}
 	}
-	return c.jobs.versions[id]
+	return c.graph.Version(id)
 }
 
 // compare asks whether jobs' records are as this node knows them.
@@ -162,8 +163,8 @@
 			key := activeKey(q.id)
 			switch {
 			case failed[key]:
-				if c.jobs.versions[q.id] == guards[key] {
-					delete(c.jobs.versions, q.id)
+				if c.graph.Version(q.id) == guards[key] {
+					c.graph.ForgetVersion(q.id)
 				}
 				c.read(q)
 			case len(failed) > 0:
@@ -183,16 +184,16 @@
 	c.get(budget.Reads, activeKey(q.id), func(out outcome, e state.Entry) {
 		switch out {
 		case outOK:
-			var rec waitRecord
-			if wire.Decode(e.Value, &rec) != nil {
+			awaits, err := jobgraph.AwaitsOthers(e.Value)
+			if err != nil {
 				c.finish(q, lookupFailed, "", 0)
 				return
 			}
-			if w := c.jobs.waiting[q.id]; rec.Waiting != nil && (w == nil || !w.ready()) {
+			if w := c.graph.Waiting(q.id); awaits && (w == nil || !w.Ready()) {
 				c.deriveOne(q) // this node's view is behind
 				return
 			}
-			c.jobs.learn(q.id, e.Version)
+			c.graph.SetVersion(q.id, e.Version)
 			c.finish(q, lookupFound, wire.JobQueued, e.Version)
 		case outMissing:
 			c.get(budget.Reads, finalKey(q.id), func(out outcome, e state.Entry) {
@@ -265,14 +266,14 @@
 }
 
 func (c *Core) derived(q *lookup, ok bool) {
-	switch w := c.jobs.waiting[q.id]; {
+	switch w := c.graph.Waiting(q.id); {
 	case !ok:
 		c.finish(q, lookupFailed, "", 0)
 	case w == nil:
 		c.read(q) // over meanwhile
-	case w.root != "":
-		c.final(q, wire.JobCancelled, w.root)
+	case w.Cancelled():
+		c.final(q, wire.JobCancelled, w.CancelledRoot)
 	default:
-		c.finish(q, lookupFound, wire.JobQueued, w.version)
+		c.finish(q, lookupFound, wire.JobQueued, w.Version)
 	}
 }
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -182,7 +182,7 @@
 		}
 	}
 	for _, t := range rep.Tasks {
-		if id, _, ok := splitNumbered(t.Task); !ok || t.Phase != wire.PhaseExited && (c.jobs.versions[id] == 0 || c.ended[id] != 0) {
+		if id, _, ok := splitNumbered(t.Task); !ok || t.Phase != wire.PhaseExited && (c.graph.Version(id) == 0 || c.ended[id] != 0) {
 			return false
 		}
 	}
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -22,32 +22,32 @@
 
 // owner is the part of a node that places jobs and gives commands.
 type owner struct {
-	c           *Core
-	state       ownerState
-	since       micros.Micros
-	retryAt     micros.Micros
-	busy        bool
-	teams       map[string]*team
-	machines    map[string]*machine
-	list        []*machine // the same in the order of their names
-	blocks      []*block
-	shards      []*shard
-	jobs        map[string]*job
-	waiting     map[string]*job // those that wait for others, which are not among the jobs
-	listed      bool            // the jobs were listed; changes since are taken
-	swept       bool            // leftovers of long lists were looked for
-	queue       []*job          // active jobs in the order in which they are placed
-	rentals     map[string]*rental
-	holds       map[string]*hold         // by job
-	tombs       map[string]micros.Micros // machines that were returned
-	foreign     map[string]micros.Micros // machines that another owns, though no sibling says so yet
-	strange     map[string]micros.Micros // listed machines that nobody claims, since when
-	garbage     []string                 // keys that nobody reads any more
-	withdrawing []string                 // waiting jobs that are cancelled with one before them, to be recorded
-	endings     []*job                   // that records name, and of which it is not known how they ended
-	watchRev    uint64
-	watchDown   bool
-	knownTo     micros.Micros // when the last answered watch of the jobs began
+	c         *Core
+	state     ownerState
+	since     micros.Micros
+	retryAt   micros.Micros
+	busy      bool
+	teams     map[string]*team
+	machines  map[string]*machine
+	list      []*machine // the same in the order of their names
+	blocks    []*block
+	shards    []*shard
+	jobs      map[string]*job
+	waiting   map[string]*job // those that wait for others, which are not among the jobs
+	listed    bool            // the jobs were listed; changes since are taken
+	swept     bool            // leftovers of long lists were looked for
+	queue     []*job          // active jobs in the order in which they are placed
+	rentals   map[string]*rental
+	holds     map[string]*hold         // by job
+	tombs     map[string]micros.Micros // machines that were returned
+	foreign   map[string]micros.Micros // machines that another owns, though no sibling says so yet
+	strange   map[string]micros.Micros // listed machines that nobody claims, since when
+	garbage   []string                 // keys that nobody reads any more
+	cancelled []string                 // waiting jobs that are cancelled with one before them, to be recorded
+	endings   []*job                   // that records name, and of which it is not known how they ended
+	watchRev  uint64
+	watchDown bool
+	knownTo   micros.Micros // when the last answered watch of the jobs began
 
 	lastHeard    micros.Micros
 	wantAt       micros.Micros // machines may be asked for again
--- a/controller/users.go
+++ b/controller/users.go
@@ -184,22 +184,22 @@
 	case c.users.finals[id] != "" || c.knownVersion(id) != 0:
 		u.known(c, a)
 		return
-	case !c.jobs.whole:
+	case !c.graph.Synced():
 		instead(503, "the jobs are not known yet")
 		return
 	}
 	u.checking++
-	c.standingOf(a.job.Awaits, c.now+acceptWithin, func(st standing, root string) {
+	c.checkDependencies(a.job.Awaits, c.now+acceptWithin, func(result dependencyResult) {
 		u.checking--
-		switch st {
-		case standingUnknown:
+		switch result.status {
+		case dependenciesUnknown:
 			instead(503, storeSilent)
 			return
-		case standingNever:
+		case dependenciesNeverAccepted:
 			instead(422, "awaits a job that was never accepted")
 			return
-		case standingCancelled:
-			a.status, a.root = wire.JobCancelled, root
+		case dependenciesCancelled:
+			a.status, a.root = wire.JobCancelled, result.cancelledRoot
 		}
 		u.waiting = append(u.waiting, a)
 	})
--- a/controller/waiting.go
+++ b/controller/waiting.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"tamarindlead/internal/budget"
+	"tamarindlead/internal/jobgraph"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -19,23 +20,23 @@
 func (o *owner) addWaiting(j *job) {
 	o.setJob(j, jobWaiting)
 	o.waiting[j.ID] = j
-	switch w := o.c.jobs.waiting[j.ID]; {
+	switch w := o.c.graph.Waiting(j.ID); {
 	case w == nil: // its record is gone already; the watch will tell
-	case w.root != "":
-		o.jobWithdrawn(j.ID)
-	case w.ready():
+	case w.Cancelled():
+		o.queueCancelled(j.ID)
+	case w.Ready():
 		o.jobReady(w)
 	}
 }
 
 // jobReady lets a job be placed: all that it awaits is done. Its times count from then.
-func (o *owner) jobReady(w *waiting) {
-	j := o.waiting[w.id]
+func (o *owner) jobReady(w *jobgraph.WaitingJob) {
+	j := o.waiting[w.ID]
 	if j == nil {
 		return
 	}
-	delete(o.waiting, w.id)
-	j.since = max(j.accepted, w.since)
+	delete(o.waiting, w.ID)
+	j.since = max(j.accepted, w.LatestDone)
 	o.setJob(j, jobActive)
 	o.c.log.Info("job is ready", "job", j.ID, "class", j.Class, "waited_s", (o.c.day - j.accepted).Seconds())
 	o.enqueue(j)
@@ -45,76 +46,72 @@
 // read that all that the job awaits is done, which never changes.
 func (o *owner) jobNamed(id string) *job {
 	if j := o.waiting[id]; j != nil {
-		w := o.c.jobs.waiting[id]
+		w := o.c.graph.Waiting(id)
 		if w == nil {
 			return nil
 		}
-		for _, x := range sortedKeys(w.need) {
-			o.c.unlink(w, x)
-		}
-		w.complete = true
-		delete(o.c.jobs.partial, id)
+		o.c.graph.AssumeDone(w)
 		o.jobReady(w)
 	}
 	return o.jobs[id]
 }
 
-// jobWithdrawn notes that a waiting job is cancelled with one before it, which must be
+// queueCancelled notes that a waiting job is cancelled with one before it, which must be
 // recorded. Users are told by what the records before it say, recorded or not.
-func (o *owner) jobWithdrawn(id string) {
-	if j := o.waiting[id]; j != nil && !j.withdrawing {
-		j.withdrawing = true
-		o.withdrawing = append(o.withdrawing, id)
+func (o *owner) queueCancelled(id string) {
+	if j := o.waiting[id]; j != nil && !j.cancelled {
+		j.cancelled = true
+		o.cancelled = append(o.cancelled, id)
 	}
 }
 
 // advanceWaiting reads what the waiting jobs need to go on: how awaited jobs ended, and
 // lists that are kept under several keys.
 func (o *owner) advanceWaiting() {
-	g := &o.c.jobs
-	if g.resolving || o.c.now < g.resolveAt || o.c.storeDown() {
+	resolution := &o.c.jobView.resolution
+	if resolution.reading || o.c.now < resolution.nextTry || o.c.storeDown() {
+		return
+	}
+	if o.c.graph.HasUnresolved() {
+		o.c.resolveEnds(nil)
 		return
 	}
-	switch {
-	case len(g.ended) > 0:
-		o.c.resolve(nil)
-	case len(g.partial) > 0:
-		g.resolveAt = o.c.now + loadRetry
-		w := g.waiting[sortedKeys(g.partial)[0]]
-		o.c.readParts(w, func(ok bool) {
+	if partial := o.c.graph.FirstPartial(); partial != nil {
+		resolution.nextTry = o.c.now + loadRetry
+		o.c.readParts(partial, func(ok bool) {
 			if ok {
-				g.resolveAt = 0
+				resolution.nextTry = 0
 			}
 		})
 	}
 }
 
-// flushWithdrawn records jobs that are cancelled with one before them, a few with each
+// flushCancelled records jobs that are cancelled with one before them, a few with each
 // commit: nobody waits for it.
-func (o *owner) flushWithdrawn(t *txn, full func() bool) {
-	for len(o.withdrawing) > 0 && !full() {
-		id := o.withdrawing[0]
-		o.withdrawing = o.withdrawing[1:]
-		j, w := o.waiting[id], o.c.jobs.waiting[id]
+func (o *owner) flushCancelled(t *txn, full func() bool) {
+	for len(o.cancelled) > 0 && !full() {
+		id := o.cancelled[0]
+		o.cancelled = o.cancelled[1:]
+		j, w := o.waiting[id], o.c.graph.Waiting(id)
 		if j == nil {
 			continue
 		}
-		j.withdrawing = false
-		if w == nil || w.root == "" || j.unsure {
+		j.cancelled = false
+		if w == nil || !w.Cancelled() || j.unsure {
 			continue
 		}
 		j.writing = true
 		t.guards[activeKey(id)] = j.version
 		t.writes = append(t.writes, state.Write{Delete: activeKey(id)})
-		t.put(finalKey(id), finalRecord{Status: wire.JobCancelled, At: int64(o.c.day), Before: w.root})
+		t.put(finalKey(id), finalRecord{Status: wire.JobCancelled, At: int64(o.c.day), Before: w.CancelledRoot})
 		t.results = append(t.results, func(ok bool, _ uint64) {
 			j.writing = false
 			switch {
 			case o.waiting[id] != j:
 			case !ok:
-				o.jobWithdrawn(id)
+				o.queueCancelled(id)
 			default:
-				o.c.log.Info("job cancelled with one before it", "job", id, "before", w.root)
+				o.c.log.Info("job cancelled with one before it", "job", id, "before", w.CancelledRoot)
 				o.waitingGone(j)
 			}
 		})
@@ -144,13 +141,13 @@
 			return
 		}
 		j.unsure = false
-		if ok && !o.c.jobs.active[j.ID] {
+		if ok && !o.c.graph.Active(j.ID) {
 			o.waitingGone(j)
 			return
 		}
 		o.c.after(micros.Second, func() {
-			if w := o.c.jobs.waiting[j.ID]; !o.over() && w != nil && w.root != "" {
-				o.jobWithdrawn(j.ID)
+			if w := o.c.graph.Waiting(j.ID); !o.over() && w != nil && w.Cancelled() {
+				o.queueCancelled(j.ID)
 			}
 		})
 	})
@@ -180,7 +177,7 @@
 			}
 			for _, e := range p.Entries {
 				id, _, _ := strings.Cut(strings.TrimPrefix(e.Key, prefixPart), "/")
-				if !o.c.jobs.active[id] && !slices.Contains(o.garbage, e.Key) {
+				if !o.c.graph.Active(id) && !slices.Contains(o.garbage, e.Key) {
 					o.garbage = append(o.garbage, e.Key)
 				}
 			}
--- a/controller/work.go
+++ b/controller/work.go
@@ -388,11 +388,11 @@
 		o.flushFinals(t, func() bool { return room() < 2 || full() })
 		// The cancelled that nobody waits for leave half to the rest, or take what is left.
 		half := most / 2
-		o.flushWithdrawn(t, func() bool { return room() < 2+half || full() })
+		o.flushCancelled(t, func() bool { return room() < 2+half || full() })
 		o.flushRentals(t, func() bool { return room() < 2 || full() })
 		o.flushHolds(t, full)
 		o.flushRecords(t, room)
-		o.flushWithdrawn(t, func() bool { return room() < 2 || full() })
+		o.flushCancelled(t, func() bool { return room() < 2 || full() })
 	}
 	if len(t.writes) == 0 {
 		o.tidy()
@@ -614,7 +614,7 @@
 			}
 			o.c.users.remember(j.ID, wire.JobDone)
 			o.c.log.Info("job done", "job", j.ID, "class", j.Class)
-			o.c.awaitedDone(j.ID, o.c.day)
+			o.c.graph.Done(j.ID, o.c.day)
 			for _, a := range j.sorted() {
 				if a.state == attemptFinished {
 					o.finishedRecorded(a)
--- /dev/null
+++ b/internal/jobgraph/graph.go
@@ -0,0 +1,360 @@
+// Package jobgraph holds a node's view of the active jobs: which there are, the versions of
+// their records, which of them wait for which others, and the priorities and deadlines that
+// jobs inherit from those that need them. It is a deterministic data structure that does no
+// I/O: its user feeds it with listings, with changes in the order of their revisions, and with
+// the final records of jobs that others await. An event costs the jobs that depend on it,
+// however many wait.
+//
+// What a waiting job may be told, or may do, follows from records alone: it is ready once the
+// final records of all jobs that it awaits say done, and cancelled once any job before it,
+// directly or through others, is. Neither ever changes back, since final records do not. So
+// what is known of an awaited job's end is kept.
+package jobgraph
+
+import (
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// maxVersions bounds the versions that are kept: jobs beyond it are read one by one.
+const maxVersions = 20000
+
+// Observer is told of changes while the graph applies them, and answers what the graph needs
+// to know of its user.
+type Observer interface {
+	// JobPut tells of a job's record that was written, after the graph has taken it.
+	JobPut(key string, value []byte, version uint64)
+	// JobDeleted tells of a job that is not active any more.
+	JobDeleted(id string)
+	// JobReady tells that all that a waiting job awaits is done.
+	JobReady(job *WaitingJob)
+	// JobCancelled tells that a waiting job is cancelled with one before it.
+	JobCancelled(id string)
+	// InheritanceChanged tells that a job inherits something else than before.
+	InheritanceChanged(id string)
+	// EstimateOf returns how long a waiting job is expected to run once it begins.
+	EstimateOf(job *WaitingJob) micros.Micros
+	// KnownDone tells whether a job is known to be done.
+	KnownDone(id string) bool
+}
+
+// Graph is the view of the active jobs.
+type Graph struct {
+	keyPrefix string
+	observer  Observer
+	log       *slog.Logger
+
+	versions map[string]uint64 // of records, for comparisons; may be outdated
+	// All below is as of the revision, while the view is synced.
+	active     map[string]bool
+	waiting    map[string]*WaitingJob
+	dependents map[string]map[string]*WaitingJob // by each job that they await, while it is not known to be done
+	unresolved map[string]bool                   // awaited, no longer active, and not known how they ended
+	partial    map[string]bool                   // waiting, with parts of their lists unread
+	revision   uint64
+	synced     bool
+	resets     int
+
+	inherited map[string]Inheritance // by each job that others await
+	work      Work
+}
+
+// Work counts what the graph looked at, so that tests can guard the cost of an event.
+type Work struct {
+	Jobs  int // waiting jobs that became ready or cancelled, or lost a job that they awaited
+	Edges int // edges looked at for what is inherited
+}
+
+// WaitingJob is an active job that awaits others. Its priority, estimate and deadline are the
+// job's own: what it passes on to those before it follows from them.
+type WaitingJob struct {
+	ID            string
+	Version       uint64 // of its record
+	Class         string
+	Estimate      micros.Micros // as submitted
+	Parts         int           // keys that hold the list of jobs that it awaits, 0: the record itself does
+	LatestDone    micros.Micros // the latest wall clock time at which a job that it awaited was done
+	CancelledRoot string        // the job before it that was cancelled by its user, or ""
+
+	priority sched.Priority
+	accepted micros.Micros
+	deadline micros.Micros   // from submission, 0 for none
+	complete bool            // the list of jobs that it awaits is known
+	awaited  map[string]bool // those that are not known to be done
+
+	corrected micros.Micros // the estimate as corrected when the job began to pass on
+	passed    Inheritance   // what it passes on to those that it needs, while it does
+	passing   bool
+	queued    bool // in the walk that goes on
+}
+
+// Ready tells that all that the job awaits is done.
+func (w *WaitingJob) Ready() bool {
+	return w.complete && len(w.awaited) == 0 && w.CancelledRoot == ""
+}
+
+// Complete tells whether the list of jobs that the job awaits is known.
+func (w *WaitingJob) Complete() bool { return w.complete }
+
+// Cancelled tells that the job is cancelled with one before it.
+func (w *WaitingJob) Cancelled() bool { return w.CancelledRoot != "" }
+
+// New returns an empty graph that is not synced. Records of active jobs have the key prefix.
+func New(keyPrefix string, observer Observer, log *slog.Logger) *Graph {
+	g := &Graph{keyPrefix: keyPrefix, observer: observer, log: log}
+	g.clear()
+	return g
+}
+
+func (g *Graph) clear() {
+	g.versions = map[string]uint64{}
+	g.active = map[string]bool{}
+	g.waiting = map[string]*WaitingJob{}
+	g.dependents = map[string]map[string]*WaitingJob{}
+	g.unresolved = map[string]bool{}
+	g.partial = map[string]bool{}
+	g.inherited = map[string]Inheritance{}
+}
+
+// Synced tells whether the graph was given a listing, and all changes since, up to its
+// revision.
+func (g *Graph) Synced() bool { return g.synced }
+
+// Desync notes that changes were missed: until the next listing none are taken.
+func (g *Graph) Desync() { g.synced = false }
+
+// Revision is the revision up to which changes were applied.
+func (g *Graph) Revision() uint64 { return g.revision }
+
+// Resets is how often all was listed anew.
+func (g *Graph) Resets() int { return g.resets }
+
+// Work returns what was looked at so far.
+func (g *Graph) Work() Work { return g.work }
+
+// Active tells whether a job was active at the graph's revision.
+func (g *Graph) Active(id string) bool { return g.active[id] }
+
+// Waiting returns an active job that awaits others, ready or not, or nil.
+func (g *Graph) Waiting(id string) *WaitingJob { return g.waiting[id] }
+
+// Unsettled tells whether a job's state depends on others.
+func (g *Graph) Unsettled(id string) bool {
+	job := g.waiting[id]
+	return job != nil && !job.Ready()
+}
+
+// Version is the version of an active job's record as it was seen last, or 0.
+func (g *Graph) Version(id string) uint64 { return g.versions[id] }
+
+// SetVersion notes the version of an active job's record.
+func (g *Graph) SetVersion(id string, version uint64) {
+	if _, known := g.versions[id]; known || len(g.versions) < maxVersions {
+		g.versions[id] = version
+	}
+}
+
+// ForgetVersion forgets a version that may not be the present one.
+func (g *Graph) ForgetVersion(id string) { delete(g.versions, id) }
+
+// Reset takes a listing. It may be older than what was known: whoever needs the present state
+// asks for the changes since. What is known of ends stays true.
+func (g *Graph) Reset(entries []state.Entry, revision uint64) {
+	previous := g.waiting
+	g.clear()
+	g.resets++
+	g.revision, g.synced = revision, true
+	for _, e := range entries {
+		id := g.idOf(e.Key)
+		g.SetVersion(id, e.Version)
+		g.active[id] = true
+	}
+	for _, e := range entries {
+		id := g.idOf(e.Key)
+		job, before := g.addWaiting(id, e.Value, e.Version), previous[id]
+		if job != nil && before != nil && before.Version == job.Version {
+			g.restore(job, before)
+		}
+	}
+}
+
+// restore gives a job what was known of it before a listing.
+func (g *Graph) restore(job, before *WaitingJob) {
+	if before.complete && !job.complete {
+		g.setAwaited(job, sortedKeys(before.awaited))
+	}
+	for _, id := range sortedKeys(job.awaited) {
+		if before.complete && !before.awaited[id] {
+			g.unlink(job, id)
+		}
+	}
+	job.LatestDone = before.LatestDone
+	if before.Cancelled() && !job.Cancelled() {
+		g.cancel(job, before.CancelledRoot)
+	}
+}
+
+// Apply applies changes after a revision, each once: two reads may both bring it. It tells
+// whether they continue what is known.
+func (g *Graph) Apply(after uint64, changes *state.Changes, wallClock micros.Micros) bool {
+	if !g.synced || after > g.revision {
+		return false
+	}
+	from := g.revision
+	g.revision = max(from, changes.Revision)
+	for _, e := range changes.Events {
+		switch {
+		case e.Version <= from:
+		case e.Put != "":
+			g.put(e.Put, e.Value, e.Version)
+		default:
+			g.delete(g.idOf(e.Delete), wallClock)
+		}
+	}
+	return true
+}
+
+func (g *Graph) idOf(key string) string { return strings.TrimPrefix(key, g.keyPrefix) }
+
+func (g *Graph) put(key string, value []byte, version uint64) {
+	id := g.idOf(key)
+	g.SetVersion(id, version)
+	g.active[id] = true
+	delete(g.unresolved, id) // it was not known yet
+	g.addWaiting(id, value, version)
+	g.observer.JobPut(key, value, version)
+}
+
+func (g *Graph) delete(id string, wallClock micros.Micros) {
+	delete(g.versions, id)
+	delete(g.active, id)
+	job := g.waiting[id]
+	if job != nil {
+		g.dropWaiting(job)
+	}
+	if len(g.dependents[id]) > 0 && (job == nil || !job.Cancelled()) {
+		g.unresolved[id] = true
+		if g.observer.KnownDone(id) {
+			g.Done(id, wallClock)
+		}
+	}
+	g.observer.JobDeleted(id)
+}
+
+// record is what is read of a job's record to tell whether it awaits others.
+type record struct {
+	Accepted int64            `cbor:"at"`
+	Waiting  *wire.Submission `cbor:"w"`
+	Parts    int              `cbor:"p"`
+}
+
+// AwaitsOthers tells from a job's record whether the job was submitted to await others.
+func AwaitsOthers(value []byte) (bool, error) {
+	var rec record
+	if err := wire.Decode(value, &rec); err != nil {
+		return false, fmt.Errorf("job's record: %w", err)
+	}
+	return rec.Waiting != nil, nil
+}
+
+// addWaiting notes a job that awaits others; it returns nil for any other.
+func (g *Graph) addWaiting(id string, value []byte, version uint64) *WaitingJob {
+	if job := g.waiting[id]; job != nil && job.Version == version {
+		return job
+	}
+	var rec record
+	if err := wire.Decode(value, &rec); err != nil || rec.Waiting == nil {
+		return nil // who places the job reports what cannot be read
+	}
+	job := &WaitingJob{
+		ID: id, Version: version, Parts: rec.Parts,
+		accepted: micros.Micros(rec.Accepted), awaited: map[string]bool{},
+	}
+	g.waiting[id] = job
+	spec, err := rec.Waiting.Job()
+	if err != nil {
+		g.log.Error("record cannot be read", "key", g.keyPrefix+id, "error", err)
+		return job // neither ready nor answered about
+	}
+	job.Class, job.Estimate = spec.Class, spec.Estimate
+	job.priority, job.deadline = spec.Priority, spec.Deadline
+	if rec.Parts > 0 {
+		g.partial[id] = true
+		return job
+	}
+	g.setAwaited(job, spec.Awaits)
+	return job
+}
+
+// CompleteList takes the list of a job whose record does not hold it.
+func (g *Graph) CompleteList(job *WaitingJob, awaited []string) {
+	if g.waiting[job.ID] == job && !job.complete {
+		g.setAwaited(job, awaited)
+	}
+}
+
+// setAwaited takes the list of jobs that a job awaits.
+func (g *Graph) setAwaited(job *WaitingJob, awaited []string) {
+	job.complete = true
+	delete(g.partial, job.ID)
+	for _, id := range awaited {
+		if !g.observer.KnownDone(id) {
+			g.link(job, id)
+		}
+	}
+	if !job.Cancelled() {
+		g.passOn(job)
+	}
+	if job.Ready() {
+		g.observer.JobReady(job)
+	}
+}
+
+// link notes that a job waits for another.
+func (g *Graph) link(job *WaitingJob, id string) {
+	job.awaited[id] = true
+	if g.dependents[id] == nil {
+		g.dependents[id] = map[string]*WaitingJob{}
+	}
+	g.dependents[id][job.ID] = job
+	if !g.active[id] {
+		g.unresolved[id] = true
+	}
+	if other := g.waiting[id]; other != nil && other.Cancelled() && !job.Cancelled() {
+		g.cancel(job, other.CancelledRoot)
+	}
+}
+
+// unlink notes that a job does not wait for another any more.
+func (g *Graph) unlink(job *WaitingJob, id string) {
+	g.work.Jobs++
+	delete(job.awaited, id)
+	dependents := g.dependents[id]
+	delete(dependents, job.ID)
+	if len(dependents) == 0 {
+		delete(g.dependents, id)
+		delete(g.unresolved, id)
+		g.disinherit(id)
+	}
+}
+
+// dropWaiting forgets a waiting job that is over. The order in which it is unlinked changes
+// nothing: each edge concerns another job.
+func (g *Graph) dropWaiting(job *WaitingJob) {
+	g.stopPassing(job)
+	for id := range job.awaited {
+		g.unlink(job, id)
+	}
+	delete(g.waiting, job.ID)
+	delete(g.partial, job.ID)
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/internal/jobgraph/graph_test.go
@@ -0,0 +1,363 @@
+package jobgraph
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+const (
+	keyPrefix = "a/"
+	wallClock = micros.Hour
+)
+
+func jobName(n int) string { return fmt.Sprintf("req-%06d", n) }
+
+func testJob(id string, awaits ...string) *sched.Job {
+	return &sched.Job{
+		ID: id, Class: "work", Team: "red", Priority: sched.Normal, Tasks: 3, Need: sched.NewResources(2, 0, 2),
+		Image: "img", ImageGB: 1, Estimate: 10 * micros.Second, Awaits: awaits,
+	}
+}
+
+// recordOf is the record of a job as the state service has it.
+func recordOf(job *sched.Job, accepted micros.Micros) []byte {
+	submission := wire.FromJob(job)
+	if len(job.Awaits) > 0 {
+		return wire.Encode(record{Accepted: int64(accepted), Waiting: &submission})
+	}
+	return wire.Encode(struct {
+		Job      wire.Submission `cbor:"j"`
+		Accepted int64           `cbor:"at"`
+	}{submission, int64(accepted)})
+}
+
+// recorder is an observer that keeps what it is told.
+type recorder struct {
+	active    map[string]bool
+	ready     []string
+	cancelled []string
+	inherit   int             // how often something inherited changed
+	done      map[string]bool // known to be done
+}
+
+func (r *recorder) JobPut(key string, _ []byte, _ uint64) { r.active[key] = true }
+func (r *recorder) JobDeleted(id string)                  { delete(r.active, keyPrefix+id) }
+func (r *recorder) JobReady(job *WaitingJob)              { r.ready = append(r.ready, job.ID) }
+func (r *recorder) JobCancelled(id string)                { r.cancelled = append(r.cancelled, id) }
+func (r *recorder) InheritanceChanged(string)             { r.inherit++ }
+func (r *recorder) KnownDone(id string) bool              { return r.done[id] }
+
+func (r *recorder) EstimateOf(job *WaitingJob) micros.Micros { return job.Estimate }
+
+func newRecorder() *recorder { return &recorder{active: map[string]bool{}, done: map[string]bool{}} }
+
+func newTestGraph(t testing.TB) *Graph {
+	return New(keyPrefix, newRecorder(), slog.New(slog.NewTextHandler(t.Output(), nil)))
+}
+
+// final is how a job ended.
+type final struct {
+	status string
+	at     micros.Micros
+	root   string // of one that is cancelled: the job that its user cancelled
+}
+
+// tell has a graph take how a job ended.
+func (f final) tell(g *Graph, id string) {
+	if f.status == wire.JobDone {
+		g.Done(id, f.at)
+	} else {
+		g.Cancelled(id, f.root)
+	}
+}
+
+// records are the jobs' records as a state service has them, with their history.
+type records struct {
+	revision uint64
+	jobs     map[string][]string // accepted: what each awaits
+	accepted map[string]uint64   // active: version
+	finals   map[string]final
+	history  []state.Change
+}
+
+func newRecords() *records {
+	return &records{jobs: map[string][]string{}, accepted: map[string]uint64{}, finals: map[string]final{}}
+}
+
+func (r *records) accept(id string, awaits []string) {
+	r.revision++
+	r.jobs[id], r.accepted[id] = awaits, r.revision
+	r.history = append(r.history, state.Change{Put: keyPrefix + id, Value: recordOf(testJob(id, awaits...), 1), Version: r.revision})
+}
+
+func (r *records) end(id string, rec final) {
+	r.revision++
+	delete(r.accepted, id)
+	r.finals[id] = rec
+	r.history = append(r.history, state.Change{Delete: keyPrefix + id, Version: r.revision})
+}
+
+func (r *records) since(after uint64) *state.Changes {
+	ch := &state.Changes{Revision: r.revision}
+	for _, e := range r.history {
+		if e.Version > after {
+			ch.Events = append(ch.Events, e)
+		}
+	}
+	return ch
+}
+
+func (r *records) list() []state.Entry {
+	var all []state.Entry
+	for _, id := range sortedKeys(r.accepted) {
+		i := slices.IndexFunc(r.history, func(e state.Change) bool { return e.Put == keyPrefix+id })
+		all = append(all, state.Entry{Key: keyPrefix + id, Value: r.history[i].Value, Version: r.accepted[id]})
+	}
+	return all
+}
+
+// is is a job's state as a function of records alone.
+func (r *records) is(id string) string {
+	if f, ok := r.finals[id]; ok {
+		return f.status
+	}
+	state := "ready"
+	for _, x := range r.jobs[id] {
+		switch r.is(x) {
+		case wire.JobCancelled:
+			return wire.JobCancelled
+		case wire.JobDone:
+		default:
+			state = "waits"
+		}
+	}
+	return state
+}
+
+// TestGraph plays drawn histories of records, with listings that are behind and changes that
+// come twice or from too early, and holds what the view says against the records themselves.
+func TestGraph(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			rng := rand.New(rand.NewPCG(seed, 9))
+			g := newTestGraph(t)
+			r := newRecords()
+			g.Reset(nil, 0)
+			pick := func() string {
+				ids := sortedKeys(r.jobs)
+				return ids[rng.IntN(len(ids))]
+			}
+			stale, staleAt := r.list(), uint64(0)
+			for step := range 400 {
+				switch p := rng.IntN(10); {
+				case p < 4 || len(r.jobs) < 3:
+					var awaits []string
+					for range rng.IntN(4) {
+						if len(r.jobs) > 0 {
+							awaits = append(awaits, pick())
+						}
+					}
+					slices.Sort(awaits)
+					r.accept(jobName(step), slices.Compact(awaits))
+				case p < 8:
+					if id := pick(); r.is(id) == "ready" {
+						r.end(id, final{status: wire.JobDone, at: micros.Micros(step), root: id})
+					}
+				case p < 9:
+					if id := pick(); r.accepted[id] != 0 {
+						rec := final{status: wire.JobCancelled, root: id}
+						if r.is(id) == wire.JobCancelled && rng.IntN(2) == 0 {
+							rec.root = r.rootOf(id)
+						}
+						r.end(id, rec)
+					}
+				default:
+					if rng.IntN(2) == 0 {
+						stale, staleAt = r.list(), r.revision
+					} else { // its later pages were read later
+						from := keyPrefix + jobName(rng.IntN(step+1))
+						entries := slices.DeleteFunc(slices.Clone(stale), func(e state.Entry) bool { return e.Key >= from })
+						for _, e := range r.list() {
+							if e.Key >= from {
+								entries = append(entries, e)
+							}
+						}
+						g.Reset(entries, staleAt)
+					}
+				}
+				if rng.IntN(3) == 0 {
+					continue // changes gather
+				}
+				if ahead := g.revision + 1; g.Apply(ahead, r.since(ahead), wallClock) {
+					t.Fatal("changes with a gap before them were taken")
+				}
+				after := g.revision - min(g.revision, rng.Uint64N(5))
+				if !g.Apply(after, r.since(after), wallClock) || !g.Apply(after, r.since(after), wallClock) {
+					t.Fatal("changes that continue the view were refused")
+				}
+				for _, id := range sortedKeys(g.unresolved) {
+					if _, over := r.finals[id]; !over {
+						t.Fatalf("step %d: %s is taken to be over", step, id)
+					}
+					r.finals[id].tell(g, id)
+				}
+				if g.Apply(0, r.since(0), wallClock); len(g.unresolved) > 0 {
+					t.Fatalf("step %d: changes that were applied before are taken for news: %v", step, sortedKeys(g.unresolved))
+				}
+				for x, deps := range g.dependents {
+					for id, w := range deps {
+						if g.waiting[id] != w || !w.awaited[x] {
+							t.Fatalf("step %d: %s is kept as waiting for %s", step, id, x)
+						}
+					}
+				}
+				for id := range r.jobs {
+					if g.active[id] != (r.accepted[id] != 0) {
+						t.Fatalf("step %d: %s is active: %v", step, id, g.active[id])
+					}
+					w := g.waiting[id]
+					if (w != nil) != (r.accepted[id] != 0 && len(r.jobs[id]) > 0) {
+						t.Fatalf("step %d: %s waits: %v", step, id, w)
+					}
+					if w == nil {
+						continue
+					}
+					got := "waits"
+					if w.Cancelled() {
+						got = wire.JobCancelled
+						if f := r.finals[w.CancelledRoot]; f.status != wire.JobCancelled {
+							t.Fatalf("step %d: %s is cancelled with %s, which is %q", step, id, w.CancelledRoot, f.status)
+						}
+					} else if w.Ready() {
+						got = "ready"
+					}
+					if want := r.is(id); got != want {
+						t.Fatalf("step %d: %s is %s by the records, %s in the view", step, id, want, got)
+					}
+				}
+			}
+		})
+	}
+}
+
+// rootOf finds a job that was cancelled before another.
+func (r *records) rootOf(id string) string {
+	for _, x := range r.jobs[id] {
+		if f, over := r.finals[x]; over && f.status == wire.JobCancelled {
+			return f.root
+		} else if !over && r.is(x) == wire.JobCancelled {
+			return r.rootOf(x)
+		}
+	}
+	return ""
+}
+
+// submit applies the record of a job that awaits others.
+func submit(t testing.TB, g *Graph, job *sched.Job, accepted micros.Micros) {
+	t.Helper()
+	put := state.Change{Put: keyPrefix + job.ID, Value: recordOf(job, accepted), Version: g.Revision() + 1}
+	apply(t, g, put)
+}
+
+// apply applies one change.
+func apply(t testing.TB, g *Graph, change state.Change) {
+	t.Helper()
+	after := g.Revision()
+	change.Version = after + 1
+	if !g.Apply(after, &state.Changes{Revision: after + 1, Events: []state.Change{change}}, wallClock) {
+		t.Fatalf("change after %d is refused", after)
+	}
+}
+
+// TestObserver guards what the user of a graph is told: each job that becomes ready or is
+// cancelled once, in order.
+func TestObserver(t *testing.T) {
+	seen := newRecorder()
+	g := New(keyPrefix, seen, slog.Default())
+	if g.Apply(0, &state.Changes{Revision: 1}, wallClock) || g.Synced() {
+		t.Fatal("changes are taken without a listing")
+	}
+	g.Reset(nil, 0)
+	a, b, c, d := jobName(1), jobName(2), jobName(3), jobName(4)
+	submit(t, g, testJob(a), 1)
+	submit(t, g, testJob(b, a), 2)
+	submit(t, g, testJob(c, b), 3)
+	submit(t, g, testJob(d, c, a), 4)
+	if !g.Unsettled(b) || g.Unsettled(a) || g.Version(c) != 3 || len(seen.active) != 4 {
+		t.Fatalf("after four submissions: %+v", seen)
+	}
+
+	apply(t, g, state.Change{Delete: keyPrefix + a})
+	if got := g.Unresolved(); !slices.Equal(got, []string{a}) || len(seen.ready) > 0 {
+		t.Fatalf("one ended in a way not known: unresolved %v, ready %v", got, seen.ready)
+	}
+	g.Done(a, 77)
+	if !slices.Equal(seen.ready, []string{b}) || g.Waiting(b).LatestDone != 77 || g.HasUnresolved() {
+		t.Fatalf("the first is done: ready %v", seen.ready)
+	}
+
+	apply(t, g, state.Change{Delete: keyPrefix + b})
+	g.Cancelled(b, b)
+	g.Cancelled(b, b)
+	if !slices.Equal(seen.cancelled, []string{c, d}) || g.Waiting(d).CancelledRoot != b {
+		t.Fatalf("the second is cancelled: cancelled %v", seen.cancelled)
+	}
+	g.Desync()
+	if g.Apply(g.Revision(), &state.Changes{Revision: g.Revision() + 1}, wallClock) {
+		t.Fatal("changes are taken after some were missed")
+	}
+}
+
+// TestKnownDone guards that a job which the user knows to be done holds up nobody.
+func TestKnownDone(t *testing.T) {
+	seen := newRecorder()
+	g := New(keyPrefix, seen, slog.Default())
+	g.Reset(nil, 0)
+	a, b, c := jobName(1), jobName(2), jobName(3)
+	submit(t, g, testJob(a), 1)
+	submit(t, g, testJob(b, a), 2)
+	seen.done[a] = true
+	apply(t, g, state.Change{Delete: keyPrefix + a})
+	submit(t, g, testJob(c, a), 3)
+	if !slices.Equal(seen.ready, []string{b, c}) || g.HasUnresolved() || g.Waiting(b).LatestDone != wallClock {
+		t.Fatalf("ready %v, unresolved %v", seen.ready, g.Unresolved())
+	}
+}
+
+// TestPartialList guards that nothing is concluded about a job whose list was not read.
+func TestPartialList(t *testing.T) {
+	seen := newRecorder()
+	g := New(keyPrefix, seen, slog.Default())
+	g.Reset(nil, 0)
+	a, b, c := jobName(1), jobName(2), jobName(3)
+	submit(t, g, testJob(a), 1)
+	submission := wire.FromJob(testJob(b))
+	value := wire.Encode(record{Accepted: 2, Waiting: &submission, Parts: 1})
+	apply(t, g, state.Change{Put: keyPrefix + b, Value: value})
+	submit(t, g, testJob(c, b), 3)
+	partial, unresolved := g.MissingFor([]string{c})
+	if partial == nil || partial.ID != b || unresolved || partial.Ready() || g.FirstPartial() != partial {
+		t.Fatalf("missing: %+v, unresolved %v", partial, unresolved)
+	}
+	g.CompleteList(partial, []string{a})
+	if partial, unresolved = g.MissingFor([]string{c}); partial != nil || unresolved || g.FirstPartial() != nil {
+		t.Fatalf("with its list: %+v, unresolved %v", partial, unresolved)
+	}
+	apply(t, g, state.Change{Delete: keyPrefix + a})
+	if _, unresolved = g.MissingFor([]string{c}); !unresolved {
+		t.Fatal("a job ended that c needs through b")
+	}
+	g.AssumeDone(g.Waiting(b))
+	if !g.Waiting(b).Ready() || g.HasUnresolved() || len(seen.ready) > 0 {
+		t.Fatalf("assumed done: ready %v, told %v", g.Waiting(b).Ready(), seen.ready)
+	}
+}
