--- /dev/null
+++ b/controller/attempt.go
@@ -0,0 +1,203 @@
+package controller
+
+import (
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// attemptState is the state machine of an attempt: one placement of one task.
+type attemptState int
+
+func (s attemptState) String() string {
+	return [...]string{"proposed", "recorded", "ordered", "live", "stopping", "finished", "leaving", "closed"}[s]
+}
+
+// attempt is one placement of a task on a machine.
+type attempt struct {
+	job      *job
+	index    int
+	number   uint64
+	machine  *machine
+	state    attemptState
+	phase    wire.TaskPhase
+	seen     bool // the machine has reported it
+	startSeq uint64
+	since    micros.Micros // placed
+	running  micros.Micros // first seen running, 0 before
+	grace    micros.Micros // for stopping
+	counted  bool          // among its job's tasks that run
+	freed    bool          // takes nothing of its machine any more
+	why      string        // why it is stopped
+}
+
+type taskKey struct {
+	job   string
+	index int
+}
+
+func (a *attempt) key() taskKey { return taskKey{a.job.ID, a.index} }
+
+// setAttempt is the one place where an attempt changes its state.
+func (o *owner) setAttempt(a *attempt, s attemptState) {
+	if a.state == s || a.state == attemptClosed {
+		return
+	}
+	was := a.state
+	a.state = s
+	if o.c.debug {
+		o.c.log.Debug("attempt", "task", numbered(a.job.ID, a.index), "try", a.number,
+			"machine", a.machine.name, "from", was.String(), "to", s.String(), "why", a.why)
+	}
+	if was == attemptProposed {
+		o.countProposed(a.job, -1)
+	}
+	a.count(s == attemptLive && a.counted)
+	if t := o.teams[a.job.Team]; t != nil {
+		switch attemptStopping {
+		case s:
+			t.stopping = t.stopping.Add(a.job.Need)
+		case was:
+			t.stopping = t.stopping.Sub(a.job.Need)
+		}
+	}
+	switch s {
+	case attemptLeaving:
+		o.free(a)
+		o.touch(a.machine)
+	case attemptFinished:
+		o.free(a)
+		a.job.setTask(a.index, taskDone)
+		if !a.job.Gang { // a gang is done as a whole, which its final record tells
+			a.job.noteFinished(a)
+			o.shardFor(a.job, a.index/chunkTasks).soil(o.c.now)
+		}
+	case attemptClosed:
+		o.free(a)
+		o.closed(a)
+	}
+}
+
+// count notes whether an attempt's task runs.
+func (a *attempt) count(runs bool) {
+	if a.counted == runs {
+		return
+	}
+	if a.counted = runs; runs {
+		a.job.runs++
+	} else {
+		a.job.runs--
+	}
+}
+
+func (o *owner) countProposed(j *job, by int) {
+	was := j.proposed > 0
+	j.proposed += by
+	o.proposed += by
+	if is := j.proposed > 0; is != was {
+		if is {
+			o.proposedJobs++
+		} else {
+			o.proposedJobs--
+		}
+	}
+}
+
+// free gives back what an attempt took of its machine and of its team's limit, once it
+// is certain that the task is not there. Its task waits until that is recorded.
+func (o *owner) free(a *attempt) {
+	if a.freed {
+		return
+	}
+	a.freed = true
+	a.machine.used = a.machine.used.Sub(a.job.Need)
+	if t := o.teams[a.job.Team]; t != nil {
+		t.used = t.used.Sub(a.job.Need)
+	}
+	o.wantSchedule = true
+}
+
+// closed frees what an attempt took. Its task may be placed again from now on.
+func (o *owner) closed(a *attempt) {
+	m, j := a.machine, a.job
+	delete(m.attempts, a.key())
+	if len(m.attempts) == 0 {
+		m.idleSince = o.c.now
+		if m.state == machineMoving {
+			o.touch(m)
+		}
+	}
+	if j.attempts[a.index] == a {
+		delete(j.attempts, a.index)
+		if a.index < j.Tasks {
+			j.setTask(a.index, taskPending)
+		}
+	}
+	if len(j.attempts) == 0 {
+		j.idleSince = o.c.now
+		o.setGang(j, gangNone)
+		if j.state == jobEnded {
+			delete(o.jobs, j.ID)
+		}
+	}
+	o.wantSchedule = true
+}
+
+// attach gives an attempt its place.
+func (o *owner) attach(j *job, index int, number uint64, m *machine, s attemptState) *attempt {
+	a := &attempt{job: j, index: index, number: number, machine: m, state: s, since: o.c.now}
+	m.attempts[a.key()] = a
+	m.used = m.used.Add(j.Need)
+	m.noteImage(j.Image)
+	if t := o.teams[j.Team]; t != nil {
+		t.used = t.used.Add(j.Need)
+	}
+	j.attempts[index] = a
+	if index < j.Tasks {
+		j.setTask(index, taskPlaced)
+	}
+	if s == attemptProposed {
+		o.countProposed(j, 1)
+	}
+	return a
+}
+
+// stop ends an attempt, with grace for saving if its machine has it already.
+func (o *owner) stop(a *attempt, grace micros.Micros, why string) {
+	switch a.state {
+	case attemptProposed:
+		// Its commit may be under way; if so it is recorded first and leaves then.
+		a.why = why
+		if !a.machine.block.writing {
+			o.setAttempt(a, attemptClosed)
+		} else {
+			o.setAttempt(a, attemptLeaving)
+		}
+	case attemptRecorded:
+		a.why = why
+		o.setAttempt(a, attemptLeaving)
+	case attemptOrdered, attemptLive:
+		a.why, a.grace = why, grace
+		o.setAttempt(a, attemptStopping)
+		o.poke(a.machine)
+	case attemptStopping:
+		a.grace = min(a.grace, grace)
+	}
+}
+
+// stopJob ends everything that a job has on machines.
+func (o *owner) stopJob(j *job, grace micros.Micros, why string) {
+	if j.gang != gangNone {
+		o.setGang(j, gangStopping)
+	}
+	for _, a := range j.sorted() {
+		o.stop(a, grace, why)
+	}
+}
+
+func (j *job) sorted() []*attempt {
+	list := make([]*attempt, 0, len(j.attempts))
+	for _, i := range sortedKeys(j.attempts) {
+		list = append(list, j.attempts[i])
+	}
+	return list
+}
--- /dev/null
+++ b/controller/commits.go
@@ -0,0 +1,292 @@
+package controller
+
+import (
+	"strings"
+
+	"tamarindlead/internal/budget"
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// Pace and size of an owner's commits.
+const (
+	// flushGap is the pause after a commit while writes are plentiful.
+	flushGap = 25 * micros.Millisecond
+	// flushGapShort is the pause while writes are scarce, so that batches grow.
+	flushGapShort = 300 * micros.Millisecond
+	// flushRetry is the pause before a commit is sent again.
+	flushRetry = 150 * micros.Millisecond
+	// commitBytes is the largest body of a commit; the state service takes 64 KiB.
+	commitBytes = 60 << 10
+	// guardBytes is what a guard adds to a commit's body, at most as a rule.
+	guardBytes = 64
+)
+
+// txn collects what one commit writes, and what holds once it has.
+type txn struct {
+	guards  map[string]uint64
+	writes  []state.Write
+	size    int
+	results []func(ok bool, revision uint64)
+}
+
+func (t *txn) put(key string, v any) { t.write(key, v, state.Size(v)) }
+
+func (t *txn) write(key string, v any, size int) {
+	t.writes = append(t.writes, state.Write{Put: key, Value: v})
+	t.size += size
+}
+
+// takes tells whether a commit has room for another write with its guards.
+func (t *txn) takes(guards map[string]uint64, size, ops int) bool {
+	n := len(t.guards) + 1 // this node's own record
+	for k := range guards {
+		if _, ok := t.guards[k]; !ok {
+			n++
+		}
+	}
+	return n <= 4*ops && t.size+size+guardBytes*n <= commitBytes
+}
+
+// flush writes the most urgent changes. One commit is under way at a time, so that
+// what a commit was built on can only be changed by somebody else.
+func (o *owner) flush() {
+	c := o.c
+	if o.flushing || c.now < o.flushAt {
+		return
+	}
+	t := &txn{guards: map[string]uint64{}}
+	purpose := budget.Work
+	if o.claimsWait() {
+		purpose = budget.Ownership
+	}
+	most := min(c.budget.WriteRoom(purpose, c.now), c.cfg.TxnOps)
+	room := func() int { return most - len(t.writes) }
+	full := func() bool {
+		return room() < 1 || t.size > commitBytes/2 || len(t.guards) > 2*c.cfg.TxnOps
+	}
+	if most > 0 {
+		o.flushClaims(t, room)
+		o.flushFinals(t, func() bool { return room() < 2 || full() })
+		// The cancelled that nobody waits for leave half to the rest, or take what is left.
+		half := most / 2
+		o.flushCancelled(t, func() bool { return room() < 2+half || full() })
+		o.flushRentals(t, func() bool { return room() < 2 || full() })
+		o.flushHolds(t, full)
+		o.flushRecords(t, room)
+		o.flushCancelled(t, func() bool { return room() < 2 || full() })
+	}
+	if len(t.writes) == 0 {
+		o.tidy()
+		return
+	}
+	o.flushing = true
+	o.send(t, purpose, false)
+}
+
+func (o *owner) claimsWait() bool {
+	for _, m := range o.list {
+		if m.token == 0 && !m.verifying {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *owner) send(t *txn, p budget.Purpose, again bool) {
+	c := o.c
+	c.store(p, state.Commit(o.guards(t.guards), t.writes), func(r storeReply) {
+		if o.over() {
+			return
+		}
+		var res state.Committed
+		switch r.outcome {
+		case outOK:
+			if !r.decode(&res) {
+				o.resync("the answer to a commit cannot be read")
+				return
+			}
+			o.settle(t, true, res.Revision)
+			gap := flushGap
+			if c.budget.WriteRoom(budget.Work, c.now) < c.cfg.TxnOps/2 {
+				gap = flushGapShort
+			}
+			o.flushAt = c.now + gap
+			o.wantSchedule = true
+		case outConflict:
+			if again {
+				o.resync("a commit without answer was executed, or somebody else wrote")
+				return
+			}
+			r.decode(&res)
+			o.settle(t, false, 0)
+			o.conflict(res.Failed)
+		case outUnknown:
+			// It may be executed yet: nothing else may be decided before the same
+			// commit has been executed or refused by its guards.
+			o.flushAt = c.now + flushRetry
+			o.resend(t, p)
+		case outInvalid:
+			c.log.Error("a commit was refused as invalid", "writes", len(t.writes))
+			o.settle(t, false, 0)
+			o.flushAt = c.now + micros.Second
+		default:
+			if again {
+				o.resend(t, p)
+				return
+			}
+			o.settle(t, false, 0)
+			o.flushAt = c.now + flushRetry
+		}
+	})
+}
+
+// resend repeats a commit whose fate is unknown, with the next ticks.
+func (o *owner) resend(t *txn, p budget.Purpose) {
+	o.c.after(flushRetry, func() {
+		if !o.over() {
+			o.send(t, p, true)
+		}
+	})
+}
+
+func (o *owner) settle(t *txn, ok bool, revision uint64) {
+	o.flushing = false
+	for _, result := range t.results {
+		result(ok, revision)
+	}
+}
+
+// conflict handles guards that did not hold. A job's record may have gone by a
+// cancellation; everything else is written by this node alone, as long as it leads.
+func (o *owner) conflict(failed []string) {
+	for _, key := range failed {
+		id, isJob := strings.CutPrefix(key, prefixActive)
+		if key == memberKey(o.c.cfg.Node) {
+			o.c.memberLost()
+			return
+		}
+		if strings.HasPrefix(key, prefixMember) {
+			continue // a machine was to go to an owner that is gone
+		}
+		if name, ok := strings.CutPrefix(key, prefixMachine+adoptedBlock); ok {
+			if m := o.machines[name]; m != nil && m.token == 0 {
+				o.notOurs(m, adoptedBlock+name)
+				continue
+			}
+		}
+		if !isJob {
+			o.resync("a record of ours was changed: " + key)
+			return
+		}
+		if j := o.waiting[id]; j != nil {
+			o.waitingUnsure(j)
+			continue
+		}
+		j := o.jobs[id]
+		if j == nil {
+			continue
+		}
+		j.unsure = true
+		for _, a := range j.sorted() {
+			if a.state == attemptProposed {
+				o.stop(a, 0, "job's record has changed")
+			}
+		}
+		o.c.get(budget.Users, key, func(out outcome, e state.Entry) {
+			switch {
+			case o.over():
+			case out == outMissing:
+				o.jobGone(id, o.knownTo)
+			case out == outOK:
+				j.version, j.unsure = e.Version, false
+				o.wantSchedule = true
+			default:
+				j.unsure = false // the next commit will tell
+				o.flushAt = o.c.now + flushRetry
+			}
+		})
+	}
+	o.flushAt = max(o.flushAt, o.c.now+flushGap)
+}
+
+// foreignLife is how long a machine is remembered as another owner's, until that owner's
+// heartbeat names it.
+const foreignLife = 10 * micros.Second
+
+// notOurs drops a machine that was taken for unexpected while it has a record already:
+// another owner's, or ours if it was given to us.
+func (o *owner) notOurs(m *machine, block string) {
+	o.foreign[m.name] = o.c.now + foreignLife
+	o.forget(m)
+	o.takeGiven(block)
+}
+
+// flushFinals records jobs that are done.
+func (o *owner) flushFinals(t *txn, full func() bool) {
+	for _, j := range o.queue {
+		if j.state != jobFinishing || j.unsure {
+			continue
+		}
+		if full() {
+			return
+		}
+		j.writing = true
+		t.guards[activeKey(j.ID)] = j.version
+		t.writes = append(t.writes, state.Write{Delete: activeKey(j.ID)})
+		t.put(finalKey(j.ID), finalRecord{Status: wire.JobDone, At: int64(o.c.day)})
+		t.results = append(t.results, func(ok bool, _ uint64) {
+			j.writing = false
+			if !ok || j.state == jobEnded {
+				return
+			}
+			o.c.users.remember(j.ID, wire.JobDone)
+			o.c.log.Info("job done", "job", j.ID, "class", j.Class)
+			o.c.graph.Done(j.ID, o.c.day)
+			for _, a := range j.sorted() {
+				if a.state == attemptFinished {
+					o.finishedRecorded(a)
+				}
+			}
+			o.endJob(j)
+			for _, a := range j.sorted() {
+				if a.state == attemptLive || a.state == attemptOrdered {
+					a.why = "job is done"
+					o.setAttempt(a, attemptStopping) // its machine's next report ends it
+				}
+			}
+		})
+	}
+}
+
+// finishedRecorded closes an attempt whose completion is recorded. The machine's
+// record still names it; that is corrected with its next change, and a reader knows
+// better from the completion.
+func (o *owner) finishedRecorded(a *attempt) {
+	o.setAttempt(a, attemptClosed)
+}
+
+// tidy deletes what nobody reads any more, when writes are plentiful.
+func (o *owner) tidy() {
+	o.dropShards()
+	room := min(o.c.budget.WriteRoom(budget.Cleanup, o.c.now), o.c.cfg.TxnOps, len(o.garbage))
+	if room < 1 {
+		return
+	}
+	var writes []state.Write
+	for _, k := range o.garbage[:room] {
+		writes = append(writes, state.Write{Delete: k})
+	}
+	o.flushing = true
+	o.c.store(budget.Cleanup, state.Commit(o.guards(nil), writes), func(r storeReply) {
+		if o.over() {
+			return
+		}
+		o.flushing = false
+		o.flushAt = o.c.now + flushGap
+		if r.outcome == outOK {
+			o.garbage = o.garbage[room:]
+		}
+	})
+}
--- /dev/null
+++ b/controller/placement_view.go
@@ -0,0 +1,63 @@
+package controller
+
+import (
+	"math"
+
+	"tamarindlead/sched"
+)
+
+// narrow leaves machines that share a block with those just used no more tasks than their
+// entries still have room for.
+func (o *owner) narrow(view []*sched.Machine, got []sched.Assignment) {
+	left := map[*block]float64{}
+	for _, as := range got {
+		b := o.machines[as.Machine.Name].block
+		if _, ok := left[b]; !ok {
+			left[b] = o.freeBytes(b)
+		}
+	}
+	for _, v := range view {
+		m := o.machines[v.Name]
+		if _, ok := left[m.block]; ok {
+			v.Slots = min(v.Slots, o.slotsOf(m, left))
+		}
+	}
+}
+
+// alikeWithin is how far prices may differ and still count as the same for placement:
+// where a task's image is then matters more.
+const alikeWithin = 1.5
+
+// priceClass puts prices that are about the same into one class.
+func priceClass(price float64) float64 {
+	if price <= 0 {
+		return 0
+	}
+	return math.Round(math.Log(price) / math.Log(alikeWithin))
+}
+
+// view is what placement may use now.
+func (o *owner) view() []*sched.Machine {
+	var view []*sched.Machine
+	left := map[*block]float64{}
+	for _, m := range o.list {
+		if m.state != machineUp || m.token == 0 || m.fence != fenceNone || o.c.now < m.pausedTo ||
+			o.c.now-m.heard > 2*o.c.cfg.ReportEvery {
+			continue
+		}
+		view = append(view, &sched.Machine{
+			Name: m.name, Type: m.kind, Zone: m.zone, Spot: m.spot,
+			Free: o.machineSize(m).Sub(m.used).Sub(o.held(m.name)), Slots: o.slotsOf(m, left),
+			Idle: len(m.attempts) == 0, Scarce: o.scarce(m.kind, m.spot), Price: priceClass(o.pricePerCPU(m.kind, m.spot)), Images: m.images,
+		})
+	}
+	return view
+}
+
+// placeView is the view with what is kept for gangs, and with the slack of machines that
+// gangs use.
+func (o *owner) placeView() []*sched.Machine {
+	view := o.view()
+	o.keepForGangs(view)
+	return o.addSlack(view)
+}
