Machines and their commands: names in terms of dispatch and reports

poke -> queueDispatch, poked -> dispatchQueue, push -> dispatch, order -> sendCommands, ordering -> openCommands, held/heldReport of a machine -> pendingRequest/pendingReport, shown -> tokenShownAt, expected -> takenOver, keeps -> keepsLease, inRecord -> recordOrder.

--- a/controller/attempt.go
+++ b/controller/attempt.go
@@ -178,7 +178,7 @@
 	case attemptOrdered, attemptLive:
 		a.why, a.grace = why, grace
 		o.setAttempt(a, attemptStopping)
-		o.poke(a.machine)
+		o.queueDispatch(a.machine)
 	case attemptStopping:
 		a.grace = min(a.grace, grace)
 	}
--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -31,14 +31,14 @@
 	}
 	for i := range benchMachines {
 		m := o.newMachine(fmt.Sprintf("m-%06d", i), "mid", o.c.cfg.Zones[i%2], i%3 == 0, "worker")
-		m.token, m.session, m.synced, m.shown, m.heard, m.state = 1, 1, true, o.c.now, o.c.now, machineUp
+		m.token, m.session, m.synced, m.tokenShownAt, m.heard, m.state = 1, 1, true, o.c.now, o.c.now, machineUp
 		for n := range benchTasks {
 			at := i*benchTasks + n
 			j := o.queue[at/100]
 			o.attach(j, at%100, 7, m, attemptLive).seen = true
 		}
 	}
-	o.poked = nil
+	o.dispatchQueue = nil
 	return o
 }
 
--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -342,7 +342,7 @@
 			ch.condemned = append(ch.condemned, m)
 		}
 		var tasks []blockTask
-		for _, a := range m.inRecord() {
+		for _, a := range m.recordOrder() {
 			switch a.state {
 			case attemptLeaving:
 				ch.leaving = append(ch.leaving, a)
@@ -546,7 +546,7 @@
 // claimed takes the revision of a commit as a machine's token.
 func (o *owner) claimed(m *machine, rev uint64) {
 	m.token, m.synced = rev, false
-	m.shown = max(m.shown, o.c.now)
+	m.tokenShownAt = max(m.tokenShownAt, o.c.now)
 	if m.fence == fenceWanted {
 		o.setFence(m, fenceRaised)
 	}
--- a/controller/commands.go
+++ b/controller/commands.go
@@ -12,9 +12,9 @@
 	if !m.synced {
 		return nil // it learns the token first
 	}
-	present := make(map[taskKey]bool, len(m.seen))
+	present := make(map[taskKey]bool, len(m.tasks))
 	settled := m.fence == fenceNone && !m.sending
-	for _, t := range m.seen {
+	for _, t := range m.tasks {
 		id, index, ok := splitNumbered(t.Task)
 		key := taskKey{id, index}
 		present[key] = ok
@@ -66,7 +66,7 @@
 // inspectSome asks a few machines that were taken over and have not reported. Most find
 // this node by themselves, and to ask all at once would starve their reports.
 func (o *owner) inspectSome() {
-	if o.ordersFull() {
+	if o.commandsFull() {
 		return
 	}
 	n := 0
@@ -75,7 +75,7 @@
 		if o.c.now-o.since < inspectAfter && !o.overdue(m, goneShare) {
 			continue
 		}
-		if m.expected && m.session == 0 && !m.inspected && m.token != 0 && m.state < machineCondemned {
+		if m.takenOver && m.session == 0 && !m.inspected && m.token != 0 && m.state < machineCondemned {
 			m.inspected = true
 			o.inspect(m)
 			if n++; n == inspectEach {
@@ -91,80 +91,80 @@
 	if m.endpoint == "" || m.session != 0 || m.sending {
 		return
 	}
-	o.ordering++
+	o.openCommands++
 	o.c.call(Call{
-		Addr: m.endpoint, Method: "GET", Target: "/inspect", Timeout: orderTimeout, MaxBody: wire.MaxBody,
+		Addr: m.endpoint, Method: "GET", Target: "/inspect", Timeout: commandTimeout, MaxBody: wire.MaxBody,
 	}, func(e CallDone) {
-		o.ordering--
+		o.openCommands--
 		rep, err := wire.DecodeReport(e.Body)
 		if o.over() || o.machines[m.name] != m || e.Status != 200 || err != nil || rep.Token > m.token {
 			return
 		}
 		if o.takeReport(m, rep, false) && !m.synced {
-			o.order(m, []wire.Command{})
+			o.sendCommands(m, []wire.Command{})
 		}
 	})
 }
 
-const orderTimeout = 4 * micros.Second
+const commandTimeout = 4 * micros.Second
 
-// poke has a machine looked at for commands that wait.
-func (o *owner) poke(m *machine) {
-	m.wantPush = true
-	if !m.poked {
-		m.poked = true
-		o.poked = append(o.poked, m)
+// queueDispatch has a machine looked at for commands that wait.
+func (o *owner) queueDispatch(m *machine) {
+	m.wantDispatch = true
+	if !m.queued {
+		m.queued = true
+		o.dispatchQueue = append(o.dispatchQueue, m)
 	}
 }
 
-// orderShare is the part of the sockets that direct commands may use at a time: while many
+// commandSocketShare is the part of the sockets that direct commands may use at a time: while many
 // machines hang, each keeps one until it is given up.
-const orderShare = 0.125
+const commandSocketShare = 0.125
 
-// ordersFull tells that no further command can be sent directly now. What waits goes with
+// commandsFull tells that no further command can be sent directly now. What waits goes with
 // the answers to reports.
-func (o *owner) ordersFull() bool {
-	return o.ordering >= max(4, int(orderShare*float64(o.c.cfg.Sockets)))
+func (o *owner) commandsFull() bool {
+	return o.openCommands >= max(4, int(commandSocketShare*float64(o.c.cfg.Sockets)))
 }
 
-// pushAll sends what waits to the machines that were poked. One that cannot be sent to
-// now is poked again when that changes.
-func (o *owner) pushAll() {
-	list := o.poked
-	o.poked = nil
+// dispatchQueued sends what waits to the machines that were dispatchQueue. One that cannot be sent to
+// now is dispatchQueue again when that changes.
+func (o *owner) dispatchQueued() {
+	list := o.dispatchQueue
+	o.dispatchQueue = nil
 	for i, m := range list {
-		if o.ordersFull() {
-			o.poked = append(list[i:len(list):len(list)], o.poked...)
+		if o.commandsFull() {
+			o.dispatchQueue = append(list[i:len(list):len(list)], o.dispatchQueue...)
 			return
 		}
-		m.poked = false
-		if m.wantPush && o.machines[m.name] == m {
-			o.push(m)
+		m.queued = false
+		if m.wantDispatch && o.machines[m.name] == m {
+			o.dispatch(m)
 		}
 	}
 }
 
-// push sends commands directly, instead of waiting for the next report.
-func (o *owner) push(m *machine) {
+// dispatch sends commands directly, instead of waiting for the next report.
+func (o *owner) dispatch(m *machine) {
 	if m.sending || !m.synced || m.fence != fenceNone || m.endpoint == "" ||
 		m.state < machineUp || m.state > machineMoving {
 		return
 	}
-	m.wantPush = false
+	m.wantDispatch = false
 	if cmds := o.commands(m); len(cmds) > 0 {
-		o.order(m, cmds)
+		o.sendCommands(m, cmds)
 	}
 }
 
-// order sends commands to a machine's worker.
-func (o *owner) order(m *machine, cmds []wire.Command) {
+// sendCommands sends commands to a machine's worker.
+func (o *owner) sendCommands(m *machine, cmds []wire.Command) {
 	m.sending = true
-	o.ordering++
+	o.openCommands++
 	o.c.call(Call{
-		Addr: m.endpoint, Method: "POST", Target: "/orders", Timeout: orderTimeout, MaxBody: wire.MaxBody,
+		Addr: m.endpoint, Method: "POST", Target: "/orders", Timeout: commandTimeout, MaxBody: wire.MaxBody,
 		Body: wire.Encode(wire.Orders{Token: m.token, Session: m.session, Commands: cmds}),
 	}, func(e CallDone) {
-		o.ordering--
+		o.openCommands--
 		if o.over() || o.machines[m.name] != m {
 			return
 		}
@@ -180,8 +180,8 @@
 				return
 			}
 			o.takeReport(m, rep, false)
-			if m.wantPush || hasPending(m) {
-				o.poke(m)
+			if m.wantDispatch || hasPending(m) {
+				o.queueDispatch(m)
 			}
 		case e.Sent && len(cmds) > 0:
 			o.c.log.Info("command not answered", "machine", m.name)
--- a/controller/limits_test.go
+++ b/controller/limits_test.go
@@ -97,7 +97,7 @@
 	}
 	for i := range 30 {
 		m := o.newMachine(fmt.Sprintf("m-%06d", i), "mid", o.c.cfg.Zones[0], false, "worker")
-		m.token, m.session, m.synced, m.shown, m.heard, m.state = 1, 1, true, o.c.now, o.c.now, machineUp
+		m.token, m.session, m.synced, m.tokenShownAt, m.heard, m.state = 1, 1, true, o.c.now, o.c.now, machineUp
 	}
 	placed := 0
 	for range 20 {
--- a/controller/load.go
+++ b/controller/load.go
@@ -18,7 +18,7 @@
 	clear(o.waiting)
 	o.listed, o.cancelled = false, nil
 	clear(o.machines)
-	o.list, o.blocks, o.shards, o.poked, o.endings = nil, nil, nil, nil, nil
+	o.list, o.blocks, o.shards, o.dispatchQueue, o.endings = nil, nil, nil, nil, nil
 	o.proposed, o.proposedJobs = 0, 0
 	clear(o.rentals)
 	clear(o.holds)
@@ -72,8 +72,8 @@
 
 func (o *owner) activate() {
 	for _, m := range o.list {
-		m.heard, m.expected = o.c.now+o.c.cfg.TakeoverGrace(), true
-		m.shown = m.heard
+		m.heard, m.takenOver = o.c.now+o.c.cfg.TakeoverGrace(), true
+		m.tokenShownAt = m.heard
 	}
 	o.since = o.c.now
 	o.wantSchedule = true
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -55,27 +55,27 @@
 	dirty    bool   // its entry must be written
 	recorded bool   // some owner's record has its entry
 	// verifying: it was adopted, and may yet turn out to be another owner's.
-	verifying bool
-	rented    micros.Micros
-	heard     micros.Micros // last report, or when we began to wait for one
-	spared    micros.Micros // silence counts from then on, after its zone was cut off
-	shown     micros.Micros // when it last showed our token, or we began to wait for that
-	expected  bool          // was another owner's: it is up, or boots since we do not know when
-	listed    bool
-	unlisted  int // lists in a row without it
-	failed    bool
-	reports   bool // it has reported by itself to this owner
-
-	session, seq uint64
-	synced       bool // has seen our token
-	seen         []wire.TaskReport
-	notice       micros.Micros // when the cloud takes it, 0: not announced
-	sending      bool          // a direct command is under way
-	wantPush     bool          // commands wait for it
-	poked        bool          // and it is in the list of those to be looked at
-	inspected    bool          // was asked for its report after a takeover
-	held         uint64        // report that waits for the claim
-	heldReport   *wire.Report
+	verifying    bool
+	rented       micros.Micros
+	heard        micros.Micros // last report, or when we began to wait for one
+	spared       micros.Micros // silence counts from then on, after its zone was cut off
+	tokenShownAt micros.Micros // when it last showed our token, or we began to wait for that
+	takenOver    bool          // was another owner's: it is up, or boots since we do not know when
+	listed       bool
+	unlisted     int // lists in a row without it
+	failed       bool
+	reports      bool // it has reported by itself to this owner
+
+	session, seq   uint64
+	synced         bool // has seen our token
+	tasks          []wire.TaskReport
+	notice         micros.Micros // when the cloud takes it, 0: not announced
+	sending        bool          // a direct command is under way
+	wantDispatch   bool          // commands wait for it
+	queued         bool          // it is in the owner's dispatch queue
+	inspected      bool          // was asked for its report after a takeover
+	pendingRequest uint64        // report request that waits for the claim
+	pendingReport  *wire.Report
 
 	attempts  map[taskKey]*attempt
 	used      sched.Resources
@@ -112,7 +112,7 @@
 	m.state = s
 	switch s {
 	case machineUp:
-		m.idleSince, m.shown = o.c.now, max(m.shown, o.c.now)
+		m.idleSince, m.tokenShownAt = o.c.now, max(m.tokenShownAt, o.c.now)
 		o.wantSchedule = true
 	case machineReleasing:
 		o.wantRelease = true
@@ -141,8 +141,8 @@
 	return list
 }
 
-// inRecord lists a machine's attempts in the order in which its entry holds them.
-func (m *machine) inRecord() []*attempt {
+// recordOrder lists a machine's attempts in the order in which its entry holds them.
+func (m *machine) recordOrder() []*attempt {
 	list := slices.Collect(maps.Values(m.attempts))
 	slices.SortFunc(list, func(a, b *attempt) int {
 		return cmp.Or(cmp.Compare(a.job.ID, b.job.ID), cmp.Compare(a.number, b.number), cmp.Compare(a.index, b.index))
@@ -153,9 +153,9 @@
 // forget drops a machine whose record is gone; its tasks may run elsewhere now.
 func (o *owner) forget(m *machine) {
 	o.dropMachine(m)
-	if m.held != 0 {
-		o.c.refuse(m.held, 503, "machine was returned")
-		m.held = 0
+	if m.pendingRequest != 0 {
+		o.c.refuse(m.pendingRequest, 503, "machine was returned")
+		m.pendingRequest = 0
 	}
 	for _, a := range m.sorted() {
 		j := a.job
--- a/controller/machine_health.go
+++ b/controller/machine_health.go
@@ -10,7 +10,7 @@
 // paid for.
 func (o *owner) isDeaf(m *machine) bool {
 	return m.token != 0 && m.state >= machineUp && m.state <= machineMoving && !m.synced &&
-		o.c.now-m.shown > o.c.cfg.SilentAfter()+2*o.c.cfg.ReportEvery
+		o.c.now-m.tokenShownAt > o.c.cfg.SilentAfter()+2*o.c.cfg.ReportEvery
 }
 
 // mostDeaf is how many deaf machines are taken for such at the same time. With more of
@@ -75,7 +75,7 @@
 			o.setMachine(m, machineCondemned, "is silent with tasks of a cancelled job")
 		}
 		state := m.state
-		if state == machineBooting && m.expected && len(m.attempts) > 0 {
+		if state == machineBooting && m.takenOver && len(m.attempts) > 0 {
 			state = machineUp // it had work before this node took over, so it was up
 		}
 		switch state {
@@ -109,7 +109,7 @@
 			case silent > limit && (!alone || silent > 3*limit):
 				o.noteSpotLost(m)
 				o.setMachine(m, machineCondemned, "is silent")
-			case o.isDeaf(m) && (deaf <= o.mostDeaf() || o.c.now-m.shown > 4*o.c.cfg.SilentAfter()):
+			case o.isDeaf(m) && (deaf <= o.mostDeaf() || o.c.now-m.tokenShownAt > 4*o.c.cfg.SilentAfter()):
 				o.setMachine(m, machineCondemned, "reports, but hears nothing")
 			case m.state == machineDraining && len(m.attempts) == 0 && m.token != 0:
 				o.setMachine(m, machineCondemned, "is empty")
@@ -132,7 +132,7 @@
 	zones := map[string]bool{}
 	for _, m := range o.list {
 		zones[m.zone] = true
-		if m.state < machineUp && !(m.expected && len(m.attempts) > 0) || m.state > machineMoving {
+		if m.state < machineUp && !(m.takenOver && len(m.attempts) > 0) || m.state > machineMoving {
 			continue
 		}
 		if o.c.now-m.heard > 2*o.c.cfg.ReportEvery {
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -220,8 +220,8 @@
 		o.buildMachine(b, d, &d.Machines[0])
 		m := b.machines[0]
 		delete(o.foreign, m.name)
-		m.token, m.dirty, m.expected, b.dirty = e.Version, false, true, false
-		m.shown = o.c.now
+		m.token, m.dirty, m.takenOver, b.dirty = e.Version, false, true, false
+		m.tokenShownAt = o.c.now
 		o.c.log.Info("machine received", "machine", m.name, "type", m.kind, "zone", m.zone)
 	})
 }
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -49,26 +49,26 @@
 	watchDown bool
 	knownTo   micros.Micros // when the last answered watch of the jobs began
 
-	lastHeard    micros.Micros
-	wantAt       micros.Micros // machines may be asked for again
-	arrayWantAt  micros.Micros // and for arrays
-	poked        []*machine
-	ordering     int // direct commands and questions to machines under way
-	proposed     int // attempts that are not recorded yet
-	proposedJobs int // jobs with such
-	nextPass     micros.Micros
-	wantSchedule bool
-	wantRelease  bool
-	flushing     bool
-	flushAt      micros.Micros
-	nextScale    micros.Micros
-	nextShed     micros.Micros
-	listing      cloudList
-	noCapacity   map[offer]micros.Micros
-	dark         map[string]micros.Micros // zones that are cut off, since when
-	classes      map[string]*classNeed
-	releasing    bool
-	releaseAt    micros.Micros
+	lastHeard     micros.Micros
+	wantAt        micros.Micros // machines may be asked for again
+	arrayWantAt   micros.Micros // and for arrays
+	dispatchQueue []*machine
+	openCommands  int // direct commands and questions to machines under way
+	proposed      int // attempts that are not recorded yet
+	proposedJobs  int // jobs with such
+	nextPass      micros.Micros
+	wantSchedule  bool
+	wantRelease   bool
+	flushing      bool
+	flushAt       micros.Micros
+	nextScale     micros.Micros
+	nextShed      micros.Micros
+	listing       cloudList
+	noCapacity    map[offer]micros.Micros
+	dark          map[string]micros.Micros // zones that are cut off, since when
+	classes       map[string]*classNeed
+	releasing     bool
+	releaseAt     micros.Micros
 }
 
 // team is a team that this node owns.
@@ -133,9 +133,9 @@
 // dropAll answers what waits, when this node stops owning.
 func (o *owner) dropAll() {
 	for _, m := range o.list {
-		if m.held != 0 {
-			o.c.refuse(m.held, 503, "ownership lost")
-			m.held = 0
+		if m.pendingRequest != 0 {
+			o.c.refuse(m.pendingRequest, 503, "ownership lost")
+			m.pendingRequest = 0
 		}
 	}
 }
@@ -167,7 +167,7 @@
 		o.advanceWaiting()
 		o.schedule()
 		o.flush()
-		o.pushAll()
+		o.dispatchQueued()
 		o.release()
 	}
 }
@@ -198,7 +198,7 @@
 	latest, n := micros.Micros(0), 0
 	for _, m := range o.machines {
 		// After a takeover, a machine with tasks was up.
-		if m.state >= machineCondemned || m.state == machineBooting && !(m.expected && len(m.attempts) > 0) {
+		if m.state >= machineCondemned || m.state == machineBooting && !(m.takenOver && len(m.attempts) > 0) {
 			continue
 		}
 		heard := m.heard
--- a/controller/proposals.go
+++ b/controller/proposals.go
@@ -45,7 +45,7 @@
 	o.setAttempt(a, attemptRecorded)
 	j := a.job
 	j.began = j.began || !j.Gang
-	o.poke(a.machine)
+	o.queueDispatch(a.machine)
 	if j.state != jobActive {
 		o.stop(a, 0, "job is over")
 		return
@@ -63,6 +63,6 @@
 	o.c.log.Info("gang placed", "job", j.ID, "class", j.Class, "tasks", j.Tasks, "ordinary", j.Ordinary,
 		"since_accepted_s", math.Round((o.c.day - j.since).Seconds()))
 	for _, b := range j.attempts {
-		o.poke(b.machine)
+		o.queueDispatch(b.machine)
 	}
 }
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -23,7 +23,7 @@
 		c.owner.report(r.ID, rep)
 		return
 	}
-	if c.keeps(rep) {
+	if c.keepsLease(rep) {
 		c.respond(r.ID, 200, wire.ReportAnswer{Token: rep.Token})
 		return
 	}
@@ -34,14 +34,14 @@
 // to take its own for cut off.
 const elsewhereFor = 2
 
-// keeps tells that a worker with tasks keeps its lease although this node owns nothing: the
+// keepsLease tells that a worker with tasks keeps its lease although this node owns nothing: the
 // node's zone is cut off, so a worker of the zone that comes here has lost its owner in the
 // same cut. The answer repeats the worker's own token and has no commands: it decides
 // nothing. Only tasks of jobs that were not over when this node last followed the records
 // are kept; of those that were cancelled since, whoever owns the machine now sees to it that
 // it is deleted in time. A node that is cut off alone hears workers of other zones too, and
 // sends all on.
-func (c *Core) keeps(rep *wire.Report) bool {
+func (c *Core) keepsLease(rep *wire.Report) bool {
 	if rep.Zone != c.cfg.Zone {
 		c.elsewhereAt = c.now
 		return false
@@ -88,14 +88,14 @@
 	if m.token == 0 {
 		// Its record is not ours yet: the answer waits for that commit. A late copy must
 		// not take the place of a newer report.
-		if m.held != 0 && older(rep.Session, rep.Seq, m.heldReport.Session, m.heldReport.Seq) {
+		if m.pendingRequest != 0 && older(rep.Session, rep.Seq, m.pendingReport.Session, m.pendingReport.Seq) {
 			c.refuse(req, 503, "superseded")
 			return
 		}
-		if m.held != 0 {
-			c.refuse(m.held, 503, "superseded")
+		if m.pendingRequest != 0 {
+			c.refuse(m.pendingRequest, 503, "superseded")
 		}
-		m.held, m.heldReport = req, rep
+		m.pendingRequest, m.pendingReport = req, rep
 		return
 	}
 	o.answer(m, req, rep)
@@ -123,11 +123,11 @@
 
 // answerHeld answers the report that waited for its machine to be claimed.
 func (o *owner) answerHeld(m *machine) {
-	if m.held == 0 {
+	if m.pendingRequest == 0 {
 		return
 	}
-	req, rep := m.held, m.heldReport
-	m.held, m.heldReport = 0, nil
+	req, rep := m.pendingRequest, m.pendingReport
+	m.pendingRequest, m.pendingReport = 0, nil
 	o.answer(m, req, rep)
 }
 
@@ -145,7 +145,7 @@
 	if rep.Session > m.session && m.session != 0 {
 		o.setFence(m, fenceNone)
 	}
-	m.session, m.seq, m.seen = rep.Session, rep.Seq, rep.Tasks
+	m.session, m.seq, m.tasks = rep.Session, rep.Seq, rep.Tasks
 	// A machine that only answers commands is no use: its lease is not renewed. Until it has
 	// reported here at all, an answer shows that it is up.
 	if regular || !m.reports {
@@ -153,7 +153,7 @@
 	}
 	m.endpoint = cmp.Or(rep.Endpoint, m.endpoint)
 	if m.synced = rep.Token == m.token; m.synced {
-		m.shown = max(m.shown, o.c.now)
+		m.tokenShownAt = max(m.tokenShownAt, o.c.now)
 	}
 	if m.synced && m.fence == fenceRaised {
 		o.setFence(m, fenceNone)
@@ -180,8 +180,8 @@
 		listed[a.key()] = true
 		o.sawTask(a, t)
 	}
-	if m.wantPush {
-		o.poke(m)
+	if m.wantDispatch {
+		o.queueDispatch(m)
 	}
 	// Only a machine that has seen our token, and for which no command is open, can
 	// show that a task is not there and will not appear.
