Membership, leadership and assignment of teams are a package of their own

The core held the lease, the view of the cluster's records, campaigns and the assignment of teams among its other fields. They now are internal/cluster, which gets the time with each call, makes its requests through a Store, and tells its Host what has changed.

| old | new | | --- | --- | | Core.member, lead | cluster.Node | | Core.cluster | cluster.View | | life | incarnation | | lives | IsLive | | ownID, ownerID, nodeOf | Node.ID, OwnerID, NodeOf | | leaderIs, heardOfTerm, memberLost | leaderChanged, HeardOfTerm, RecordLost | | heir (a member for a team) | chooseOwner | | Heir (earlier owners) | Predecessors | | assembly, mostHeirs | assemblyTime, maxPredecessors | | checkOwnership, teamsAre | OwnershipChanged, setTeams | | deaf, isDeaf of a node | isSilent, onlyPeersHeard | | guardList | state.SortedGuards | | record (a due one) | dueRecord |

--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -4,9 +4,13 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"tamarindlead/config"
+	"tamarindlead/internal/cluster"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -53,14 +57,42 @@
 	}
 	c := New(cfg, 1, slog.New(slog.NewTextHandler(io.Discard, &slog.HandlerOptions{Level: slog.LevelError})), micros.Hour, micros.Hour)
 	c.types.list = []sched.MachineType{{Name: "mid", Size: sched.NewResources(28, 0, 112), Price: 1, SpotPrice: 0.3, Zones: cfg.Zones}}
-	c.cluster.teams["red"] = teamView{teamRecord{Owner: "n0", Life: c.life}, 1}
-	c.cluster.watching = true
-	c.member = membership{state: memberIn, lease: 1, version: 1, renewAt: 1 << 60}
-	o := newOwner(c, c.cluster.teams)
-	c.owner, o.state = o, ownerActive
-	return o
+	store := &ownerStore{}
+	c.node = cluster.New(cfg, store, clusterHost{c}, rand.New(rand.NewPCG(1, randomStream)), c.log)
+	c.cluster = c.node.View()
+	store.incarnation = c.node.Incarnation()
+	c.node.Tick(c.now)
+	c.owner.state = ownerActive
+	return c.owner
 }
 
+// ownerStore stands in for the state service: it makes node n0 the owner of team red and then
+// answers nothing more.
+type ownerStore struct{ incarnation uint64 }
+
+func (s *ownerStore) Call(request state.Request, done func(micros.Micros, cluster.Reply)) {
+	reply := func(body any) {
+		done(micros.Hour, cluster.Reply{Status: cluster.ReplyOK, Body: wire.Encode(body)})
+	}
+	switch {
+	case strings.HasPrefix(request.Target, "/kv/"):
+		done(micros.Hour, cluster.Reply{Status: cluster.ReplyMissing})
+	case request.Target == "/leases":
+		reply(state.Granted{Lease: 1})
+	case request.Target == "/commit":
+		reply(state.Committed{Revision: 1})
+	case strings.HasPrefix(request.Target, "/kv?"):
+		team := record.Team{Owner: "n0", Incarnation: s.incarnation}
+		leader := record.Leader{Node: "n1"}
+		reply(state.Page{Revision: 1, Entries: []state.Entry{
+			{Key: record.TeamKey("red"), Value: wire.Encode(team), Version: 1},
+			{Key: record.KeyLeader, Value: wire.Encode(leader), Version: 1},
+		}})
+	}
+}
+
+func (s *ownerStore) Watch(string, uint64, func(micros.Micros, cluster.Reply)) {}
+
 func benchReport(m *machine, seq uint64) []byte {
 	r := wire.Report{Machine: m.name, Endpoint: m.endpoint, Type: m.kind, Zone: m.zone, Spot: m.spot, Session: 1, Seq: seq, Token: 1}
 	for _, a := range m.sorted() {
@@ -136,7 +168,7 @@
 		}
 	}
 	for b.Loop() {
-		fresh := newOwner(o.c, o.c.cluster.teams)
+		fresh := newOwner(o.c, o.c.node.OwnTeams())
 		fresh.jobs, fresh.queue = map[string]*job{}, nil
 		for _, j := range o.queue {
 			fresh.jobRecord(activeKey(j.ID), wire.Encode(plainRecord(j.Job, 0)), j.version)
--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"tamarindlead/internal/budget"
+	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -201,10 +202,10 @@
 
 // flushClaims writes the blocks with machines that must be claimed, the most urgent first.
 func (o *owner) flushClaims(t *txn, room func() int) {
-	var due []record
+	var due []dueRecord
 	for _, b := range o.blocks {
 		if o.due(b) && b.claims() {
-			due = append(due, record{block: b, n: o.urgency(b)})
+			due = append(due, dueRecord{block: b, n: o.urgency(b)})
 		}
 	}
 	o.flushDue(t, due, room)
@@ -215,29 +216,29 @@
 	for _, b := range slices.Clone(o.blocks) {
 		o.gather(b)
 	}
-	var due []record
+	var due []dueRecord
 	for _, b := range o.blocks {
 		if o.due(b) {
-			due = append(due, record{block: b, n: o.urgency(b)})
+			due = append(due, dueRecord{block: b, n: o.urgency(b)})
 		}
 	}
 	for _, s := range o.shards {
 		if s.dirty && !s.writing && s.behind == 0 {
-			due = append(due, record{shard: s, n: o.shardUrgency(s)})
+			due = append(due, dueRecord{shard: s, n: o.shardUrgency(s)})
 		}
 	}
 	o.flushDue(t, due, room)
 }
 
-// record is a block or a shard that must be written.
-type record struct {
+// dueRecord is a block or a shard that must be written.
+type dueRecord struct {
 	block *block
 	shard *shard
 	n     int // urgency
 }
 
-func (o *owner) flushDue(t *txn, due []record, room func() int) {
-	slices.SortStableFunc(due, func(x, y record) int { return cmp.Compare(y.n, x.n) })
+func (o *owner) flushDue(t *txn, due []dueRecord, room func() int) {
+	slices.SortStableFunc(due, func(x, y dueRecord) int { return cmp.Compare(y.n, x.n) })
 	for _, r := range due {
 		if room() < 1 {
 			return
@@ -309,8 +310,8 @@
 			continue
 		}
 		if m.state == machineMoving && len(m.attempts) == 0 && len(moves) < room-1 && o.canMove(m) {
-			if key := memberKey(nodeOf(m.moveTo)); guardable(key) {
-				guards[key] = o.c.cluster.members[nodeOf(m.moveTo)].version
+			if successor := o.c.cluster.MemberGuard(cluster.NodeOf(m.moveTo)); guardable(successor.Key) {
+				guards[successor.Key] = successor.Version
 				moves = append(moves, m)
 				continue
 			}
@@ -353,7 +354,7 @@
 				}
 				ch.proposed = append(ch.proposed, a)
 				guards[activeKey(a.job.ID)] = a.job.version
-				guards[teamKey(a.job.Team)] = o.teams[a.job.Team].view.version
+				guards[teamKey(a.job.Team)] = o.teams[a.job.Team].record.Version
 			}
 			n, ok := jobs[a.job.ID]
 			if !ok {
@@ -368,7 +369,7 @@
 		placed += len(tasks)
 		d.Machines = append(d.Machines, e)
 	}
-	rec := d.record(o.c.ownID())
+	rec := d.record(o.c.node.ID())
 	if placed > 0 {
 		// With few tasks most of this is the entries: taken for the tasks', nothing more would be
 		// placed on machines that stand idle, and so it would stay.
@@ -496,7 +497,7 @@
 		if i == o.c.cfg.TxnOps {
 			return
 		}
-		guards[teamKey(name)] = o.teams[name].view.version
+		guards[teamKey(name)] = o.teams[name].record.Version
 	}
 }
 
--- a/controller/cloud_list.go
+++ b/controller/cloud_list.go
@@ -58,7 +58,7 @@
 // usual lag late, so it still shows machines that another owner has returned: a machine
 // must stay listed for longer than that.
 func (o *owner) unexpected(name string) bool {
-	if o.tombs[name] != 0 || o.foreign[name] != 0 || o.c.claimant(name) != "" || o.c.firstOwner() != o.c.cfg.Node {
+	if o.tombs[name] != 0 || o.foreign[name] != 0 || o.c.claimant(name) != "" || o.c.cluster.FirstOwner() != o.c.cfg.Node {
 		return false
 	}
 	if o.strange[name] == 0 {
--- a/controller/cluster.go
+++ b/controller/cluster.go
@@ -1,277 +1,68 @@
 package controller
 
 import (
-	"fmt"
-	"strings"
-
 	"tamarindlead/internal/budget"
+	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/state"
-	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
 
-// cluster is what the records say of the controllers: who is a member, who leads, and
-// who owns which team. Every node follows these records by one watch.
-type cluster struct {
-	watching bool
-	members  map[string]member
-	teams    map[string]teamView
-}
-
-type member struct {
-	life    uint64
-	version uint64
-}
-
-type teamView struct {
-	teamRecord
-	version uint64
-}
-
-// ownerID names one life of a node.
-func ownerID(node string, life uint64) string { return fmt.Sprintf("%s/%d", node, life) }
-
-func nodeOf(id string) string {
-	node, _, _ := strings.Cut(id, "/")
-	return node
-}
-
-func (c *Core) ownID() string { return ownerID(c.cfg.Node, c.life) }
-
-// lives tells whether a life of a node is a member.
-func (c *Core) lives(id string) bool {
-	node := nodeOf(id)
-	m, ok := c.cluster.members[node]
-	return ok && ownerID(node, m.life) == id
-}
-
-// readCluster reads the cluster's records and then watches them.
-func (c *Core) readCluster() {
-	cl := &c.cluster
-	cl.watching = true
-	c.store(budget.Leadership, state.List(prefixCluster, ""), func(r storeReply) {
-		var p state.Page
-		if r.outcome != outOK || !r.decode(&p) {
-			cl.watching = false
-			return
-		}
-		cl.members, cl.teams = map[string]member{}, map[string]teamView{}
-		found := false
-		for _, e := range p.Entries {
-			c.clusterRecord(e.Key, e.Value, e.Version)
-			found = found || e.Key == keyLeader
-		}
-		if !found {
-			c.leaderGone(p.Revision)
-		}
-		c.checkOwnership()
-		c.shareLimits()
-		c.watchCluster(p.Revision)
-	})
-}
-
-func (c *Core) watchCluster(after uint64) {
-	c.storeWithin(budget.Leadership, state.Watch(prefixCluster, after, watchWait), watchTimeout, func(r storeReply) {
-		var ch state.Changes
-		if r.outcome != outOK || !r.decode(&ch) {
-			c.cluster.watching = false // read again with the next tick
-			return
-		}
-		for _, e := range ch.Events {
-			if e.Put != "" {
-				c.clusterRecord(e.Put, e.Value, e.Version)
-				continue
-			}
-			node, isMember := strings.CutPrefix(e.Delete, prefixMember)
-			switch {
-			case e.Delete == keyLeader:
-				c.leaderGone(e.Version)
-			case isMember:
-				delete(c.cluster.members, node)
-			}
-		}
-		if len(ch.Events) > 0 {
-			c.checkOwnership()
-			c.shareLimits()
-		}
-		c.watchCluster(max(after, ch.Revision))
-	})
-}
-
-func (c *Core) clusterRecord(key string, value []byte, version uint64) {
-	if key == keyLeader {
-		c.leaderIs(value, version)
-		return
-	}
-	if node, ok := strings.CutPrefix(key, prefixMember); ok {
-		var rec memberRecord
-		if wire.Decode(value, &rec) == nil {
-			c.cluster.members[node] = member{rec.Life, version}
-		}
-		return
-	}
-	for _, t := range c.cfg.Teams {
-		var rec teamRecord
-		if key == teamKey(t.Name) && wire.Decode(value, &rec) == nil {
-			c.cluster.teams[t.Name] = teamView{rec, version}
-		}
-	}
-}
-
-// memberState is the state machine of membership.
-type memberState int
-
-const (
-	memberOut     memberState = iota // has no lease
-	memberJoining                    // is getting one
-	memberIn                         // its record is on its lease
-)
-
-func (s memberState) String() string { return [...]string{"out", "joining", "in"}[s] }
-
-// membership is this node's own record. It hangs on a lease, as does the leader's
-// record if this node leads. Whatever the node writes as an owner is guarded on it.
-type membership struct {
-	state    memberState
-	lease    uint64
-	version  uint64
-	renewing bool
-	renewAt  micros.Micros
-	pauseTo  micros.Micros
-}
-
-func (c *Core) setMember(s memberState, why string) {
-	m := &c.member
-	if m.state == s {
-		return
-	}
-	c.log.Info("membership", "from", m.state.String(), "to", s.String(), "why", why)
-	m.state = s
-	if s == memberOut {
-		if c.lead.state == leadLeading || c.lead.state == leadCampaigning {
-			c.lead.term = 0
-			c.setLead(leadVacant)
-		}
-	}
-	c.checkOwnership()
-}
+// clusterStore makes the calls of this node's part in the cluster, which come first in the
+// budget of calls to the state service.
+type clusterStore struct{ core *Core }
 
-func (c *Core) tickMembership() {
-	m := &c.member
-	switch m.state {
-	case memberOut:
-		if c.now >= m.pauseTo {
-			c.join()
-		}
-	case memberIn:
-		c.renew()
-		if c.owner != nil && c.owner.deaf() && c.isDeaf() {
-			c.leave()
-		}
-	}
+// Call sends a request.
+func (s clusterStore) Call(request state.Request, done func(micros.Micros, cluster.Reply)) {
+	s.core.store(budget.Leadership, request, s.answer(done))
 }
 
-const joinRetry = 300 * micros.Millisecond
-
-// join gets a lease and puts this node's record on it. The guard on the record's
-// version keeps late commits of an earlier life from replacing it.
-func (c *Core) join() {
-	m := &c.member
-	c.setMember(memberJoining, "starts")
-	fail := func() {
-		m.pauseTo = c.now + joinRetry
-		c.setMember(memberOut, "could not join")
-	}
-	c.get(budget.Leadership, memberKey(c.cfg.Node), func(out outcome, e state.Entry) {
-		if out != outOK && out != outMissing {
-			fail()
-			return
-		}
-		c.store(budget.Leadership, state.Grant(c.cfg.Tuning.LeaderTTL), func(r storeReply) {
-			var g state.Granted
-			if r.outcome != outOK || !r.decode(&g) {
-				fail()
-				return
-			}
-			guards := []state.Guard{{Key: memberKey(c.cfg.Node), Version: e.Version}}
-			writes := []state.Write{{Put: memberKey(c.cfg.Node), Lease: g.Lease, Value: memberRecord{c.life}}}
-			c.store(budget.Leadership, state.Commit(guards, writes), func(r storeReply) {
-				var done state.Committed
-				if r.outcome != outOK || !r.decode(&done) {
-					fail()
-					return
-				}
-				m.lease, m.version = g.Lease, done.Revision
-				m.renewAt = c.now + c.cfg.Tuning.LeaderTTL/3
-				c.setMember(memberIn, "joined")
-			})
-		})
-	})
+// Watch waits for changes of keys with a prefix after a revision.
+func (s clusterStore) Watch(prefix string, after uint64, done func(micros.Micros, cluster.Reply)) {
+	s.core.storeWithin(budget.Leadership, state.Watch(prefix, after, watchWait), watchTimeout, s.answer(done))
 }
 
-func (c *Core) renew() {
-	m := &c.member
-	if m.renewing || c.now < m.renewAt {
-		return
-	}
-	m.renewing = true
-	lease := m.lease
-	c.store(budget.Leadership, state.Renew(lease), func(r storeReply) {
-		m.renewing = false
-		if m.state != memberIn || m.lease != lease {
-			return
-		}
-		switch r.outcome {
+func (s clusterStore) answer(done func(micros.Micros, cluster.Reply)) func(storeReply) {
+	return func(reply storeReply) {
+		status := cluster.ReplyFailed
+		switch reply.outcome {
 		case outOK:
-			m.renewAt = c.now + c.cfg.Tuning.LeaderTTL/3
+			status = cluster.ReplyOK
 		case outMissing:
-			c.setMember(memberOut, "its lease has ended")
-		default:
-			// An outage, or this node alone is refused: it cannot tell. It goes on;
-			// if others have taken over, the tokens and guards are theirs.
-			m.renewAt = c.now + slowTick
+			status = cluster.ReplyMissing
 		}
-	})
-}
-
-// leave gives up membership, and with it leading and owning, so that a node that
-// workers can reach takes over.
-func (c *Core) leave() {
-	m := &c.member
-	c.log.Warn("leaving: workers reach a sibling but not this node")
-	m.pauseTo = c.now + leavePause
-	c.store(budget.Leadership, state.Revoke(m.lease), func(storeReply) {})
-	c.setMember(memberOut, "workers do not reach it")
+		done(s.core.now, cluster.Reply{Status: status, Body: reply.body})
+	}
 }
 
-// memberLost is called when a guard on this node's own record did not hold.
-func (c *Core) memberLost() {
-	c.member.pauseTo = c.now + joinRetry
-	c.setMember(memberOut, "its record has changed")
-}
+// clusterHost takes the notifications of this node's part in the cluster.
+type clusterHost struct{ core *Core }
 
-// checkOwnership starts, changes or ends this node's part as an owner, as the teams'
+// OwnershipChanged starts, changes or ends this node's part as an owner, as the teams'
 // records tell.
-func (c *Core) checkOwnership() {
-	mine := map[string]teamView{}
-	if c.member.state == memberIn {
-		for name, t := range c.cluster.teams {
-			if ownerID(t.Owner, t.Life) == c.ownID() {
-				mine[name] = t
-			}
-		}
-	}
+func (h clusterHost) OwnershipChanged() {
+	c := h.core
+	teams := c.node.OwnTeams()
 	switch {
-	case len(mine) == 0 && c.owner == nil:
-	case len(mine) == 0:
+	case len(teams) == 0 && c.owner == nil:
+	case len(teams) == 0:
 		c.setOwner(nil)
 	case c.owner == nil:
-		c.setOwner(newOwner(c, mine))
+		c.setOwner(newOwner(c, teams))
 	default:
-		c.owner.teamsAre(mine)
+		c.owner.setTeams(teams)
 	}
 }
 
+// ViewChanged shares the limits of the state service anew.
+func (h clusterHost) ViewChanged() { h.core.shareLimits() }
+
+// Unreachable tells that the machines of this node's teams do not report to it, nor any other
+// machine, although some report to a peer.
+func (h clusterHost) Unreachable() bool {
+	c := h.core
+	return c.owner != nil && c.owner.isSilent() && c.onlyPeersHeard()
+}
+
 // setOwner is the one place where this node begins or ends owning.
 func (c *Core) setOwner(o *owner) {
 	if c.owner != nil {
@@ -281,48 +72,36 @@
 	c.shareLimits()
 }
 
-// shareLimits sets this node's part of the state service's limits by who lives.
+// shareLimits sets this node's part of the state service's limits by who is a member.
 func (c *Core) shareLimits() {
-	role := budget.Role{Nodes: len(c.cluster.members), Owns: c.owner != nil}
-	if _, ok := c.cluster.members[c.cfg.Node]; !ok {
+	role := budget.Role{Nodes: len(c.cluster.Members()), Owners: c.cluster.LiveOwners(), Owns: c.owner != nil}
+	if !c.cluster.IsMember(c.cfg.Node) {
 		role.Nodes++
 	}
-	owners := map[string]bool{}
-	for _, t := range c.cluster.teams {
-		if c.lives(ownerID(t.Owner, t.Life)) {
-			owners[t.Owner] = true
-		}
-	}
-	if role.Owners = len(owners); role.Owns && role.Owners == 0 {
+	if role.Owns && role.Owners == 0 {
 		role.Owners = 1
 	}
 	c.budget.SetRole(role, c.now)
 }
 
-// owners counts the nodes that own teams.
-func (c *Core) owners() int {
-	seen := map[string]bool{}
-	for _, t := range c.cluster.teams {
-		seen[t.Owner] = true
+// onlyPeersHeard tells that no worker reaches this node although some reach a peer.
+func (c *Core) onlyPeersHeard() bool {
+	if len(c.heard) > 0 {
+		return false
 	}
-	return max(1, len(seen))
-}
-
-// firstOwner is the owner that takes what belongs to nobody.
-func (c *Core) firstOwner() string {
-	for _, name := range sortedKeys(c.cluster.teams) {
-		if t := c.cluster.teams[name]; c.lives(ownerID(t.Owner, t.Life)) {
-			return t.Owner
+	for _, s := range c.peers {
+		if s.fresh(c.now) && s.heard > 0 {
+			return true
 		}
 	}
-	return ""
+	return false
 }
 
 // reportTo finds the node to which a machine's worker should report, or "".
 func (c *Core) reportTo(machine string) string {
 	to := c.claimant(machine)
 	if to == "" {
-		to = c.firstOwner()
+		to = c.cluster.FirstOwner()
 	}
 	if to == c.cfg.Node {
 		return ""
--- a/controller/commits.go
+++ b/controller/commits.go
@@ -164,7 +164,7 @@
 	for _, key := range failed {
 		id, isJob := strings.CutPrefix(key, prefixActive)
 		if key == memberKey(o.c.cfg.Node) {
-			o.c.memberLost()
+			o.c.node.RecordLost(o.c.now)
 			return
 		}
 		if strings.HasPrefix(key, prefixMember) {
--- a/controller/core.go
+++ b/controller/core.go
@@ -9,6 +9,7 @@
 
 	"tamarindlead/config"
 	"tamarindlead/internal/budget"
+	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/jobgraph"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -18,8 +19,7 @@
 type Core struct {
 	cfg   *config.Settings
 	log   *slog.Logger
-	debug bool // the log takes details
-	rng   *rand.Rand
+	debug bool          // the log takes details
 	now   micros.Micros // steady
 	day   micros.Micros // time of day
 
@@ -28,7 +28,6 @@
 	numbers uint64 // of attempts and rentals, see nextNumber
 	calls   map[uint64]func(CallDone)
 
-	life    uint64 // tells this life of the node from earlier ones
 	budget  *budget.Budget
 	route   route
 	peers   map[string]*sibling
@@ -37,9 +36,8 @@
 	asked   lookups
 	graph   *jobgraph.Graph // the active jobs
 	jobView jobView
-	member  membership
-	cluster cluster
-	lead    leadership
+	node    *cluster.Node
+	cluster *cluster.View // what the records say, see node
 	risk    risk
 	count   counters
 	owner   *owner // set while this node owns teams
@@ -57,18 +55,21 @@
 	nextSlow    micros.Micros
 }
 
+// randomStream is the second half of the seed of the random source.
+const randomStream = 0x7461_6d61
+
 // New returns the core of a node that has just started.
 func New(cfg *config.Settings, seed uint64, log *slog.Logger, now, day micros.Micros) *Core {
 	c := &Core{
 		cfg: cfg, log: log, now: now, day: day,
-		rng:        rand.New(rand.NewPCG(seed, 0x7461_6d61)),
 		calls:      map[uint64]func(CallDone){},
 		debug:      log.Enabled(context.Background(), slog.LevelDebug),
 		peers:      map[string]*sibling{},
 		disclosing: map[string]*disclosure{}, ended: map[string]micros.Micros{},
 	}
 	c.cloudRate = rate.NewLimiter(rate.Limit(cfg.CloudRPS), max(1, int(cfg.CloudRPS)))
-	c.life = c.rng.Uint64() >> 12
+	c.node = cluster.New(cfg, clusterStore{c}, clusterHost{c}, rand.New(rand.NewPCG(seed, randomStream)), log)
+	c.cluster = c.node.View()
 	for _, s := range cfg.Siblings {
 		c.peers[s.Node] = &sibling{Sibling: s, toldAt: now}
 		c.withholdTo = now + promiseFor + promiseFor/driftPart
@@ -76,7 +77,6 @@
 	c.budget = budget.New(budget.Limits{
 		Requests: cfg.StateRPS, Writes: cfg.WriteRPS, MinWriteBurst: cancelWrites + 1,
 	}, len(cfg.Siblings)+1)
-	c.cluster.members, c.cluster.teams = map[string]member{}, map[string]teamView{}
 	c.route.lastOK = now
 	c.users.init()
 	c.graph = jobgraph.New(prefixActive, jobObserver{c}, log)
@@ -109,8 +109,7 @@
 		c.tickRoute()
 		c.tickPeers()
 		c.tickTypes()
-		c.tickMembership()
-		c.tickLeadership()
+		c.node.Tick(c.now)
 		c.tickJobView()
 		c.tickStatus()
 		c.forgetEnded()
--- a/controller/lookups.go
+++ b/controller/lookups.go
@@ -144,7 +144,7 @@
 // compare asks whether jobs' records are as this node knows them.
 func (c *Core) compare(known []*lookup, guards map[string]uint64) {
 	c.asked.open += len(known)
-	c.store(budget.Reads, state.Commit(guardList(guards), nil), func(r storeReply) {
+	c.store(budget.Reads, state.Commit(state.SortedGuards(guards), nil), func(r storeReply) {
 		var res state.Committed
 		failed := map[string]bool{}
 		switch {
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"tamarindlead/internal/budget"
+	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/peer"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
@@ -23,19 +24,22 @@
 
 // want asks the leader for machines.
 func (o *owner) want(j *sched.Job, tasks int, reclaim bool) {
-	if o.c.owners() < 2 || o.c.now < o.wantAt {
+	if o.c.cluster.Owners() < 2 || o.c.now < o.wantAt {
 		return
 	}
 	o.wantAt = o.c.now + wantEvery
 	w := &peer.Want{
-		Job: j.ID, Team: j.Team, Owner: o.c.ownID(), Tasks: int32(tasks), Priority: int32(j.Priority),
+		Job: j.ID, Team: j.Team, Owner: o.c.node.ID(), Tasks: int32(tasks), Priority: int32(j.Priority),
 		Cpu: j.Need.CPU, Gpu: j.Need.GPU, Mem: j.Need.Mem,
 		OneZone: j.OneZone && j.Gang, Spread: j.Spread && j.Gang, Spot: j.Spot, Zone: j.Zone,
 		AnyType: j.Types == nil, Types: j.Types, Reclaim: reclaim,
 	}
-	if o.c.lead.state == leadLeading {
+	if o.c.node.IsLeading() {
 		o.c.wanted(w)
-	} else if s := o.c.peers[o.c.lead.node]; s != nil {
+		return
+	}
+	leader, _ := o.c.node.Leader()
+	if s := o.c.peers[leader]; s != nil {
 		o.c.send(s, &peer.Message{Body: &peer.Message_Want{Want: w}})
 	}
 }
@@ -57,12 +61,12 @@
 // one chosen by giving.
 func (c *Core) wanted(w *peer.Want) {
 	if w.Give {
-		if c.owner != nil && c.owner.state == ownerActive && w.Owner != c.ownID() {
+		if c.owner != nil && c.owner.state == ownerActive && w.Owner != c.node.ID() {
 			c.owner.give(w)
 		}
 		return
 	}
-	if c.lead.state != leadLeading || !c.lives(w.Owner) {
+	if !c.node.IsLeading() || !c.cluster.IsLive(w.Owner) {
 		return
 	}
 	giver := c.giver(w)
@@ -82,14 +86,14 @@
 func (c *Core) giver(w *peer.Want) string {
 	j := wantedJob(w)
 	best, most := "", 0.0
-	for _, node := range sortedKeys(c.cluster.members) {
+	for _, node := range c.cluster.Members() {
 		beat := &peer.Beat{}
 		if node == c.cfg.Node && c.owner != nil {
 			c.owner.tell(beat)
 		} else if s := c.peers[node]; s != nil && s.fresh(c.now) {
 			beat.Idle, beat.Teams = s.idle, s.teams
 		}
-		if ownerID(node, c.cluster.members[node].life) == w.Owner {
+		if c.cluster.MemberID(node) == w.Owner {
 			continue
 		}
 		for _, m := range beat.Idle {
@@ -171,7 +175,7 @@
 
 // canMove tells whether the new owner of a machine lives. If not, the machine stays.
 func (o *owner) canMove(m *machine) bool {
-	if o.c.lives(m.moveTo) {
+	if o.c.cluster.IsLive(m.moveTo) {
 		return true
 	}
 	o.setMachine(m, machineUp, "its new owner is gone")
@@ -183,8 +187,8 @@
 
 // writeMove gives an empty machine away, in a block of its own.
 func (o *owner) writeMove(t *txn, m *machine) {
-	node := nodeOf(m.moveTo)
-	t.guards[memberKey(node)] = o.c.cluster.members[node].version
+	successor := o.c.cluster.MemberGuard(cluster.NodeOf(m.moveTo))
+	t.guards[successor.Key] = successor.Version
 	d := &blockData{
 		Kinds:    []blockKind{{Type: m.kind, Zone: m.zone, Spot: m.spot}},
 		Machines: []blockMachine{{Name: m.name, Endpoint: m.endpoint, Rented: int64(m.rented)}},
@@ -196,7 +200,7 @@
 func (o *owner) moved(m *machine) {
 	o.foreign[m.name] = o.c.now + foreignLife
 	o.forget(m)
-	if s := o.c.peers[nodeOf(m.moveTo)]; s != nil {
+	if s := o.c.peers[cluster.NodeOf(m.moveTo)]; s != nil {
 		o.c.send(s, &peer.Message{Body: &peer.Message_Given{Given: &peer.Given{Block: givenBlock(m)}}})
 	}
 }
@@ -208,7 +212,7 @@
 	}
 	o.c.get(budget.Ownership, prefixMachine+name, func(out outcome, e state.Entry) {
 		var rec blockRecord
-		if o.over() || out != outOK || wire.Decode(e.Value, &rec) != nil || rec.Owner != o.c.ownID() {
+		if o.over() || out != outOK || wire.Decode(e.Value, &rec) != nil || rec.Owner != o.c.node.ID() {
 			return
 		}
 		d, err := rec.data()
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"tamarindlead/config"
+	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/state"
 	"tamarindlead/micros"
 	"tamarindlead/sched"
@@ -73,13 +74,13 @@
 
 // team is a team that this node owns.
 type team struct {
-	view     teamView
+	record   cluster.Team
 	used     sched.Resources
 	stopping sched.Resources // the part of it that is being stopped
 	config.Team
 }
 
-func newOwner(c *Core, teams map[string]teamView) *owner {
+func newOwner(c *Core, teams map[string]cluster.Team) *owner {
 	o := &owner{
 		c: c, since: c.now, lastHeard: c.now,
 		teams:      map[string]*team{},
@@ -97,27 +98,27 @@
 	}
 	for _, t := range c.cfg.Teams {
 		if v, ok := teams[t.Name]; ok {
-			o.teams[t.Name] = &team{view: v, Team: t}
+			o.teams[t.Name] = &team{record: v, Team: t}
 		}
 	}
 	return o
 }
 
-// teamsAre takes the records of this node's teams. Should they be others than before,
+// setTeams takes the records of this node's teams. Should they be others than before,
 // all is read again.
-func (o *owner) teamsAre(mine map[string]teamView) {
-	same := len(mine) == len(o.teams)
-	for name, v := range mine {
+func (o *owner) setTeams(teams map[string]cluster.Team) {
+	same := len(teams) == len(o.teams)
+	for name, v := range teams {
 		t := o.teams[name]
-		if t == nil || len(t.view.Heir) != len(v.Heir) {
+		if t == nil || len(t.record.Predecessors) != len(v.Predecessors) {
 			same = false
 			continue
 		}
-		t.view = v
+		t.record = v
 	}
 	if !same {
-		o.c.log.Info("teams have changed", "teams", len(mine))
-		o.c.setOwner(newOwner(o.c, mine))
+		o.c.log.Info("teams have changed", "teams", len(teams))
+		o.c.setOwner(newOwner(o.c, teams))
 	}
 }
 
@@ -147,9 +148,9 @@
 		return
 	}
 	o.c.log.Warn("reading all records again", "why", why)
-	views := map[string]teamView{}
+	views := map[string]cluster.Team{}
 	for name, t := range o.teams {
-		views[name] = t.view
+		views[name] = t.record
 	}
 	o.c.setOwner(newOwner(o.c, views))
 	o.c.owner.retryAt = o.c.now + 200*micros.Millisecond
@@ -192,9 +193,12 @@
 	}
 }
 
-// deaf tells that machines which should report to this owner do not, not one of them.
+// allSilentAfter is the shortest silence of all machines after which something is wrong.
+const allSilentAfter = 6 * micros.Second
+
+// isSilent tells that machines which should report to this owner do not, not one of them.
 // Machines that still boot do not count: nothing can be concluded from them.
-func (o *owner) deaf() bool {
+func (o *owner) isSilent() bool {
 	latest, n := micros.Micros(0), 0
 	for _, m := range o.machines {
 		// After a takeover, a machine with tasks was up.
@@ -208,7 +212,7 @@
 		latest = max(latest, heard)
 		n++
 	}
-	limit := max(deafAfter, o.c.cfg.ReportEvery*5/4)
+	limit := max(allSilentAfter, o.c.cfg.ReportEvery*5/4)
 	if n == 1 { // more likely it is the machine; it is given up before then
 		limit = o.c.cfg.SilentAfter() + o.c.cfg.ReportEvery
 	}
@@ -218,31 +222,27 @@
 // guards builds a list of guards that always holds this node's own record: an owner
 // that has lost it can change nothing.
 func (o *owner) guards(more map[string]uint64) []state.Guard {
-	all := map[string]uint64{memberKey(o.c.cfg.Node): o.c.member.version}
+	own := o.c.node.OwnGuard()
+	all := map[string]uint64{own.Key: own.Version}
 	for k, v := range more {
 		all[k] = v
 	}
-	return guardList(all)
+	return state.SortedGuards(all)
 }
 
 // mine tells whether what an owner had is this node's to take: its own, that of owners
 // whose heir it is, and what nobody else takes.
 func (o *owner) mine(id string) bool {
-	if id == o.c.ownID() || o.sole() {
+	if id == o.c.node.ID() || o.sole() {
 		return true
 	}
 	for _, t := range o.teams {
-		if slices.Contains(t.view.Heir, id) {
+		if slices.Contains(t.record.Predecessors, id) {
 			return true
 		}
 	}
-	if o.c.lives(id) || o.c.firstOwner() != o.c.cfg.Node {
+	if o.c.cluster.IsLive(id) || o.c.cluster.FirstOwner() != o.c.cfg.Node {
 		return false
 	}
-	for _, t := range o.c.cluster.teams {
-		if slices.Contains(t.Heir, id) || ownerID(t.Owner, t.Life) == id {
-			return false
-		}
-	}
-	return true
+	return !o.c.cluster.HasSuccessor(id)
 }
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -65,8 +65,9 @@
 }
 
 func (c *Core) beat(s *sibling) *peer.Beat {
+	leader, term := c.node.Leader()
 	b := &peer.Beat{
-		Term: c.lead.term, Leader: c.lead.node,
+		Term: term, Leader: leader,
 		WorkersHeard: uint32(len(c.heard)), StoreOk: c.storeOK(),
 		Ended: c.unconfirmed(s), KnowsEnded: s.confirms,
 	}
@@ -88,7 +89,7 @@
 		s.machines[name] = true
 	}
 	c.takeEnded(s, b)
-	c.heardOfTerm(b.Term, b.Leader)
+	c.node.HeardOfTerm(c.now, b.Term, b.Leader)
 }
 
 // send sends a message that needs no answer.
--- a/controller/proposals.go
+++ b/controller/proposals.go
@@ -35,7 +35,7 @@
 // records are read again.
 func (o *owner) nextNumber() uint64 {
 	o.c.numbers++
-	return o.c.member.version<<20 | o.c.numbers
+	return o.c.node.RecordVersion()<<20 | o.c.numbers
 }
 
 func (o *owner) recorded(a *attempt) {
--- a/controller/rentals.go
+++ b/controller/rentals.go
@@ -88,7 +88,7 @@
 		if r.state == rentalOver {
 			t.writes = append(t.writes, state.Write{Delete: key})
 		} else {
-			t.put(key, rentalRecord{o.c.ownID(), r.offer.kind, r.offer.zone, r.offer.spot, r.number})
+			t.put(key, rentalRecord{o.c.node.ID(), r.offer.kind, r.offer.zone, r.offer.spot, r.number})
 		}
 		t.results = append(t.results, func(ok bool, _ uint64) {
 			r.writing = false
--- /dev/null
+++ b/internal/cluster/follow.go
@@ -0,0 +1,79 @@
+package cluster
+
+import (
+	"tamarindlead/internal/record"
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// decode reads the body of a call that was executed, and tells whether it could.
+func (r Reply) decode(into any) bool {
+	return r.Status == ReplyOK && wire.Decode(r.Body, into) == nil
+}
+
+// follow reads the cluster's records and then watches them. After a failure the next tick
+// starts over.
+func (n *Node) follow() {
+	n.following = true
+	n.store.Call(state.List(record.PrefixCluster, ""), func(now micros.Micros, reply Reply) {
+		var page state.Page
+		if !reply.decode(&page) {
+			n.following = false
+			return
+		}
+		n.takePage(now, page)
+		n.watch(page.Revision)
+	})
+}
+
+func (n *Node) takePage(now micros.Micros, page state.Page) {
+	n.view.reset()
+	hasLeader := false
+	for _, entry := range page.Entries {
+		n.takeRecord(now, entry.Key, entry.Value, entry.Version)
+		hasLeader = hasLeader || entry.Key == record.KeyLeader
+	}
+	if !hasLeader {
+		n.leaderGone(now, page.Revision)
+	}
+	n.host.OwnershipChanged()
+	n.host.ViewChanged()
+}
+
+func (n *Node) watch(after uint64) {
+	n.store.Watch(record.PrefixCluster, after, func(now micros.Micros, reply Reply) {
+		var changes state.Changes
+		if !reply.decode(&changes) {
+			n.following = false
+			return
+		}
+		for _, change := range changes.Events {
+			n.takeChange(now, change)
+		}
+		if len(changes.Events) > 0 {
+			n.host.OwnershipChanged()
+			n.host.ViewChanged()
+		}
+		n.watch(max(after, changes.Revision))
+	})
+}
+
+func (n *Node) takeChange(now micros.Micros, change state.Change) {
+	switch {
+	case change.Put != "":
+		n.takeRecord(now, change.Put, change.Value, change.Version)
+	case change.Delete == record.KeyLeader:
+		n.leaderGone(now, change.Version)
+	default:
+		n.view.remove(change.Delete)
+	}
+}
+
+func (n *Node) takeRecord(now micros.Micros, key string, value []byte, version uint64) {
+	if key == record.KeyLeader {
+		n.leaderChanged(now, value, version)
+		return
+	}
+	n.view.put(key, value, version)
+}
--- /dev/null
+++ b/internal/cluster/membership.go
@@ -0,0 +1,170 @@
+package cluster
+
+import (
+	"tamarindlead/internal/record"
+	"tamarindlead/internal/state"
+	"tamarindlead/micros"
+)
+
+// Times of membership.
+const (
+	// joinRetry is the pause after joining failed or the record was lost.
+	joinRetry = 300 * micros.Millisecond
+	// renewalsPerLease is how often a lease is renewed in its time: two renewals may fail.
+	renewalsPerLease = 3
+	// renewRetry is the pause after a renewal that failed.
+	renewRetry = 250 * micros.Millisecond
+	// leavePause is how long a node that workers cannot reach stays out.
+	leavePause = 20 * micros.Second
+)
+
+// memberState is the state machine of membership.
+type memberState int
+
+const (
+	memberOut     memberState = iota // has no lease
+	memberJoining                    // is getting one
+	memberIn                         // its record is on its lease
+)
+
+func (s memberState) String() string { return [...]string{"out", "joining", "in"}[s] }
+
+// membership is this node's own record. It hangs on a lease, as does the leader's record if
+// this node leads. Whatever the node writes as an owner is guarded on it.
+type membership struct {
+	state       memberState
+	lease       uint64
+	version     uint64
+	renewing    bool
+	renewAt     micros.Micros
+	pausedUntil micros.Micros // before that it does not join
+}
+
+// RecordVersion is the version of this node's own record: the last one it had, and 0 before
+// it was a member.
+func (n *Node) RecordVersion() uint64 { return n.membership.version }
+
+// OwnGuard is the guard that this incarnation of the node is still a member.
+func (n *Node) OwnGuard() state.Guard {
+	return state.Guard{Key: record.MemberKey(n.config.Node), Version: n.membership.version}
+}
+
+// setMember is the one place where the state of membership changes.
+func (n *Node) setMember(now micros.Micros, to memberState, why string) {
+	m := &n.membership
+	if m.state == to {
+		return
+	}
+	n.log.Info("membership", "from", m.state.String(), "to", to.String(), "why", why)
+	m.state = to
+	if to == memberOut {
+		n.stopLeading(now)
+	}
+	n.host.OwnershipChanged()
+}
+
+func (n *Node) tickMembership(now micros.Micros) {
+	switch n.membership.state {
+	case memberOut:
+		if now >= n.membership.pausedUntil {
+			n.join(now)
+		}
+	case memberIn:
+		n.renew(now)
+		if n.host.Unreachable() {
+			n.leave(now)
+		}
+	}
+}
+
+// join reads the version of this node's record, gets a lease, and puts the record on it.
+func (n *Node) join(now micros.Micros) {
+	n.setMember(now, memberJoining, "starts")
+	n.store.Call(state.Get(record.MemberKey(n.config.Node)), func(now micros.Micros, reply Reply) {
+		var earlier state.Entry
+		if reply.Status != ReplyMissing && !reply.decode(&earlier) {
+			n.joinFailed(now)
+			return
+		}
+		n.grantLease(earlier.Version)
+	})
+}
+
+func (n *Node) grantLease(earlierVersion uint64) {
+	n.store.Call(state.Grant(n.config.Tuning.LeaderTTL), func(now micros.Micros, reply Reply) {
+		var granted state.Granted
+		if !reply.decode(&granted) {
+			n.joinFailed(now)
+			return
+		}
+		n.putRecord(granted.Lease, earlierVersion)
+	})
+}
+
+// putRecord writes this node's record. The guard on the version that was read before the
+// lease was granted keeps late commits of an earlier incarnation from replacing it.
+func (n *Node) putRecord(lease, earlierVersion uint64) {
+	key := record.MemberKey(n.config.Node)
+	guards := []state.Guard{{Key: key, Version: earlierVersion}}
+	writes := []state.Write{{Put: key, Lease: lease, Value: record.Member{Incarnation: n.incarnation}}}
+	n.store.Call(state.Commit(guards, writes), func(now micros.Micros, reply Reply) {
+		var committed state.Committed
+		if !reply.decode(&committed) {
+			n.joinFailed(now)
+			return
+		}
+		m := &n.membership
+		m.lease, m.version = lease, committed.Revision
+		m.renewAt = now + n.renewEvery()
+		n.setMember(now, memberIn, "joined")
+	})
+}
+
+func (n *Node) joinFailed(now micros.Micros) {
+	n.membership.pausedUntil = now + joinRetry
+	n.setMember(now, memberOut, "could not join")
+}
+
+func (n *Node) renewEvery() micros.Micros { return n.config.Tuning.LeaderTTL / renewalsPerLease }
+
+func (n *Node) renew(now micros.Micros) {
+	m := &n.membership
+	if m.renewing || now < m.renewAt {
+		return
+	}
+	m.renewing = true
+	lease := m.lease
+	n.store.Call(state.Renew(lease), func(now micros.Micros, reply Reply) {
+		m.renewing = false
+		if m.state != memberIn || m.lease != lease {
+			return
+		}
+		switch reply.Status {
+		case ReplyOK:
+			m.renewAt = now + n.renewEvery()
+		case ReplyMissing:
+			n.setMember(now, memberOut, "its lease has ended")
+		case ReplyFailed:
+			// In an outage, or if this node alone is refused, it cannot tell whether the
+			// lease has ended. It goes on: if others have taken over, the machines'
+			// tokens and the guards of commits are theirs.
+			m.renewAt = now + renewRetry
+		}
+	})
+}
+
+// leave gives up membership, and with it leading and owning, so that a node that workers can
+// reach takes over.
+func (n *Node) leave(now micros.Micros) {
+	n.log.Warn("leaving: workers reach a sibling but not this node")
+	n.membership.pausedUntil = now + leavePause
+	n.store.Call(state.Revoke(n.membership.lease), func(micros.Micros, Reply) {})
+	n.setMember(now, memberOut, "workers do not reach it")
+}
+
+// RecordLost must be called when a guard on this node's own record did not hold: another
+// incarnation has replaced the record, or its lease has ended.
+func (n *Node) RecordLost(now micros.Micros) {
+	n.membership.pausedUntil = now + joinRetry
+	n.setMember(now, memberOut, "its record has changed")
+}
--- /dev/null
+++ b/internal/cluster/node.go
@@ -0,0 +1,123 @@
+// Package cluster is one controller node's part in the cluster. The node becomes a member by
+// a record on a lease of the state service, follows the records of all members, of the leader
+// and of the teams' owners, campaigns for leadership, and as the leader assigns teams to
+// members. It has no clock and no connections: the time is passed in, and requests go out
+// through a Store.
+package cluster
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+
+	"tamarindlead/config"
+	"tamarindlead/internal/state"
+	"tamarindlead/micros"
+)
+
+// Store calls the state service for a Node.
+type Store interface {
+	// Call sends a request. Once the call has ended, done gets the time and the reply; that
+	// is at once if the request cannot be sent now.
+	Call(request state.Request, done func(now micros.Micros, reply Reply))
+	// Watch waits for changes of keys with a prefix after a revision.
+	Watch(prefix string, after uint64, done func(now micros.Micros, reply Reply))
+}
+
+// Host is the user of a Node, which is told of changes.
+type Host interface {
+	// OwnershipChanged tells that the teams which this node owns may have changed.
+	OwnershipChanged()
+	// ViewChanged tells that records were read anew or changed. It follows
+	// OwnershipChanged.
+	ViewChanged()
+	// Unreachable tells whether workers reach other nodes but not this one, so that
+	// another node should own this one's teams.
+	Unreachable() bool
+}
+
+// ReplyStatus is how a call to the state service ended, as far as a Node must know.
+type ReplyStatus int
+
+// The ends of a call.
+const (
+	ReplyOK      ReplyStatus = iota // executed
+	ReplyMissing                    // the key or lease does not exist
+	ReplyFailed                     // refused, or perhaps executed, or executed later
+)
+
+// Reply is the answer of the state service to one call.
+type Reply struct {
+	Status ReplyStatus
+	Body   []byte
+}
+
+// Node is a controller node as a member of the cluster, and perhaps its leader.
+type Node struct {
+	config      *config.Settings
+	log         *slog.Logger
+	random      *rand.Rand
+	store       Store
+	host        Host
+	incarnation uint64
+
+	view       View
+	following  bool // the records were read, or are being read, and a watch follows them
+	membership membership
+	leadership leadership
+	assignment assignment
+}
+
+// incarnationBits is the size of the random number that tells incarnations of a node apart.
+const incarnationBits = 52
+
+// New returns the node of a process that has just started: a new incarnation, which is no
+// member yet.
+func New(settings *config.Settings, store Store, host Host, random *rand.Rand, log *slog.Logger) *Node {
+	return &Node{
+		config: settings, log: log, random: random, store: store, host: host,
+		incarnation: random.Uint64() >> (64 - incarnationBits),
+		view:        newView(settings.Teams),
+	}
+}
+
+// Tick does what is due at this time: it joins, renews the lease, campaigns, assigns teams.
+func (n *Node) Tick(now micros.Micros) {
+	n.tickMembership(now)
+	n.tickLeadership(now)
+}
+
+// View returns what the records say of the cluster. It follows later changes.
+func (n *Node) View() *View { return &n.view }
+
+// ID names this incarnation of the node as an owner.
+func (n *Node) ID() string { return OwnerID(n.config.Node, n.incarnation) }
+
+// Incarnation is the number that tells this incarnation of the node from earlier ones.
+func (n *Node) Incarnation() uint64 { return n.incarnation }
+
+// OwnTeams returns the teams that this node owns: none, unless it is a member.
+func (n *Node) OwnTeams() map[string]Team {
+	own := map[string]Team{}
+	if n.membership.state != memberIn {
+		return own
+	}
+	for name, team := range n.view.teams {
+		if team.OwnerID() == n.ID() {
+			own[name] = team
+		}
+	}
+	return own
+}
+
+// OwnerID names one incarnation of a node as an owner.
+func OwnerID(node string, incarnation uint64) string {
+	return fmt.Sprintf("%s/%d", node, incarnation)
+}
+
+// NodeOf returns the node of an owner's ID.
+func NodeOf(ownerID string) string {
+	node, _, _ := strings.Cut(ownerID, "/")
+	return node
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -3,7 +3,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/url"
+	"slices"
 	"strconv"
 
 	"github.com/fxamacker/cbor/v2"
@@ -26,6 +28,15 @@
 	Version uint64 `cbor:"stamp"`
 }
 
+// SortedGuards returns the guards of versions by key in a fixed order: that of the keys.
+func SortedGuards(versions map[string]uint64) []Guard {
+	guards := make([]Guard, 0, len(versions))
+	for _, key := range slices.Sorted(maps.Keys(versions)) {
+		guards = append(guards, Guard{Key: key, Version: versions[key]})
+	}
+	return guards
+}
+
 // Write is a put or a delete.
 type Write struct {
 	Put    string `cbor:"put,omitempty"`
