Commands to machines in short steps; paths and statuses of the wire are named in internal/wire

The way a machine's commands are found is two functions now: for what it reported, and for what it should have. hasPending -> hasPendingStarts, inspectEach -> inspectBatch.

--- a/controller/attempt.go
+++ b/controller/attempt.go
@@ -35,8 +35,18 @@
 	index int
 }
 
+// key identifies the attempt's task on a machine.
 func (a *attempt) key() taskKey { return taskKey{a.job.ID, a.index} }
 
+// task is the name of the attempt's task on the wire.
+func (a *attempt) task() string { return numbered(a.job.ID, a.index) }
+
+// mayStart tells whether the attempt's job wants it started: a gang only once all of its
+// places are recorded.
+func (a *attempt) mayStart() bool {
+	return a.job.state == jobActive && (!a.job.Gang || a.job.gang == gangStarting)
+}
+
 // setAttempt is the one place where an attempt changes its state.
 func (o *owner) setAttempt(a *attempt, s attemptState) {
 	if a.state == s || a.state == attemptClosed {
--- a/controller/commands.go
+++ b/controller/commands.go
@@ -5,110 +5,96 @@
 	"tamarindlead/micros"
 )
 
-// commands tells what a machine must do, given its latest report, and notes starts
-// as ordered.
+// Commands reach a machine in the answer to its report, or, so that nothing waits for the
+// next report, in a request to its worker. This file decides which commands a machine needs
+// and sends them directly.
+
+// Limits on requests to workers.
+const (
+	// commandTimeout is how long a worker may take to answer.
+	commandTimeout = 4 * micros.Second
+	// commandSocketShare is the part of the sockets that requests to workers may use at a
+	// time: each machine that hangs keeps one until it is given up.
+	commandSocketShare = 0.125
+	// minOpenCommands is the number of such requests that is always allowed.
+	minOpenCommands = 4
+)
+
+// Pace at which machines that were taken over and stay silent are asked for a report.
+const (
+	inspectAfter = 2 * micros.Second
+	inspectBatch = 4
+)
+
+// commands returns what a machine must do, given its latest report, and marks the starts
+// among it as ordered.
 func (o *owner) commands(m *machine) []wire.Command {
-	var out []wire.Command
 	if !m.synced {
 		return nil // it learns the token first
 	}
-	present := make(map[taskKey]bool, len(m.tasks))
-	settled := m.fence == fenceNone && !m.sending
-	for _, t := range m.tasks {
-		id, index, ok := splitNumbered(t.Task)
-		key := taskKey{id, index}
-		present[key] = ok
-		a := m.attempts[key]
-		switch {
-		case a != nil && a.number == t.Attempt:
-			if a.state == attemptStopping && t.Phase != wire.PhaseExited {
-				grace := a.grace.Seconds()
-				out = append(out, wire.Command{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace})
-			}
-		case t.Phase != wire.PhaseExited:
-			grace := 0.0
-			out = append(out, wire.Command{Verb: wire.VerbStop, Task: t.Task, Attempt: t.Attempt, GraceS: &grace})
-		case settled:
-			// What is not recorded here any more has its outcome recorded, so the
-			// machine may forget it; not while a start for it may be on its way.
-			out = append(out, wire.Command{Verb: wire.VerbForget, Task: t.Task, Attempt: t.Attempt})
-			present[key] = false
-		}
-	}
+	reported, commands := o.commandsForReported(m)
 	for _, a := range m.sorted() {
 		if a.state == attemptOrdered && a.job.state == jobEnded {
 			o.stop(a, 0, "job is over")
 		}
-		if a.state == attemptStopping && !a.seen {
-			// Ordered but not seen: the order to stop must reach it too.
-			grace := a.grace.Seconds()
-			out = append(out, wire.Command{Verb: wire.VerbStop, Task: numbered(a.job.ID, a.index), Attempt: a.number, GraceS: &grace})
-		}
-		if a.state != attemptRecorded || present[a.key()] || a.job.state != jobActive {
-			continue
-		}
-		if a.job.Gang && a.job.gang != gangStarting {
-			continue
+		switch {
+		case a.state == attemptStopping && !a.seen:
+			// Its start may be on its way, so the stop must follow it.
+			commands = append(commands, stopCommand(a.task(), a.number, a.grace))
+		case a.state == attemptRecorded && !reported[a.key()] && a.mayStart():
+			a.startSeq = m.seq
+			o.setAttempt(a, attemptOrdered)
+			commands = append(commands, wire.Command{Verb: wire.VerbStart, Task: a.task(), Attempt: a.number})
 		}
-		a.startSeq = m.seq
-		o.setAttempt(a, attemptOrdered)
-		out = append(out, wire.Command{Verb: wire.VerbStart, Task: numbered(a.job.ID, a.index), Attempt: a.number})
 	}
-	return out
+	return commands
 }
 
-// Pace at which machines that were taken over and stay silent are asked.
-const (
-	inspectAfter = 2 * micros.Second
-	inspectEach  = 4
-)
-
-// inspectSome asks a few machines that were taken over and have not reported. Most find
-// this node by themselves, and to ask all at once would starve their reports.
-func (o *owner) inspectSome() {
-	if o.commandsFull() {
-		return
-	}
-	n := 0
-	for _, m := range o.list {
-		// With a task of a cancelled job it is asked at once: leaders may be changing fast.
-		if o.c.now-o.since < inspectAfter && !o.overdue(m, goneShare) {
-			continue
-		}
-		if m.takenOver && m.session == 0 && !m.inspected && m.token != 0 && m.state < machineCondemned {
-			m.inspected = true
-			o.inspect(m)
-			if n++; n == inspectEach {
-				return
+// commandsForReported returns the commands for tasks that the machine's latest report
+// lists, and which tasks those are, less the ones that the machine is told to forget.
+func (o *owner) commandsForReported(m *machine) (reported map[taskKey]bool, commands []wire.Command) {
+	reported = make(map[taskKey]bool, len(m.tasks))
+	settled := m.fence == fenceNone && !m.sending
+	for _, task := range m.tasks {
+		id, index, ok := splitNumbered(task.Task)
+		key := taskKey{id, index}
+		reported[key] = ok
+		a := m.attempts[key]
+		exited := task.Phase == wire.PhaseExited
+		switch {
+		case a != nil && a.number == task.Attempt:
+			if a.state == attemptStopping && !exited {
+				commands = append(commands, stopCommand(task.Task, task.Attempt, a.grace))
 			}
+		case !exited: // nothing that this owner knows of
+			commands = append(commands, stopCommand(task.Task, task.Attempt, 0))
+		case settled:
+			// The outcome of an attempt that is not recorded here any more is recorded
+			// elsewhere, so the machine may forget it, but not while a start for it may
+			// be on its way.
+			commands = append(commands, wire.Command{Verb: wire.VerbForget, Task: task.Task, Attempt: task.Attempt})
+			reported[key] = false
 		}
 	}
+	return reported, commands
 }
 
-// inspect asks a machine that was taken over for its report, and then shows it our
-// token, so that commands need not wait until its worker has found this node.
-func (o *owner) inspect(m *machine) {
-	if m.endpoint == "" || m.session != 0 || m.sending {
-		return
-	}
-	o.openCommands++
-	o.c.call(Call{
-		Addr: m.endpoint, Method: "GET", Target: "/inspect", Timeout: commandTimeout, MaxBody: wire.MaxBody,
-	}, func(e CallDone) {
-		o.openCommands--
-		rep, err := wire.DecodeReport(e.Body)
-		if o.over() || o.machines[m.name] != m || e.Status != 200 || err != nil || rep.Token > m.token {
-			return
-		}
-		if o.takeReport(m, rep, false) && !m.synced {
-			o.sendCommands(m, []wire.Command{})
-		}
-	})
+func stopCommand(task string, attempt uint64, grace micros.Micros) wire.Command {
+	seconds := grace.Seconds()
+	return wire.Command{Verb: wire.VerbStop, Task: task, Attempt: attempt, GraceS: &seconds}
 }
 
-const commandTimeout = 4 * micros.Second
+// hasPendingStarts tells whether attempts on the machine wait for their start command.
+func (m *machine) hasPendingStarts() bool {
+	for _, a := range m.attempts {
+		if a.state == attemptRecorded && (!a.job.Gang || a.job.gang == gangStarting) {
+			return true
+		}
+	}
+	return false
+}
 
-// queueDispatch has a machine looked at for commands that wait.
+// queueDispatch has the next dispatchQueued look for commands for a machine.
 func (o *owner) queueDispatch(m *machine) {
 	m.wantDispatch = true
 	if !m.queued {
@@ -117,24 +103,20 @@
 	}
 }
 
-// commandSocketShare is the part of the sockets that direct commands may use at a time: while many
-// machines hang, each keeps one until it is given up.
-const commandSocketShare = 0.125
-
-// commandsFull tells that no further command can be sent directly now. What waits goes with
-// the answers to reports.
+// commandsFull tells that no further request to a worker may be sent now. What waits goes
+// with the answers to reports.
 func (o *owner) commandsFull() bool {
-	return o.openCommands >= max(4, int(commandSocketShare*float64(o.c.cfg.Sockets)))
+	return o.openCommands >= max(minOpenCommands, int(commandSocketShare*float64(o.c.cfg.Sockets)))
 }
 
-// dispatchQueued sends what waits to the machines that were dispatchQueue. One that cannot be sent to
-// now is dispatchQueue again when that changes.
+// dispatchQueued sends commands to the machines in the dispatch queue. A machine that cannot
+// be sent to now is queued again when that changes.
 func (o *owner) dispatchQueued() {
-	list := o.dispatchQueue
+	queue := o.dispatchQueue
 	o.dispatchQueue = nil
-	for i, m := range list {
+	for i, m := range queue {
 		if o.commandsFull() {
-			o.dispatchQueue = append(list[i:len(list):len(list)], o.dispatchQueue...)
+			o.dispatchQueue = append(queue[i:len(queue):len(queue)], o.dispatchQueue...)
 			return
 		}
 		m.queued = false
@@ -144,58 +126,98 @@
 	}
 }
 
-// dispatch sends commands directly, instead of waiting for the next report.
+// dispatch sends a machine its commands, if it can take them now.
 func (o *owner) dispatch(m *machine) {
-	if m.sending || !m.synced || m.fence != fenceNone || m.endpoint == "" ||
-		m.state < machineUp || m.state > machineMoving {
+	takesWork := m.state >= machineUp && m.state <= machineMoving
+	if m.sending || !m.synced || m.fence != fenceNone || m.endpoint == "" || !takesWork {
 		return
 	}
 	m.wantDispatch = false
-	if cmds := o.commands(m); len(cmds) > 0 {
-		o.sendCommands(m, cmds)
+	if commands := o.commands(m); len(commands) > 0 {
+		o.sendCommands(m, commands)
 	}
 }
 
-// sendCommands sends commands to a machine's worker.
-func (o *owner) sendCommands(m *machine, cmds []wire.Command) {
+// sendCommands sends commands to a machine's worker. Without commands it only shows the
+// worker this owner's token.
+func (o *owner) sendCommands(m *machine, commands []wire.Command) {
 	m.sending = true
 	o.openCommands++
+	body := wire.Encode(wire.Orders{Token: m.token, Session: m.session, Commands: commands})
 	o.c.call(Call{
-		Addr: m.endpoint, Method: "POST", Target: "/orders", Timeout: commandTimeout, MaxBody: wire.MaxBody,
-		Body: wire.Encode(wire.Orders{Token: m.token, Session: m.session, Commands: cmds}),
+		Addr: m.endpoint, Method: "POST", Target: wire.PathCommands, Timeout: commandTimeout, MaxBody: wire.MaxBody, Body: body,
 	}, func(e CallDone) {
 		o.openCommands--
 		if o.over() || o.machines[m.name] != m {
 			return
 		}
 		m.sending = false
-		var rep *wire.Report
-		if e.Status == 200 || e.Status == 409 {
-			rep, _ = wire.DecodeReport(e.Body)
-		}
-		switch {
-		case rep != nil:
-			if rep.Token > m.token {
-				o.resync("a machine has seen a higher token")
-				return
-			}
-			o.takeReport(m, rep, false)
-			if m.wantDispatch || hasPending(m) {
-				o.queueDispatch(m)
-			}
-		case e.Sent && len(cmds) > 0:
-			o.c.log.Info("command not answered", "machine", m.name)
-			o.setFence(m, fenceWanted)
-		}
+		o.commandsAnswered(m, len(commands) > 0, e)
 	})
 }
 
-// hasPending tells whether starts wait for a machine.
-func hasPending(m *machine) bool {
-	for _, a := range m.attempts {
-		if a.state == attemptRecorded && (!a.job.Gang || a.job.gang == gangStarting) {
-			return true
+// commandsAnswered takes the report with which a worker answers commands. Commands without
+// an answer may still be executed: the machine is fenced until it has seen a higher token.
+func (o *owner) commandsAnswered(m *machine, hadCommands bool, e CallDone) {
+	var report *wire.Report
+	if e.Status == wire.StatusOK || e.Status == wire.StatusConflict {
+		report, _ = wire.DecodeReport(e.Body) // one that cannot be read counts as no answer
+	}
+	switch {
+	case report != nil && report.Token > m.token:
+		o.resync("a machine has seen a higher token")
+	case report != nil:
+		o.takeReport(m, report, false)
+		if m.wantDispatch || m.hasPendingStarts() {
+			o.queueDispatch(m)
 		}
+	case e.Sent && hadCommands:
+		o.c.log.Info("command not answered", "machine", m.name)
+		o.setFence(m, fenceWanted)
 	}
-	return false
+}
+
+// inspectSome asks a few machines that were taken over and have not reported. Most workers
+// find this node by themselves, and asking all machines at once would delay their reports.
+func (o *owner) inspectSome() {
+	if o.commandsFull() {
+		return
+	}
+	asked := 0
+	for _, m := range o.list {
+		// A machine with a task of a cancelled job is asked at once, since the leader may
+		// change again soon.
+		if o.c.now-o.since < inspectAfter && !o.overdue(m, goneShare) {
+			continue
+		}
+		if !m.takenOver || m.session != 0 || m.inspected || m.token == 0 || m.state >= machineCondemned {
+			continue
+		}
+		m.inspected = true
+		o.inspect(m)
+		if asked++; asked == inspectBatch {
+			return
+		}
+	}
+}
+
+// inspect asks a machine that was taken over for its report, and then shows it this owner's
+// token, so that commands need not wait until its worker has found this node.
+func (o *owner) inspect(m *machine) {
+	if m.endpoint == "" || m.session != 0 || m.sending {
+		return
+	}
+	o.openCommands++
+	o.c.call(Call{
+		Addr: m.endpoint, Method: "GET", Target: wire.PathInspect, Timeout: commandTimeout, MaxBody: wire.MaxBody,
+	}, func(e CallDone) {
+		o.openCommands--
+		report, err := wire.DecodeReport(e.Body)
+		if o.over() || o.machines[m.name] != m || e.Status != wire.StatusOK || err != nil || report.Token > m.token {
+			return
+		}
+		if o.takeReport(m, report, false) && !m.synced {
+			o.sendCommands(m, []wire.Command{})
+		}
+	})
 }
