The policy of renting, keeping ready and draining machines is a package of its own

The policy was methods of the owner, mixed with its jobs and machines, and could be tested through whole scenarios only. internal/capacity now takes plain descriptions of machines, rentals and waiting work and returns a plan; the controller carries it out. Machines reserved for gangs are chosen in gang_reservations.go in named steps. Effects are the same.

| old | new | | --- | --- | | offer, choice | capacity.Offer, choice | | classNeed, noteClass, noteNeed | capacity.Classes, NoteJob | | factor, corrected | correction, Corrected | | risk, perSecond | capacity.SpotRisk, PerSecond | | worthSpot, progress | minLasting, GangMix.lasting | | spotPrice, ordinaryPrice | Catalog.LowestPrice | | readySize, readyOffers, takes | ReadySize, NewReadiness, Take | | demand, horizon | capacity.Demand, MaxWait; WaitTarget, maxWait | | growth, growGangs, growFor | scaleUp, scaleUpGangs, rentForGang | | replace | replaceExpensive | | shed, dearest, nextShed | scaleDown, mostExpensive, nextScaleDown | | wanted (idle machine) | hasUseFor | | onOffer | Market.Available | | dark (owner's zones) | partitioned | | keepForGangs, keepFor | reserveForGangs, reserveForGang |

--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"tamarindlead/internal/budget"
+	"tamarindlead/internal/capacity"
 	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
@@ -65,22 +66,13 @@
 func (o *owner) blockRoom(kind string) int {
 	tasks := blockTasks
 	if t := o.c.types.find(kind); t != nil {
-		if n := o.tasksOn(t.Size); n > 0 {
+		if n := o.classes.MostUsualTasks(t.Size, recordSlots); n > 0 {
 			tasks = n
 		}
 	}
 	return min(max(1, int(float64(o.c.cfg.ValueBytes)*blockUsed)/(entryBytes+tasks*taskBytes)), blockMost)
 }
 
-// tasksOn is how many tasks of a usual job a machine takes at the most.
-func (o *owner) tasksOn(size sched.Resources) int {
-	n := 0
-	for _, c := range o.classes {
-		n = max(n, c.usual.Count(size, recordSlots))
-	}
-	return n
-}
-
 // slotsOf is how many more tasks a machine's entry can hold: a part of what is left in
 // its block, by what a task took there when it was written last. A task that is not recorded
 // yet is taken for the first of its job.
@@ -281,7 +273,7 @@
 	var moves []*machine
 	guards := map[string]uint64{prefixMachine + b.name: b.version}
 	d := &blockData{Since: int64(o.c.day), Base: ^uint64(0)}
-	kinds, jobs := map[offer]int{}, map[string]int{}
+	kinds, jobs := map[capacity.Offer]int{}, map[string]int{}
 	kept := b.machines[:0:0]
 	placed := 0
 	// A block that needs more guards than there may be is written in several steps. What
@@ -321,7 +313,7 @@
 			continue // its first claim comes with the next write
 		}
 		kept = append(kept, m)
-		of := offer{m.kind, m.zone, m.spot}
+		of := m.offer()
 		k, ok := kinds[of]
 		if !ok {
 			k = len(d.Kinds)
--- a/controller/core.go
+++ b/controller/core.go
@@ -9,6 +9,7 @@
 
 	"tamarindlead/config"
 	"tamarindlead/internal/budget"
+	"tamarindlead/internal/capacity"
 	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/jobgraph"
 	"tamarindlead/internal/wire"
@@ -28,19 +29,19 @@
 	numbers uint64 // of attempts and rentals, see nextNumber
 	calls   map[uint64]func(CallDone)
 
-	budget  *budget.Budget
-	route   route
-	peers   map[string]*sibling
-	types   typeTable
-	users   users
-	asked   lookups
-	graph   *jobgraph.Graph // the active jobs
-	jobView jobView
-	node    *cluster.Node
-	cluster *cluster.View // what the records say, see node
-	risk    risk
-	count   counters
-	owner   *owner // set while this node owns teams
+	budget   *budget.Budget
+	route    route
+	peers    map[string]*sibling
+	types    typeTable
+	users    users
+	asked    lookups
+	graph    *jobgraph.Graph // the active jobs
+	jobView  jobView
+	node     *cluster.Node
+	cluster  *cluster.View // what the records say, see node
+	spotRisk capacity.SpotRisk
+	count    counters
+	owner    *owner // set while this node owns teams
 
 	disclosing map[string]*disclosure   // cancelled jobs of which users will be told
 	ended      map[string]micros.Micros // jobs that are over, by the word of a sibling, and since when
--- /dev/null
+++ b/controller/gang_reservations.go
@@ -0,0 +1,137 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+
+	"tamarindlead/internal/capacity"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// reserveForGangs reserves machines from other work: for each gang that waits as many as it
+// needs, those with room first, then those that will have it the soonest; and what is to
+// be ready for gangs to come. Only types that the gang depends on are reserved, but for a gang
+// that starves; without that, small tasks would fill every gap first.
+func (o *owner) reserveForGangs(view []*sched.Machine) {
+	ready := capacity.NewReadiness(o.c.now, o.classes, o.c.cfg.Objectives, o.c.catalog())
+	short := false
+	for _, j := range o.inTurn() {
+		if !j.Gang || j.state != jobActive || j.gang != gangNone || o.holds[j.ID] != nil || o.c.now < j.notUntil {
+			continue
+		}
+		// Of the gangs that the machines there are do not suffice for, only the first reserves
+		// what there is: it waits for machines that boot. What the others reserved would stand
+		// idle while smaller gangs wait.
+		short = !o.reserveForGang(j, view, short) || short
+	}
+	if ready.Empty() {
+		return
+	}
+	for _, v := range view {
+		if m := o.machines[v.Name]; !v.Kept && v.Scarce && o.onlySlack(m) && ready.Take(m.offer(), o.machineSize(m).Sub(m.used)) {
+			v.Kept = true
+		}
+	}
+}
+
+// gangCandidate is a machine that may be reserved for a gang.
+type gangCandidate struct {
+	view *sched.Machine
+	fits int           // how many of the gang's tasks
+	wait micros.Micros // until there is room
+}
+
+// reserveForGang reserves machines for a gang and tells whether they will do. With complete,
+// it reserves none unless they do.
+func (o *owner) reserveForGang(j *job, view []*sched.Machine, complete bool) bool {
+	starves := o.starves(j)
+	candidates := candidatesOfBestZone(o.gangCandidates(j, view, starves))
+	chosen, tasks := chooseCandidates(j, candidates)
+	if complete && tasks < j.Tasks {
+		return false
+	}
+	for _, v := range chosen {
+		v.Kept = true
+		if starves || o.waitsLong(j) {
+			v.For = j.ID
+		}
+	}
+	return tasks >= j.Tasks
+}
+
+// gangCandidates lists the machines that a gang may have: by zone, if it must be in one.
+func (o *owner) gangCandidates(j *job, view []*sched.Machine, starves bool) map[string][]gangCandidate {
+	byZone := map[string][]gangCandidate{}
+	for _, v := range view {
+		m := o.machines[v.Name]
+		if v.Slack || v.Kept || !v.Scarce && !starves || !j.Allows(v.Type, v.Zone, v.Spot) || o.reserved(v.Name) {
+			continue // what a hold reserves is spoken for
+		}
+		fits := j.Need.Count(m.size, j.Tasks)
+		if fits == 0 {
+			continue
+		}
+		candidate := gangCandidate{view: v, fits: fits}
+		if !j.Need.Fits(v.Free) {
+			candidate.wait = o.busyFor(m)
+		}
+		zone := ""
+		if j.OneZone {
+			zone = v.Zone
+		}
+		byZone[zone] = append(byZone[zone], candidate)
+	}
+	return byZone
+}
+
+// candidatesOfBestZone returns the candidates of the zone that has room for the most tasks
+// now, those with the shortest wait first.
+func candidatesOfBestZone(byZone map[string][]gangCandidate) []gangCandidate {
+	best, most := "", -1
+	for _, zone := range sortedKeys(byZone) {
+		if room := roomNow(byZone[zone]); room > most {
+			best, most = zone, room
+		}
+	}
+	list := byZone[best]
+	slices.SortStableFunc(list, func(a, b gangCandidate) int { return cmp.Compare(a.wait, b.wait) })
+	return list
+}
+
+// roomNow counts the tasks that candidates have room for without a wait.
+func roomNow(candidates []gangCandidate) int {
+	tasks := 0
+	for _, c := range candidates {
+		if c.wait == 0 {
+			tasks += c.fits
+		}
+	}
+	return tasks
+}
+
+// chooseCandidates takes candidates in their order until all tasks of a gang have a place,
+// and tells for how many that is the case.
+func chooseCandidates(j *job, candidates []gangCandidate) (chosen []*sched.Machine, tasks int) {
+	spotLeft := j.Tasks - j.Ordinary
+	inZone := map[string]int{}
+	for _, c := range candidates {
+		if tasks >= j.Tasks {
+			break
+		}
+		fits := min(c.fits, j.ZoneCap()-inZone[c.view.Zone])
+		if fits <= 0 {
+			continue // no zone may hold more of the gang
+		}
+		if c.view.Spot {
+			if spotLeft <= 0 {
+				continue // more of them than the gang may use would stand idle
+			}
+			spotLeft -= fits
+		}
+		chosen = append(chosen, c.view)
+		tasks += fits
+		inZone[c.view.Zone] += fits
+	}
+	return chosen, tasks
+}
--- a/controller/gangs_test.go
+++ b/controller/gangs_test.go
@@ -26,7 +26,7 @@
 	for ordinary, most := range map[int]int{4: 0, 3: 1, 0: 4} {
 		j.Ordinary = ordinary
 		view := o.view()
-		o.keepFor(j, view, false)
+		o.reserveForGang(j, view, false)
 		spots := 0
 		for _, v := range view {
 			if v.Kept && v.Spot {
@@ -40,7 +40,7 @@
 	// A gang that they do not suffice for, behind another such, keeps none.
 	j.Ordinary = 3
 	view := o.view()
-	if o.keepFor(j, view, true) {
+	if o.reserveForGang(j, view, true) {
 		t.Error("one ordinary machine is not enough for three tasks")
 	}
 	for _, v := range view {
--- a/controller/hold.go
+++ b/controller/hold.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"tamarindlead/internal/capacity"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -148,6 +149,7 @@
 			within = obj.Within
 		}
 	}
+	market := o.market()
 	waited := o.c.day - j.since
 	for _, t := range o.c.types.list {
 		if waited+t.Boot > within || !j.Need.Fits(t.Size) {
@@ -155,7 +157,7 @@
 		}
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
-				if j.Allows(t.Name, z, spot) && o.onOffer(offer{t.Name, z, spot}) {
+				if j.Allows(t.Name, z, spot) && market.Available(capacity.Offer{Type: t.Name, Zone: z, Spot: spot}) {
 					return true
 				}
 			}
--- a/controller/inherit.go
+++ b/controller/inherit.go
@@ -66,7 +66,7 @@
 // mayWait is how long a job may wait: by its class, and until it must begin to end in time.
 func (o *owner) mayWait(j *job) micros.Micros {
 	if j.mustEnd == 0 {
-		return o.horizon(j)
+		return o.maxWait(j)
 	}
-	return min(o.horizon(j), max(micros.Second, o.slack(j)))
+	return min(o.maxWait(j), max(micros.Second, o.slack(j)))
 }
--- a/controller/inherit_test.go
+++ b/controller/inherit_test.go
@@ -227,12 +227,12 @@
 		w.submit(stage(1, 0, 10, 0), w.c.day)
 		w.submit(stage(2, 0, 25, due), w.c.day, jobName(1))
 		g := w.o.demands()[0]
-		want := w.o.horizon(g.first)
+		want := w.o.maxWait(w.o.jobs[g.First.ID])
 		if due == 50 {
 			want = 15 * micros.Second // 50 s less both estimates
 		}
-		if g.horizon != want || (g.low == 0) != (due == 50) {
-			t.Errorf("due in %v s: horizon %v, low %v of %v", due, g.horizon, g.low, g.waiting)
+		if g.MaxWait != want || (g.Low == 0) != (due == 50) {
+			t.Errorf("due in %v s: longest wait %v, low %v of %v", due, g.MaxWait, g.Low, g.Waiting)
 		}
 	}
 }
--- a/controller/job_queue.go
+++ b/controller/job_queue.go
@@ -46,7 +46,7 @@
 	o.jobs[j.ID] = j
 	o.inherit(j)
 	o.queueJob(j)
-	o.noteClass(j)
+	o.classes.NoteJob(o.c.now, j.Job, o.c.catalog())
 	o.wantSchedule = true
 }
 
--- a/controller/jobview.go
+++ b/controller/jobview.go
@@ -67,7 +67,7 @@
 
 func (w jobObserver) EstimateOf(job *jobgraph.WaitingJob) micros.Micros {
 	if o := w.c.owner; o != nil {
-		return o.corrected(job.Class, job.Estimate)
+		return o.classes.Corrected(job.Class, job.Estimate)
 	}
 	return job.Estimate
 }
--- a/controller/machine_health.go
+++ b/controller/machine_health.go
@@ -145,15 +145,15 @@
 	for _, zone := range sortedKeys(zones) {
 		n, h := silent[zone], heard[zone]
 		dark := n+h >= darkLeast && float64(h) <= darkShare*float64(n+h) && all > h
-		if dark == (o.dark[zone] != 0) {
+		if dark == (o.partitioned[zone] != 0) {
 			continue
 		}
 		o.c.log.Warn("zone", "zone", zone, "dark", dark, "silent", n, "heard", h)
 		if dark {
-			o.dark[zone] = o.c.now
+			o.partitioned[zone] = o.c.now
 			continue
 		}
-		delete(o.dark, zone)
+		delete(o.partitioned, zone)
 		for _, m := range o.list { // its workers need time to find this node
 			if m.zone == zone {
 				m.spared = o.c.now + o.c.cfg.TakeoverGrace()
@@ -166,10 +166,10 @@
 // would lose its work and find no other machine, or gangs will want it as soon as there is
 // light. Not one with tasks of a job that is over, which must be gone in time.
 func (o *owner) worksOn(m *machine, silent micros.Micros) bool {
-	if o.dark[m.zone] == 0 || silent > o.c.cfg.Tuning.PartitionPatience || m.failed || m.notice != 0 {
+	if o.partitioned[m.zone] == 0 || silent > o.c.cfg.Tuning.PartitionPatience || m.failed || m.notice != 0 {
 		return false
 	}
-	gang := len(m.attempts) == 0 && o.scarce(m.kind, m.spot) && m.state <= machineUp
+	gang := len(m.attempts) == 0 && o.scarce(m) && m.state <= machineUp
 	for _, a := range m.attempts {
 		if a.job.state == jobEnded {
 			return false
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"tamarindlead/config"
+	"tamarindlead/internal/capacity"
 	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/state"
 	"tamarindlead/micros"
@@ -63,11 +64,11 @@
 	flushing      bool
 	flushAt       micros.Micros
 	nextScale     micros.Micros
-	nextShed      micros.Micros
+	nextScaleDown micros.Micros
 	listing       cloudList
-	noCapacity    map[offer]micros.Micros
-	dark          map[string]micros.Micros // zones that are cut off, since when
-	classes       map[string]*classNeed
+	noCapacity    map[capacity.Offer]micros.Micros
+	partitioned   map[string]micros.Micros // zones that are cut off, since when
+	classes       *capacity.Classes
 	releasing     bool
 	releaseAt     micros.Micros
 }
@@ -83,18 +84,18 @@
 func newOwner(c *Core, teams map[string]cluster.Team) *owner {
 	o := &owner{
 		c: c, since: c.now, lastHeard: c.now,
-		teams:      map[string]*team{},
-		machines:   map[string]*machine{},
-		jobs:       map[string]*job{},
-		waiting:    map[string]*job{},
-		rentals:    map[string]*rental{},
-		holds:      map[string]*hold{},
-		tombs:      map[string]micros.Micros{},
-		noCapacity: map[offer]micros.Micros{},
-		dark:       map[string]micros.Micros{},
-		classes:    map[string]*classNeed{},
-		foreign:    map[string]micros.Micros{},
-		strange:    map[string]micros.Micros{},
+		teams:       map[string]*team{},
+		machines:    map[string]*machine{},
+		jobs:        map[string]*job{},
+		waiting:     map[string]*job{},
+		rentals:     map[string]*rental{},
+		holds:       map[string]*hold{},
+		tombs:       map[string]micros.Micros{},
+		noCapacity:  map[capacity.Offer]micros.Micros{},
+		partitioned: map[string]micros.Micros{},
+		classes:     capacity.NewClasses(),
+		foreign:     map[string]micros.Micros{},
+		strange:     map[string]micros.Micros{},
 	}
 	for _, t := range c.cfg.Teams {
 		if v, ok := teams[t.Name]; ok {
--- a/controller/placement_view.go
+++ b/controller/placement_view.go
@@ -39,6 +39,7 @@
 // view is what placement may use now.
 func (o *owner) view() []*sched.Machine {
 	var view []*sched.Machine
+	catalog := o.c.catalog()
 	left := map[*block]float64{}
 	for _, m := range o.list {
 		if m.state != machineUp || m.token == 0 || m.fence != fenceNone || o.c.now < m.pausedTo ||
@@ -48,7 +49,7 @@
 		view = append(view, &sched.Machine{
 			Name: m.name, Type: m.kind, Zone: m.zone, Spot: m.spot,
 			Free: o.machineSize(m).Sub(m.used).Sub(o.held(m.name)), Slots: o.slotsOf(m, left),
-			Idle: len(m.attempts) == 0, Scarce: o.scarce(m.kind, m.spot), Price: priceClass(o.pricePerCPU(m.kind, m.spot)), Images: m.images,
+			Idle: len(m.attempts) == 0, Scarce: o.scarce(m), Price: priceClass(catalog.PricePerCPU(m.kind, m.spot)), Images: m.images,
 		})
 	}
 	return view
@@ -58,6 +59,6 @@
 // gangs use.
 func (o *owner) placeView() []*sched.Machine {
 	view := o.view()
-	o.keepForGangs(view)
+	o.reserveForGangs(view)
 	return o.addSlack(view)
 }
--- a/controller/rentals.go
+++ b/controller/rentals.go
@@ -3,18 +3,12 @@
 import (
 	"strings"
 
+	"tamarindlead/internal/capacity"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
 
-// offer is something that the cloud may rent.
-type offer struct {
-	kind string
-	zone string
-	spot bool
-}
-
 // rentalState is the state machine of a rental.
 type rentalState int
 
@@ -30,7 +24,7 @@
 // rental is a request for machines.
 type rental struct {
 	name     string
-	offer    offer
+	offer    capacity.Offer
 	number   int
 	state    rentalState
 	writing  bool
@@ -47,7 +41,7 @@
 )
 
 func (o *owner) setRental(r *rental, s rentalState) {
-	o.c.log.Info("rental", "name", r.name, "type", r.offer.kind, "zone", r.offer.zone, "spot", r.offer.spot,
+	o.c.log.Info("rental", "name", r.name, "type", r.offer.Type, "zone", r.offer.Zone, "spot", r.offer.Spot,
 		"number", r.number, "from", r.state.String(), "to", s.String(), "machines", len(r.machines))
 	r.state = s
 }
@@ -64,7 +58,7 @@
 		}
 		name := strings.TrimPrefix(e.Key, prefixRental)
 		o.rentals[name] = &rental{
-			name: name, offer: offer{rec.Type, rec.Zone, rec.Spot}, number: rec.Number, state: rentalAsking,
+			name: name, offer: capacity.Offer{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}, number: rec.Number, state: rentalAsking,
 		}
 	}
 }
@@ -88,7 +82,7 @@
 		if r.state == rentalOver {
 			t.writes = append(t.writes, state.Write{Delete: key})
 		} else {
-			t.put(key, rentalRecord{o.c.node.ID(), r.offer.kind, r.offer.zone, r.offer.spot, r.number})
+			t.put(key, rentalRecord{o.c.node.ID(), r.offer.Type, r.offer.Zone, r.offer.Spot, r.number})
 		}
 		t.results = append(t.results, func(ok bool, _ uint64) {
 			r.writing = false
@@ -103,6 +97,14 @@
 	}
 }
 
+// rent begins a rental.
+func (o *owner) rent(request capacity.Request) {
+	r := &rental{name: "h-" + numberName(o.nextNumber()), offer: request.Offer, number: request.Number}
+	o.rentals[r.name] = r
+	o.c.log.Info("rental wanted", "name", r.name, "type", r.offer.Type, "zone", r.offer.Zone,
+		"spot", r.offer.Spot, "number", r.number, "class", request.Job.Class, "short_cpus", request.ShortCPUs)
+}
+
 func (o *owner) allClaimed(r *rental) bool {
 	for _, name := range r.machines {
 		if m := o.machines[name]; m != nil && m.token == 0 {
@@ -117,7 +119,7 @@
 		return
 	}
 	r.asking = true
-	body := wire.RentalRequest{Hire: r.name, Type: r.offer.kind, Zone: r.offer.zone, Spot: r.offer.spot, Number: r.number}
+	body := wire.RentalRequest{Hire: r.name, Type: r.offer.Type, Zone: r.offer.Zone, Spot: r.offer.Spot, Number: r.number}
 	o.c.cloud("POST", "/rentals", body, func(status int, body []byte) {
 		if o.over() {
 			return
@@ -130,7 +132,7 @@
 			r.machines = names.Machines
 			for _, n := range names.Machines {
 				if o.machines[n] == nil {
-					m := o.newMachine(n, r.offer.kind, r.offer.zone, r.offer.spot, "")
+					m := o.newMachine(n, r.offer.Type, r.offer.Zone, r.offer.Spot, "")
 					m.rented = o.c.day
 				}
 			}
--- a/controller/schedule.go
+++ b/controller/schedule.go
@@ -121,7 +121,7 @@
 func (o *owner) keptFrom(k keptLimits, j *job) sched.Resources {
 	var sum sched.Resources
 	for _, g := range k[j.Team] {
-		if g.Priority > j.Priority || o.c.day-g.since > gangPatience {
+		if g.Priority > j.Priority || o.waitsLong(g) {
 			sum = sum.Add(g.Need.Times(g.Tasks))
 		}
 	}
@@ -226,7 +226,7 @@
 // of jobs that come after it; without that, small tasks would fill every gap first.
 func (o *owner) reserve(j *job, view []*sched.Machine) []*sched.Machine {
 	if !j.Gang || o.dependent(j) {
-		return view // see keepForGangs
+		return view // see reserveForGangs
 	}
 	best, soonest := -1, micros.Micros(0)
 	for i, v := range view {
--- a/controller/status.go
+++ b/controller/status.go
@@ -82,5 +82,5 @@
 	}
 	o.c.log.Info("work", "jobs", len(o.queue), "waiting_jobs", jobs, "waiting_gangs", gangs, "waiting_tasks", tasks,
 		"awaiting_others", len(o.waiting), "proposed", o.proposed, "blocks", len(o.blocks), "shards", len(o.shards), "holds", len(o.holds), "spot_losses_per_h",
-		math.Round(o.c.perSecond()*36000)/10)
+		math.Round(o.c.spotRisk.PerSecond(o.c.cfg.Tuning.SpotLoss)*36000)/10)
 }
--- /dev/null
+++ b/internal/capacity/demand.go
@@ -0,0 +1,70 @@
+package capacity
+
+import (
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// Gang is a gang that waits.
+type Gang struct {
+	Job  *sched.Job
+	Held bool // machines are held for it, for which work is stopped
+}
+
+// Demand is work that fits the same machine types, and what could carry it.
+type Demand struct {
+	First    *sched.Job                // one of its jobs
+	MaxWait  micros.Micros             // within which a gang should start
+	Waiting  float64                   // work that is not placed, in processor seconds
+	Low      float64                   // the part of it that has the lowest priority
+	LowWait  micros.Micros             // which may wait for so long
+	Capacity float64                   // processors of machines that are up, boot or are asked for
+	Used     float64                   // those in use
+	On       map[Offer]sched.Resources // in use by this work
+	Gangs    []Gang                    // that wait
+
+	usable map[Offer]float64 // by a machine of the offer, as far as it was asked for
+}
+
+// NewDemand returns a demand without any work.
+func NewDemand(first *sched.Job, maxWait micros.Micros) *Demand {
+	return &Demand{First: first, MaxWait: maxWait, On: map[Offer]sched.Resources{}, usable: map[Offer]float64{}}
+}
+
+// usableCPUs tells how many processors of a machine the work could use.
+func (d *Demand) usableCPUs(catalog Catalog, offer Offer) float64 {
+	cpus, ok := d.usable[offer]
+	if !ok {
+		cpus = catalog.UsableCPUs(d.First, offer)
+		d.usable[offer] = cpus
+	}
+	return cpus
+}
+
+// waitingTasks counts the tasks of the gangs that wait.
+func (d *Demand) waitingTasks() int {
+	n := 0
+	for _, gang := range d.Gangs {
+		n += gang.Job.Tasks
+	}
+	return n
+}
+
+// measure counts what could carry a demand: machines that are up or boot, and those that the
+// cloud is asked for.
+func (p *Planner) measure(d *Demand) {
+	for _, m := range p.Machines {
+		if m.State == MachineOther || p.avoids(d.First, m.Offer) {
+			continue
+		}
+		usable := d.usableCPUs(p.Catalog, m.Offer)
+		if d.Capacity += usable; usable > 0 {
+			d.Used += m.Used.CPUs()
+		}
+	}
+	for _, r := range p.Rentals {
+		if !p.avoids(d.First, r.Offer) {
+			d.Capacity += d.usableCPUs(p.Catalog, r.Offer) * float64(r.Number)
+		}
+	}
+}
