Reports and exits of tasks in short steps

zonePartitioned, mayKeepTask, waitForClaim, noteContact, takeTasks, completed and gangCompleted are steps of what were three long functions. otherMachines -> maxFaultyMachines, elsewhereFor -> otherZoneReports, "machine is sick" -> "machine is faulty" in the log.

--- a/controller/reports.go
+++ b/controller/reports.go
@@ -7,152 +7,205 @@
 	"tamarindlead/micros"
 )
 
-// report takes a worker's report on any node.
+// maxHeard bounds the arrivals of reports that are counted.
+const maxHeard = 256
+
+// report handles a worker's report, whether this node owns machines or not.
 func (c *Core) report(r Request) {
 	c.count.reports++
-	rep, err := wire.DecodeReport(r.Body)
+	report, err := wire.DecodeReport(r.Body)
 	if err != nil {
 		c.count.dropped++
-		c.respond(r.ID, 400, wire.Problem{Error: err.Error()})
+		c.respond(r.ID, wire.StatusMalformed, wire.Problem{Error: err.Error()})
 		return
 	}
-	if len(c.heard) < 256 {
+	if len(c.heard) < maxHeard {
 		c.heard = append(c.heard, c.now)
 	}
-	if c.owner != nil {
-		c.owner.report(r.ID, rep)
-		return
-	}
-	if c.keepsLease(rep) {
-		c.respond(r.ID, 200, wire.ReportAnswer{Token: rep.Token})
-		return
+	switch {
+	case c.owner != nil:
+		c.owner.report(r.ID, report)
+	case c.keepsLease(report):
+		c.respond(r.ID, wire.StatusOK, wire.ReportAnswer{Token: report.Token})
+	default:
+		c.respond(r.ID, wire.StatusMisdirected, wire.Redirect{ReportTo: c.reportTo(report.Machine)})
 	}
-	c.respond(r.ID, 421, wire.Redirect{ReportTo: c.reportTo(rep.Machine)})
 }
 
-// elsewhereFor is how many reports' time a node must have heard no worker of another zone
-// to take its own for cut off.
-const elsewhereFor = 2
-
-// keepsLease tells that a worker with tasks keeps its lease although this node owns nothing: the
-// node's zone is cut off, so a worker of the zone that comes here has lost its owner in the
-// same cut. The answer repeats the worker's own token and has no commands: it decides
-// nothing. Only tasks of jobs that were not over when this node last followed the records
-// are kept; of those that were cancelled since, whoever owns the machine now sees to it that
-// it is deleted in time. A node that is cut off alone hears workers of other zones too, and
-// sends all on.
-func (c *Core) keepsLease(rep *wire.Report) bool {
-	if rep.Zone != c.cfg.Zone {
+// otherZoneReports is the number of report intervals without a report from another zone
+// after which a node takes its own zone for partitioned.
+const otherZoneReports = 2
+
+// keepsLease tells whether to answer a worker that has tasks although this node owns nothing,
+// so that its lease goes on. It does so only if the node's zone is partitioned: a worker of
+// the zone that comes here has then lost its owner in the same partition.
+//
+// The answer repeats the worker's own token and has no commands, so it decides nothing. Only
+// tasks of jobs that were not over when this node last followed the records are kept; for
+// those that were cancelled since, the machine's present owner has it deleted in time. A node
+// that is cut off alone hears workers of other zones too, and redirects all.
+func (c *Core) keepsLease(report *wire.Report) bool {
+	if report.Zone != c.cfg.Zone {
 		c.elsewhereAt = c.now
 		return false
 	}
-	if rep.Token == 0 || len(rep.Tasks) == 0 || !c.storeDown() || c.now-c.elsewhereAt < elsewhereFor*c.cfg.ReportEvery ||
-		c.now-c.route.lastOK > c.cfg.Tuning.PartitionPatience || !c.mayRenew() {
+	if report.Token == 0 || len(report.Tasks) == 0 || !c.zonePartitioned() || !c.mayRenew() {
 		return false
 	}
-	for _, s := range c.peers {
-		if s.Zone != c.cfg.Zone && s.fresh(c.now) {
+	for i := range report.Tasks {
+		if !c.mayKeepTask(&report.Tasks[i]) {
 			return false
 		}
 	}
-	for _, t := range rep.Tasks {
-		if id, _, ok := splitNumbered(t.Task); !ok || t.Phase != wire.PhaseExited && (c.graph.Version(id) == 0 || c.ended[id] != 0) {
+	return true
+}
+
+// zonePartitioned tells whether this node reaches neither the state service nor a peer of
+// another zone, nor is reached by workers of another zone, and has not been for too long.
+func (c *Core) zonePartitioned() bool {
+	if !c.storeDown() || c.now-c.elsewhereAt < otherZoneReports*c.cfg.ReportEvery ||
+		c.now-c.route.lastOK > c.cfg.Tuning.PartitionPatience {
+		return false
+	}
+	for _, s := range c.peers {
+		if s.Zone != c.cfg.Zone && s.fresh(c.now) {
 			return false
 		}
 	}
 	return true
 }
 
-func (o *owner) report(req uint64, rep *wire.Report) {
+// mayKeepTask tells whether a task has exited or belongs to a job that is known to be active.
+func (c *Core) mayKeepTask(task *wire.TaskReport) bool {
+	id, _, ok := splitNumbered(task.Task)
+	if !ok {
+		return false
+	}
+	return task.Phase == wire.PhaseExited || c.graph.Version(id) != 0 && c.ended[id] == 0
+}
+
+// report handles the report of a machine at an owner.
+func (o *owner) report(req uint64, report *wire.Report) {
 	c := o.c
 	if o.state != ownerActive {
-		c.refuse(req, 503, "taking over")
+		c.refuse(req, wire.StatusUnavailable, "taking over")
 		return
 	}
-	m := o.machines[rep.Machine]
+	m := o.machines[report.Machine]
 	if m == nil {
-		if to := c.claimant(rep.Machine); to != "" || o.foreign[rep.Machine] != 0 {
-			c.respond(req, 421, wire.Redirect{ReportTo: to})
+		if to := c.claimant(report.Machine); to != "" || o.foreign[report.Machine] != 0 {
+			c.respond(req, wire.StatusMisdirected, wire.Redirect{ReportTo: to})
 			return
 		}
-		if o.tombs[rep.Machine] != 0 {
-			c.refuse(req, 503, "machine was returned")
+		if o.tombs[report.Machine] != 0 {
+			c.refuse(req, wire.StatusUnavailable, "machine was returned")
 			return
 		}
-		m = o.adopt(rep.Machine, rep.Type, rep.Zone, rep.Spot, rep.Endpoint)
+		m = o.adopt(report.Machine, report.Type, report.Zone, report.Spot, report.Endpoint)
 	}
-	if m.state >= machineCondemned {
-		c.refuse(req, 503, "machine is being returned")
-		return
+	switch {
+	case m.state >= machineCondemned:
+		c.refuse(req, wire.StatusUnavailable, "machine is being returned")
+	case m.token == 0:
+		o.waitForClaim(m, req, report)
+	default:
+		o.answer(m, req, report)
 	}
-	if m.token == 0 {
-		// Its record is not ours yet: the answer waits for that commit. A late copy must
-		// not take the place of a newer report.
-		if m.pendingRequest != 0 && older(rep.Session, rep.Seq, m.pendingReport.Session, m.pendingReport.Seq) {
-			c.refuse(req, 503, "superseded")
+}
+
+// waitForClaim keeps a report until its machine is claimed by a record of this owner. A newer
+// report takes the place of an older one, but a late copy does not.
+func (o *owner) waitForClaim(m *machine, req uint64, report *wire.Report) {
+	if m.pendingRequest != 0 {
+		if older(report.Session, report.Seq, m.pendingReport.Session, m.pendingReport.Seq) {
+			o.c.refuse(req, wire.StatusUnavailable, "superseded")
 			return
 		}
-		if m.pendingRequest != 0 {
-			c.refuse(m.pendingRequest, 503, "superseded")
-		}
-		m.pendingRequest, m.pendingReport = req, rep
+		o.c.refuse(m.pendingRequest, wire.StatusUnavailable, "superseded")
+	}
+	m.pendingRequest, m.pendingReport = req, report
+}
+
+// answerHeld answers the report that waited for its machine to be claimed.
+func (o *owner) answerHeld(m *machine) {
+	if m.pendingRequest == 0 {
 		return
 	}
-	o.answer(m, req, rep)
+	req, report := m.pendingRequest, m.pendingReport
+	m.pendingRequest, m.pendingReport = 0, nil
+	o.answer(m, req, report)
 }
 
-func (o *owner) answer(m *machine, req uint64, rep *wire.Report) {
-	if rep.Token > m.token {
-		// Another owns the machine by now. Its worker drops what we answer and would stay
-		// here until its lease ends: it is let go at once.
-		o.c.respond(req, 421, wire.Redirect{ReportTo: o.c.claimant(m.name)})
+// answer takes a report and answers it with the machine's commands.
+func (o *owner) answer(m *machine, req uint64, report *wire.Report) {
+	if report.Token > m.token {
+		// Another node owns the machine by now. Its worker drops this node's answers and would
+		// stay here until its lease ends, so it is redirected at once.
+		o.c.respond(req, wire.StatusMisdirected, wire.Redirect{ReportTo: o.c.claimant(m.name)})
 		o.resync("a machine has seen a higher token")
 		return
 	}
 	if !o.c.mayRenew() {
-		o.takeReport(m, rep, true)
-		o.c.refuse(req, 503, "cannot know what users were told")
+		o.takeReport(m, report, true)
+		o.c.refuse(req, wire.StatusUnavailable, "cannot know what users were told")
 		return
 	}
-	ans := wire.ReportAnswer{Token: m.token}
-	if o.takeReport(m, rep, true) {
-		ans.Commands = o.commands(m)
+	answer := wire.ReportAnswer{Token: m.token}
+	if o.takeReport(m, report, true) {
+		answer.Commands = o.commands(m)
 	}
-	o.c.respond(req, 200, ans)
+	o.c.respond(req, wire.StatusOK, answer)
 }
 
-// answerHeld answers the report that waited for its machine to be claimed.
-func (o *owner) answerHeld(m *machine) {
-	if m.pendingRequest == 0 {
-		return
+// takeReport learns from a report. It returns false for one that is older than what is known.
+//
+// A regular report is one that the worker sent by itself. Only such a report shows that starts
+// in the answer to the report before it were executed or dropped; the answer to a direct
+// command may have overtaken that answer.
+func (o *owner) takeReport(m *machine, report *wire.Report, regular bool) bool {
+	if !older(m.session, m.seq, report.Session, report.Seq) {
+		return false // a late copy tells nothing, not even that the machine is alive
+	}
+	o.noteContact(m, report, regular)
+	if report.NoticeS != nil {
+		o.noticed(m, micros.FromSeconds(*report.NoticeS))
+	} else {
+		m.notice = 0
 	}
-	req, rep := m.pendingRequest, m.pendingReport
-	m.pendingRequest, m.pendingReport = 0, nil
-	o.answer(m, req, rep)
+	listed := o.takeTasks(m, report)
+	if m.wantDispatch {
+		o.queueDispatch(m)
+	}
+	// Only a machine that has seen this owner's token, and for which no command is open, can
+	// show that a task is not there and will not appear.
+	if !regular || !m.synced || m.fence != fenceNone || m.sending {
+		return true
+	}
+	for _, a := range m.sorted() {
+		if !listed[a.key()] {
+			o.missing(a)
+		}
+	}
+	return true
 }
 
-// takeReport learns from a report. It returns false for one that is older than what
-// is known. A regular report is one that the worker sent by itself; only such a one
-// shows that starts in the response to the report before were executed or dropped,
-// while the answer to a direct command may have overtaken that response.
-func (o *owner) takeReport(m *machine, rep *wire.Report, regular bool) bool {
-	if !older(m.session, m.seq, rep.Session, rep.Seq) {
-		return false // a late copy tells nothing, not even that the machine lives
-	}
+// noteContact notes when and in which session the machine was heard, and which token it has
+// seen.
+func (o *owner) noteContact(m *machine, report *wire.Report, regular bool) {
 	if regular {
 		o.lastHeard, m.reports = o.c.now, true
 	}
-	if rep.Session > m.session && m.session != 0 {
+	if report.Session > m.session && m.session != 0 {
 		o.setFence(m, fenceNone)
 	}
-	m.session, m.seq, m.tasks = rep.Session, rep.Seq, rep.Tasks
-	// A machine that only answers commands is no use: its lease is not renewed. Until it has
-	// reported here at all, an answer shows that it is up.
+	m.session, m.seq, m.tasks = report.Session, report.Seq, report.Tasks
+	// A machine that only answers commands is no use, since its lease is not renewed. Until it
+	// has reported here at all, an answer shows that it is up.
 	if regular || !m.reports {
 		m.heard = max(m.heard, o.c.now) // after a takeover it has longer
 	}
-	m.endpoint = cmp.Or(rep.Endpoint, m.endpoint)
-	if m.synced = rep.Token == m.token; m.synced {
+	m.endpoint = cmp.Or(report.Endpoint, m.endpoint)
+	if m.synced = report.Token == m.token; m.synced {
 		m.tokenShownAt = max(m.tokenShownAt, o.c.now)
 	}
 	if m.synced && m.fence == fenceRaised {
@@ -161,46 +214,34 @@
 	if m.state == machineBooting {
 		o.setMachine(m, machineUp, "reports")
 	}
-	if rep.NoticeS != nil {
-		o.noticed(m, micros.FromSeconds(*rep.NoticeS))
-	} else if m.notice != 0 {
-		m.notice = 0
-	}
-	listed := make(map[taskKey]bool, len(rep.Tasks))
-	for i := range rep.Tasks {
-		t := &rep.Tasks[i]
-		id, index, ok := splitNumbered(t.Task)
+}
+
+// takeTasks applies the reported tasks to the machine's attempts and returns which of these
+// were listed.
+func (o *owner) takeTasks(m *machine, report *wire.Report) map[taskKey]bool {
+	listed := make(map[taskKey]bool, len(report.Tasks))
+	for i := range report.Tasks {
+		task := &report.Tasks[i]
+		id, index, ok := splitNumbered(task.Task)
 		if !ok {
 			continue
 		}
 		a := m.attempts[taskKey{id, index}]
-		if a == nil || a.number != t.Attempt {
+		if a == nil || a.number != task.Attempt {
 			continue
 		}
 		listed[a.key()] = true
-		o.sawTask(a, t)
+		o.sawTask(a, task)
 	}
-	if m.wantDispatch {
-		o.queueDispatch(m)
-	}
-	// Only a machine that has seen our token, and for which no command is open, can
-	// show that a task is not there and will not appear.
-	if !regular || !m.synced || m.fence != fenceNone || m.sending {
-		return true
-	}
-	for _, a := range m.sorted() {
-		if !listed[a.key()] {
-			o.missing(a)
-		}
-	}
-	return true
+	return listed
 }
 
-// older tells whether a report comes before another.
+// older tells whether the first of two reports was sent before the second.
 func older(session, seq, thanSession, thanSeq uint64) bool {
 	return session < thanSession || session == thanSession && seq < thanSeq
 }
 
+// sawTask applies what a report says of an attempt.
 func (o *owner) sawTask(a *attempt, t *wire.TaskReport) {
 	a.seen, a.phase = true, t.Phase
 	switch a.state {
@@ -212,7 +253,7 @@
 	switch {
 	case t.Phase == wire.PhaseExited && !a.machine.synced:
 		// It may be an old report, of an earlier start of the same attempt: nothing is
-		// concluded before a report shows our token.
+		// concluded before a report shows this owner's token.
 	case t.Phase == wire.PhaseExited:
 		o.exited(a, t)
 	case t.Phase == wire.PhaseRunning && a.running == 0:
@@ -221,7 +262,7 @@
 	a.count(a.state == attemptLive && t.Phase == wire.PhaseRunning)
 }
 
-// missing handles an attempt that certainly is not on its machine.
+// missing handles an attempt that is certainly not on its machine.
 func (o *owner) missing(a *attempt) {
 	switch a.state {
 	case attemptOrdered:
@@ -237,7 +278,7 @@
 	}
 }
 
-// lost handles an attempt that ended without result.
+// lost handles an attempt that ended without a result.
 func (o *owner) lost(a *attempt, why string) {
 	a.why = why
 	o.setAttempt(a, attemptLeaving)
--- a/controller/task_exits.go
+++ b/controller/task_exits.go
@@ -5,83 +5,98 @@
 	"tamarindlead/micros"
 )
 
-// Pauses after failures.
+// Pauses after failures, and how faulty machines are told from faulty jobs.
 const (
+	// errorPause is the first pause of a job that fails; it doubles with each failure.
 	errorPause    = micros.Second
 	maxErrorPause = 60 * micros.Second
-	refusalPause  = 5 * micros.Second
-	otherMachines = 2 // a job that fails on this many machines is itself at fault
+	// maxErrorDoublings keeps the doubled pause from overflowing.
+	maxErrorDoublings = 8
+	// refusalPause is how long nothing is placed on a machine that refused a start.
+	refusalPause = 5 * micros.Second
+	// maxFaultyMachines is the number of machines on which a job may fail before the job
+	// itself is taken to be at fault.
+	maxFaultyMachines = 2
 )
 
-func (o *owner) exited(a *attempt, t *wire.TaskReport) {
-	j, m := a.job, a.machine
-	if t.Cause == wire.CauseDone {
-		m.errors = 0
-		if j.state != jobActive {
-			o.setAttempt(a, attemptLeaving)
-			return
-		}
-		j.failures = 0
-		clear(j.failedOn)
-		o.noteRun(a)
-		if !j.Gang {
-			o.setAttempt(a, attemptFinished)
-		} else {
-			// The tasks of a gang complete together.
-			// One is done, so all are, also those whose machines are gone: another attempt
-			// of the gang would wait for them for ever.
-			// Those that ran are off their machines. When a completed gang was started again, each
-			// task ends by itself, and takes its room until its machine says so.
-			o.setAttempt(a, attemptFinished)
-			for _, b := range j.sorted() {
-				if b.number == a.number && (a.running != 0 || b.running != 0) {
-					o.setAttempt(b, attemptFinished)
-				}
-			}
-			for i := range j.Tasks {
-				j.setTask(i, taskDone)
-			}
-		}
-		if j.doneN == j.Tasks {
-			o.setJob(j, jobFinishing)
-		}
+// exited handles a task that the machine reports as ended.
+func (o *owner) exited(a *attempt, task *wire.TaskReport) {
+	if task.Cause == wire.CauseDone {
+		o.completed(a)
 		return
 	}
-	switch t.Cause {
+	switch task.Cause {
 	case wire.CauseError:
 		o.failed(a, true)
 	case wire.CauseUnknown:
 		o.failed(a, false)
 	case wire.CauseNoRoom, wire.CauseBusy:
-		m.pausedTo = o.c.now + refusalPause
+		a.machine.pausedTo = o.c.now + refusalPause
+	}
+	o.c.log.Info("task ended", "task", task.Task, "machine", a.machine.name, "cause", task.Cause,
+		"saved", task.Saved, "why", a.why)
+	o.lost(a, string(task.Cause))
+}
+
+// completed handles a task that ended with its result.
+func (o *owner) completed(a *attempt) {
+	j := a.job
+	a.machine.errors = 0
+	if j.state != jobActive {
+		o.setAttempt(a, attemptLeaving)
+		return
+	}
+	j.failures = 0
+	clear(j.failedOn)
+	o.noteRun(a)
+	o.setAttempt(a, attemptFinished)
+	if j.Gang {
+		o.gangCompleted(a)
+	}
+	if j.doneN == j.Tasks {
+		o.setJob(j, jobFinishing)
+	}
+}
+
+// gangCompleted marks all tasks of a gang as done once one is: they complete together, also
+// those whose machines are gone, for which another attempt of the gang would wait for ever.
+// Those that ran are off their machines. When a completed gang was started again, each task
+// ends by itself, and keeps its resources until its machine reports that.
+func (o *owner) gangCompleted(first *attempt) {
+	j := first.job
+	for _, a := range j.sorted() {
+		if a.number == first.number && (first.running != 0 || a.running != 0) {
+			o.setAttempt(a, attemptFinished)
+		}
+	}
+	for task := range j.Tasks {
+		j.setTask(task, taskDone)
 	}
-	o.c.log.Info("task ended", "task", t.Task, "machine", m.name, "cause", t.Cause, "saved", t.Saved, "why", a.why)
-	o.lost(a, string(t.Cause))
 }
 
-// failed tells a sick machine from a job that fails everywhere.
+// failed counts a failure, and tells a faulty machine from a job that fails everywhere.
 func (o *owner) failed(a *attempt, machineToo bool) {
 	j, m := a.job, a.machine
 	j.failures++
 	j.failedOn[m.name] = true
-	if machineToo && len(j.failedOn) <= otherMachines {
+	if machineToo && len(j.failedOn) <= maxFaultyMachines {
 		m.errors++
 	}
 	if m.errors >= o.c.cfg.Tuning.FaultyAfter && m.state == machineUp {
 		o.setMachine(m, machineDraining, "fails task after task")
 		for _, b := range m.sorted() {
 			if b != a {
-				o.evict(b, "machine is sick")
+				o.evict(b, "machine is faulty")
 			}
 		}
 	}
-	if len(j.failedOn) > otherMachines || j.Gang {
-		pause := errorPause << min(j.failures, 8)
+	if len(j.failedOn) > maxFaultyMachines || j.Gang {
+		pause := errorPause << min(j.failures, maxErrorDoublings)
 		j.notUntil = max(j.notUntil, o.c.now+min(pause, maxErrorPause))
 	}
 }
 
-// evict stops an attempt in order: a gang everywhere, with time to save.
+// evict stops an attempt with time to save its progress; of a gang, all attempts.
 func (o *owner) evict(a *attempt, why string) {
 	grace := micros.Micros(0)
 	if a.job.Checkpoint > 0 {
@@ -94,7 +109,7 @@
 	o.stop(a, grace, why)
 }
 
-// noticed handles the cloud's notice that it takes a machine back.
+// noticed handles the cloud's notice that it reclaims a spot machine.
 func (o *owner) noticed(m *machine, left micros.Micros) {
 	first := m.notice == 0
 	m.notice = o.c.now + left
@@ -106,9 +121,9 @@
 	}
 	o.noteSpotLost(m)
 	for _, a := range m.sorted() {
-		// What would not complete in time is stopped now: it saves if it can, and
-		// starts elsewhere the sooner. What cannot save and has run for long may
-		// still complete; it has nothing to lose.
+		// A task that would not complete in time is stopped now: it saves if it can, and
+		// starts elsewhere the sooner. One that cannot save and has run for long may still
+		// complete, so it goes on.
 		ran := micros.Micros(0)
 		if a.running != 0 && a.job.Checkpoint == 0 {
 			ran = o.c.now - a.running
