A scheduling pass is a type with named steps

schedule was one function of 65 lines; allowance, place, placeHeld and foundNoPlace are its steps. Effects are unchanged (TestRecordedEffects).

--- a/controller/schedule.go
+++ b/controller/schedule.go
@@ -31,71 +31,118 @@
 		return
 	}
 	o.wantSchedule, o.nextPass = false, o.c.now+passGap
-	view := o.placeView()
-	kept := keptLimits{}
-	looked, nowhere := 0, map[shape]bool{}
+	pass := &schedulingPass{o: o, view: o.placeView(), kept: keptLimits{}, nowhere: map[shape]bool{}}
 	for _, j := range o.inTurn() {
-		if looked >= jobsPerPass || o.proposedJobs >= max(2*o.c.cfg.TxnOps, minProposedJobs) {
-			break // the guards of a commit are bounded
+		if pass.full() {
+			return
 		}
-		if j.state != jobActive || j.pending == 0 || j.unsure || o.c.now < j.notUntil {
-			continue
-		}
-		if j.Gang && j.gang != gangNone {
-			continue
-		}
-		want := o.withinTeam(j, o.keptFrom(kept, j))
-		if j.Gang && want < j.Tasks {
-			kept[j.Team] = append(kept[j.Team], j)
-			continue
-		}
-		leftOut := want == 0 && o.leftOut(j)
-		if leftOut {
-			want = o.withinTeam(j, sched.Resources{})
-		}
-		if want == 0 {
-			continue
-		}
-		// What found no place for one job has none for another alike: room only shrinks.
-		like, plain := j.shape(), !j.Gang && !j.OneZone && !j.Spread && o.holds[j.ID] == nil
-		if plain && nowhere[like] {
-			continue
-		}
-		looked++
-		if !j.Gang && (leftOut || o.starves(j)) {
-			want = min(want, max(1, j.pending/beginShare)) // it must begin; the rest waits its turn
-		}
-		if h := o.holds[j.ID]; h != nil {
-			if h.state == holdWaiting {
-				got := sched.Place(j.Job, o.heldView(h, view), want, nil)
-				o.propose(j, got)
-				o.narrow(view, got)
-			}
-			continue
-		}
-		got := sched.Place(j.Job, view, want, j.zones())
-		if len(got) == 0 && o.leftOut(j) {
-			got = placeAmongKept(j, view, min(want, max(1, j.pending/beginShare)))
-		}
-		if len(got) == 0 {
-			nowhere[like] = plain
-			if j.Gang { // its machines may be to come, and then it must be within the limit
-				kept[j.Team] = append(kept[j.Team], j)
-			}
-			if o.makeRoom(j) {
-				view = o.placeView() // without what is held now
-				clear(nowhere)
-			} else {
-				view = o.reserve(j, view)
-			}
-			continue
-		}
-		o.propose(j, got)
-		o.narrow(view, got)
+		pass.place(j)
 	}
 }
 
-// shape is what decides on which machines tasks of a job fit.
+// schedulingPass is one pass over the jobs in the order in which they are placed.
+type schedulingPass struct {
+	o       *owner
+	view    []*sched.Machine
+	kept    keptLimits
+	looked  int            // jobs for which places were looked for
+	nowhere map[shape]bool // kinds of tasks for which there is no place left
+}
+
+// full tells whether the pass has done as much as one may: the guards of a commit are bounded.
+func (p *schedulingPass) full() bool {
+	return p.looked >= jobsPerPass || p.o.proposedJobs >= max(2*p.o.c.cfg.TxnOps, minProposedJobs)
+}
+
+// place looks for places for the waiting tasks of a job.
+func (p *schedulingPass) place(j *job) {
+	o := p.o
+	if !o.schedulable(j) {
+		return
+	}
+	want, leftOut := p.allowance(j)
+	if want == 0 {
+		return
+	}
+	// Room only shrinks during a pass, so tasks alike to some that found no place find none.
+	plain := !j.Gang && !j.OneZone && !j.Spread && o.holds[j.ID] == nil
+	if plain && p.nowhere[j.shape()] {
+		return
+	}
+	p.looked++
+	if !j.Gang && (leftOut || o.starves(j)) {
+		want = min(want, j.beginTasks()) // it must begin; the rest waits its turn
+	}
+	if h := o.holds[j.ID]; h != nil {
+		p.placeHeld(j, h, want)
+		return
+	}
+	assignments := sched.Place(j.Job, p.view, want, j.zones())
+	if len(assignments) == 0 && o.leftOut(j) {
+		assignments = placeAmongKept(j, p.view, min(want, j.beginTasks()))
+	}
+	if len(assignments) == 0 {
+		p.nowhere[j.shape()] = plain
+		p.foundNoPlace(j)
+		return
+	}
+	p.propose(j, assignments)
+}
+
+// schedulable tells whether places may be looked for now for tasks of a job.
+func (o *owner) schedulable(j *job) bool {
+	if j.state != jobActive || j.pending == 0 || j.unsure || o.c.now < j.notUntil {
+		return false
+	}
+	return !j.Gang || j.gang == gangNone
+}
+
+// allowance returns how many tasks of a job its team's limit has room for now, 0 for a gang
+// that does not fit whole, and whether the job takes what is kept for others since nothing
+// of it has run for long.
+func (p *schedulingPass) allowance(j *job) (want int, leftOut bool) {
+	want = p.o.withinTeam(j, p.o.keptFrom(p.kept, j))
+	if j.Gang && want < j.Tasks {
+		p.keepLimit(j)
+		return 0, false
+	}
+	if want == 0 && p.o.leftOut(j) {
+		return p.o.withinTeam(j, sched.Resources{}), true
+	}
+	return want, false
+}
+
+// keepLimit keeps a part of its team's limit for a gang that waits.
+func (p *schedulingPass) keepLimit(gang *job) {
+	p.kept[gang.Team] = append(p.kept[gang.Team], gang)
+}
+
+// placeHeld places a gang on the machines that are held for it, once their room is free.
+func (p *schedulingPass) placeHeld(j *job, h *hold, want int) {
+	if h.state == holdWaiting {
+		p.propose(j, sched.Place(j.Job, p.o.heldView(h, p.view), want, nil))
+	}
+}
+
+// foundNoPlace makes room for a gang, or reserves machines for it.
+func (p *schedulingPass) foundNoPlace(j *job) {
+	if j.Gang { // when its machines come, it must be within the limit
+		p.keepLimit(j)
+	}
+	if p.o.makeRoom(j) {
+		p.view = p.o.placeView() // without what is held now
+		clear(p.nowhere)
+		return
+	}
+	p.view = p.o.reserve(j, p.view)
+}
+
+func (p *schedulingPass) propose(j *job, assignments []sched.Assignment) {
+	p.o.propose(j, assignments)
+	p.o.narrow(p.view, assignments)
+}
+
+// shape is what decides on which machines the tasks of a job fit.
 type shape struct {
 	need  sched.Resources
 	zone  string
@@ -103,6 +150,7 @@
 	types string
 }
 
+// shape returns the shape of the job's tasks.
 func (j *job) shape() shape {
 	s := shape{j.Need, j.Zone, j.Spot, "any"}
 	if j.Types != nil {
@@ -128,13 +176,17 @@
 	return sum
 }
 
-// beginShare parts an array that starves: so much of it at a time.
+// beginShare is the divisor by which an array that starves is placed: one such part at a time.
 const beginShare = 8
 
+// beginTasks is how many tasks of an array that starves are placed at a time.
+func (j *job) beginTasks() int { return max(1, j.pending/beginShare) }
+
 // leftOutAfter is how long nothing of an array runs before it takes some of what is kept for
 // gangs: it must not wait for long while there is room and its team is under its limit.
 const leftOutAfter = 60 * micros.Second
 
+// leftOut tells whether nothing of an array has run for long.
 func (o *owner) leftOut(j *job) bool {
 	return !j.Gang && len(j.attempts) == 0 && o.c.now-j.idleSince > leftOutAfter
 }
