--- /dev/null
+++ b/internal/cluster/leadership_test.go
@@ -0,0 +1,170 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+
+	"tamarindlead/internal/record"
+	"tamarindlead/internal/state"
+)
+
+func (f *fixture) expectLead(want leadState, leader string, term uint64) {
+	f.t.Helper()
+	node, got := f.node.Leader()
+	if f.node.leadership.state != want || node != leader || got != term {
+		f.t.Errorf("%s, leader %q, term %d; want %s, %q, %d", f.node.leadership.state, node, got, want, leader, term)
+	}
+}
+
+// campaigning makes the node a member that tries to lead.
+func (f *fixture) campaigning(entries ...state.Entry) (stubCall, commitBody) {
+	f.t.Helper()
+	f.joined(entries...)
+	f.tick(campaignJitter)
+	return f.expectCommit()
+}
+
+func TestCampaign(t *testing.T) {
+	f := newFixture(t, testSettings("red"))
+	commit, body := f.campaigning()
+	want := []state.Guard{{Key: record.KeyLeader, Version: 0}, {Key: "c/n/n0", Version: joinRevision}}
+	if fmt.Sprint(body.Guards) != fmt.Sprint(want) {
+		t.Errorf("guards %v; want %v", body.Guards, want)
+	}
+	if len(body.Writes) != 1 || body.Writes[0].Put != record.KeyLeader || body.Writes[0].Lease != testLease ||
+		body.Writes[0].Value["n"] != "n0" || body.Writes[0].Value["i"] != f.node.Incarnation() {
+		t.Errorf("writes %v", body.Writes)
+	}
+	f.answer(commit, state.Committed{Revision: leaderRevision})
+	f.expectLead(leadLeading, "n0", leaderRevision)
+}
+
+func TestNoCampaignWhileAnotherLeads(t *testing.T) {
+	f := newFixture(t, testSettings("red"))
+	f.joined(leaderEntry("n1", 1, 3))
+	f.expectLead(leadFollower, "n1", 3)
+	f.tick(campaignJitter)
+	f.expectNoCall()
+	f.deleted(record.KeyLeader, 12)
+	f.expectLead(leadVacant, "", 0)
+	f.tick(campaignJitter)
+	f.expectCommit()
+}
+
+func TestNoCampaignBeforeJoining(t *testing.T) {
+	f := newFixture(t, testSettings("red"))
+	f.tick(0)
+	f.expect("GET", memberTarget)
+	f.answer(f.expect("GET", listTarget), state.Page{Revision: 1})
+	f.expectLead(leadVacant, "", 0)
+	f.tick(campaignJitter)
+	f.expectNoCall()
+}
+
+func TestCampaignLost(t *testing.T) {
+	f := newFixture(t, testSettings("red"))
+	commit, _ := f.campaigning()
+	f.fail(commit, ReplyFailed)
+	f.expectLead(leadVacant, "", 0)
+	f.answer(f.expect("GET", leaderTarget), leaderEntry("n1", 1, 15))
+	f.expectLead(leadFollower, "n1", 15)
+}
+
+func TestCampaignFailsWithoutRival(t *testing.T) {
+	f := newFixture(t, testSettings("red"))
+	commit, _ := f.campaigning(leaderEntry("n0", 1, 3))
+	f.fail(commit, ReplyFailed)
+	f.fail(f.expect("GET", leaderTarget), ReplyMissing)
+	f.expectLead(leadVacant, "", 0)
+	f.tick(2*campaignJitter - 1)
+	f.expectNoCall()
+	f.tick(campaignJitter)
+	_, body := f.expectCommit()
+	if body.Guards[0].Version != 0 {
+		t.Errorf("guarded on version %d of the leader's record; want 0", body.Guards[0].Version)
+	}
+}
+
+// TestRivalSeenWhileCampaigning: the answer to a commit that lost against a rival comes after the
+// watch has shown the rival.
+func TestRivalSeenWhileCampaigning(t *testing.T) {
+	f := newFixture(t, testSettings("red"))
+	commit, _ := f.campaigning()
+	f.changed(leaderEntry("n2", 4, 15))
+	f.expectLead(leadFollower, "n2", 15)
+	f.fail(commit, ReplyFailed)
+	f.expectLead(leadFollower, "n2", 15)
+	f.expectNoCall()
+}
+
+func TestOwnCommitSeenBeforeItsAnswer(t *testing.T) {
+	f := newFixture(t, testSettings("red"))
+	commit, _ := f.campaigning()
+	f.changed(leaderEntry("n0", f.node.Incarnation(), leaderRevision))
+	f.expectLead(leadCampaigning, "n0", leaderRevision)
+	f.answer(commit, state.Committed{Revision: leaderRevision})
+	f.expectLead(leadLeading, "n0", leaderRevision)
+}
+
+// TestCommitExecutedAfterItFailed: the node does not lead by a record that it does not know to be
+// its own success; it campaigns against that record.
+func TestCommitExecutedAfterItFailed(t *testing.T) {
+	f := newFixture(t, testSettings("red"))
+	commit, _ := f.campaigning()
+	f.fail(commit, ReplyFailed)
+	f.expect("GET", leaderTarget)
+	f.changed(leaderEntry("n0", f.node.Incarnation(), leaderRevision))
+	if f.node.IsLeading() {
+		t.Fatal("the node leads")
+	}
+	f.tick(3 * campaignJitter)
+	_, body := f.expectCommit()
+	if body.Guards[0].Version != leaderRevision {
+		t.Errorf("guarded on version %d; want %d", body.Guards[0].Version, leaderRevision)
+	}
+}
+
+func TestEarlierIncarnationLed(t *testing.T) {
+	f := newFixture(t, testSettings("red"))
+	_, body := f.campaigning(leaderEntry("n0", 1, 3))
+	if body.Guards[0].Version != 3 {
+		t.Errorf("guarded on version %d; want 3", body.Guards[0].Version)
+	}
+}
+
+func TestOlderRecordsOfLeaderAreIgnored(t *testing.T) {
+	f := newFixture(t, testSettings("red"))
+	f.leading()
+	f.changed(leaderEntry("n1", 1, leaderRevision-1))
+	f.expectLead(leadLeading, "n0", leaderRevision)
+	f.deleted(record.KeyLeader, leaderRevision-1)
+	f.expectLead(leadLeading, "n0", leaderRevision)
+	f.deleted(record.KeyLeader, leaderRevision+1)
+	f.expectLead(leadVacant, "", 0)
+}
+
+func TestHeardOfTerm(t *testing.T) {
+	f := newFixture(t, testSettings("red"))
+	f.leading()
+	f.node.HeardOfTerm(f.now, leaderRevision, "n1")
+	f.node.HeardOfTerm(f.now, leaderRevision+1, "n0")
+	f.expectLead(leadLeading, "n0", leaderRevision)
+	f.node.HeardOfTerm(f.now, leaderRevision+1, "n1")
+	f.expectLead(leadFollower, "n1", leaderRevision+1)
+}
+
+func TestRecordsAreReadAgainAfterAFailure(t *testing.T) {
+	f := newFixture(t, testSettings("red"))
+	f.joined(leaderEntry("n1", 1, 3), memberEntry("n1", 1, 2))
+	f.fail(f.store.watches[0], ReplyFailed)
+	f.store.watches = nil
+	f.tick(0)
+	f.answer(f.expect("GET", listTarget), state.Page{Revision: 40, Entries: []state.Entry{f.ownEntry()}})
+	f.expectLead(leadVacant, "", 0)
+	if f.node.View().IsMember("n1") {
+		t.Error("a record that is gone is still known")
+	}
+	if f.host.viewChanges != 2 {
+		t.Errorf("%d notifications of changes; want 2", f.host.viewChanges)
+	}
+}
--- /dev/null
+++ b/internal/cluster/stub_test.go
@@ -0,0 +1,207 @@
+package cluster
+
+import (
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+
+	"tamarindlead/config"
+	"tamarindlead/internal/record"
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+const testTTL = 9 * micros.Second
+
+// stubCall is a call that waits for its answer.
+type stubCall struct {
+	request state.Request
+	done    func(micros.Micros, Reply)
+}
+
+// stubStore keeps calls until a test answers them.
+type stubStore struct {
+	calls   []stubCall
+	watches []stubCall
+}
+
+func (s *stubStore) Call(request state.Request, done func(micros.Micros, Reply)) {
+	s.calls = append(s.calls, stubCall{request, done})
+}
+
+func (s *stubStore) Watch(prefix string, after uint64, done func(micros.Micros, Reply)) {
+	s.watches = append(s.watches, stubCall{state.Watch(prefix, after, 0), done})
+}
+
+// stubHost counts notifications.
+type stubHost struct {
+	ownershipChanges int
+	viewChanges      int
+	unreachable      bool
+}
+
+func (h *stubHost) OwnershipChanged() { h.ownershipChanges++ }
+func (h *stubHost) ViewChanged()      { h.viewChanges++ }
+func (h *stubHost) Unreachable() bool { return h.unreachable }
+
+// fixture is node n0 of three, with what surrounds it.
+type fixture struct {
+	t     *testing.T
+	now   micros.Micros
+	store *stubStore
+	host  *stubHost
+	node  *Node
+}
+
+func testSettings(teams ...string) *config.Settings {
+	settings := &config.Settings{
+		Node: "n0", Siblings: []config.Sibling{{Node: "n1"}, {Node: "n2"}}, TxnOps: 16,
+		Tuning: config.Tuning{LeaderTTL: testTTL},
+	}
+	for _, name := range teams {
+		settings.Teams = append(settings.Teams, config.Team{Name: name})
+	}
+	return settings
+}
+
+func newFixture(t *testing.T, settings *config.Settings) *fixture {
+	f := &fixture{t: t, now: micros.Hour, store: &stubStore{}, host: &stubHost{}}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	f.node = New(settings, f.store, f.host, rand.New(rand.NewPCG(1, 2)), log)
+	return f
+}
+
+func (f *fixture) tick(after micros.Micros) {
+	f.now += after
+	f.node.Tick(f.now)
+}
+
+// expect takes the earliest call that waits, which must be as said.
+func (f *fixture) expect(method, target string) stubCall {
+	f.t.Helper()
+	if len(f.store.calls) == 0 {
+		f.t.Fatalf("no call waits; want %s %s", method, target)
+	}
+	call := f.store.calls[0]
+	f.store.calls = f.store.calls[1:]
+	if call.request.Method != method || call.request.Target != target {
+		f.t.Fatalf("call %s %s; want %s %s", call.request.Method, call.request.Target, method, target)
+	}
+	return call
+}
+
+func (f *fixture) expectNoCall() {
+	f.t.Helper()
+	if len(f.store.calls) > 0 {
+		f.t.Fatalf("unexpected call %s %s", f.store.calls[0].request.Method, f.store.calls[0].request.Target)
+	}
+}
+
+func (f *fixture) answer(call stubCall, body any) {
+	call.done(f.now, Reply{Status: ReplyOK, Body: wire.Encode(body)})
+}
+
+func (f *fixture) fail(call stubCall, status ReplyStatus) { call.done(f.now, Reply{Status: status}) }
+
+// commitBody is what a commit demands and writes.
+type commitBody struct {
+	Guards []state.Guard `cbor:"guards"`
+	Writes []struct {
+		Put   string         `cbor:"put"`
+		Lease uint64         `cbor:"tenancy"`
+		Value map[string]any `cbor:"data"`
+	} `cbor:"writes"`
+}
+
+func (f *fixture) expectCommit() (stubCall, commitBody) {
+	f.t.Helper()
+	call := f.expect("POST", "/commit")
+	var body commitBody
+	if err := wire.Decode(call.request.Body, &body); err != nil {
+		f.t.Fatal(err)
+	}
+	return call, body
+}
+
+const (
+	memberTarget = "/kv/c/n/n0"
+	leaderTarget = "/kv/c/leader"
+	testLease    = 5
+	joinRevision = 10
+)
+
+var listTarget = state.List(record.PrefixCluster, "").Target
+
+// joined answers the calls that make the node a member, whose records it then lists.
+func (f *fixture) joined(entries ...state.Entry) {
+	f.t.Helper()
+	f.tick(0)
+	read := f.expect("GET", memberTarget)
+	list := f.expect("GET", listTarget)
+	f.fail(read, ReplyMissing)
+	f.answer(f.expect("POST", "/leases"), state.Granted{Lease: testLease})
+	commit, _ := f.expectCommit()
+	f.answer(commit, state.Committed{Revision: joinRevision})
+	entries = append([]state.Entry{f.ownEntry()}, entries...)
+	f.answer(list, state.Page{Entries: entries, Revision: joinRevision})
+}
+
+// leading makes the node a member and the leader.
+func (f *fixture) leading(entries ...state.Entry) {
+	f.t.Helper()
+	f.joined(entries...)
+	f.tick(campaignJitter)
+	commit, _ := f.expectCommit()
+	f.answer(commit, state.Committed{Revision: leaderRevision})
+	if !f.node.IsLeading() {
+		f.t.Fatal("the node does not lead")
+	}
+}
+
+const leaderRevision = 20
+
+func (f *fixture) ownEntry() state.Entry {
+	return memberEntry("n0", f.node.Incarnation(), joinRevision)
+}
+
+func memberEntry(node string, incarnation, version uint64) state.Entry {
+	return state.Entry{
+		Key: record.MemberKey(node), Value: wire.Encode(record.Member{Incarnation: incarnation}), Version: version,
+	}
+}
+
+func leaderEntry(node string, incarnation, version uint64) state.Entry {
+	leader := record.Leader{Node: node, Incarnation: incarnation}
+	return state.Entry{Key: record.KeyLeader, Value: wire.Encode(leader), Version: version}
+}
+
+func teamEntry(name string, team record.Team, version uint64) state.Entry {
+	return state.Entry{Key: record.TeamKey(name), Value: wire.Encode(team), Version: version}
+}
+
+// changed answers the latest watch with records that were put.
+func (f *fixture) changed(entries ...state.Entry) {
+	var changes state.Changes
+	for _, entry := range entries {
+		changes.Events = append(changes.Events, state.Change{Put: entry.Key, Value: entry.Value, Version: entry.Version})
+		changes.Revision = max(changes.Revision, entry.Version)
+	}
+	f.answerWatch(changes)
+}
+
+// deleted answers the latest watch with a record that is gone.
+func (f *fixture) deleted(key string, revision uint64) {
+	f.answerWatch(state.Changes{Events: []state.Change{{Delete: key, Version: revision}}, Revision: revision})
+}
+
+func (f *fixture) answerWatch(changes state.Changes) {
+	f.t.Helper()
+	if len(f.store.watches) != 1 {
+		f.t.Fatalf("%d watches; want 1", len(f.store.watches))
+	}
+	watch := f.store.watches[0]
+	f.store.watches = nil
+	f.answer(watch, changes)
+}
--- /dev/null
+++ b/internal/cluster/view_test.go
@@ -0,0 +1,85 @@
+package cluster
+
+import (
+	"testing"
+
+	"tamarindlead/config"
+	"tamarindlead/internal/record"
+	"tamarindlead/internal/state"
+)
+
+func testView(entries ...state.Entry) *View {
+	view := newView([]config.Team{{Name: "blue"}, {Name: "red"}})
+	for _, entry := range entries {
+		view.put(entry.Key, entry.Value, entry.Version)
+	}
+	return &view
+}
+
+func TestOwnerIDs(t *testing.T) {
+	if id := OwnerID("n1", 42); id != "n1/42" || NodeOf(id) != "n1" {
+		t.Errorf("ID %q of node %q", id, NodeOf(id))
+	}
+}
+
+func TestViewOfMembers(t *testing.T) {
+	view := testView(memberEntry("n2", 5, 7), memberEntry("n1", 4, 6))
+	if got := view.Members(); len(got) != 2 || got[0] != "n1" || got[1] != "n2" {
+		t.Errorf("members %v", got)
+	}
+	if !view.IsLive("n1/4") || view.IsLive("n1/3") || view.IsLive("n0/4") {
+		t.Error("an incarnation is live if it is that of a member's record")
+	}
+	if view.MemberID("n2") != "n2/5" || view.MemberGuard("n2") != (state.Guard{Key: "c/n/n2", Version: 7}) {
+		t.Errorf("ID %s, guard %v", view.MemberID("n2"), view.MemberGuard("n2"))
+	}
+	view.remove("c/n/n1")
+	if view.IsMember("n1") || !view.IsMember("n2") {
+		t.Error("a member whose record is gone is one no longer")
+	}
+}
+
+func TestViewOfOwners(t *testing.T) {
+	view := testView(memberEntry("n1", 4, 6),
+		teamEntry("blue", record.Team{Owner: "n2", Incarnation: 5, Predecessors: []string{"n0/1"}}, 8),
+		teamEntry("red", record.Team{Owner: "n1", Incarnation: 4}, 9),
+		teamEntry("gone", record.Team{Owner: "n0"}, 10)) // not configured
+	if view.Owners() != 2 || view.LiveOwners() != 1 {
+		t.Errorf("%d owners, %d live; want 2, 1", view.Owners(), view.LiveOwners())
+	}
+	if got := view.FirstOwner(); got != "n1" {
+		t.Errorf("first owner %q; want n1: the owner of blue is no member", got)
+	}
+	for id, want := range map[string]bool{"n0/1": true, "n2/5": true, "n1/4": true, "n2/4": false} {
+		if view.HasSuccessor(id) != want {
+			t.Errorf("HasSuccessor(%s) is %t", id, !want)
+		}
+	}
+}
+
+func TestViewIgnoresRecordsThatCannotBeRead(t *testing.T) {
+	view := testView(state.Entry{Key: "c/n/n1", Value: []byte{0xff}, Version: 1}, state.Entry{Key: "c/t/red", Value: []byte{0xff}, Version: 2})
+	if view.IsMember("n1") || len(view.teams) > 0 {
+		t.Error("a damaged record was taken")
+	}
+}
+
+func TestEmptyView(t *testing.T) {
+	view := testView()
+	if view.Owners() != 1 || view.LiveOwners() != 0 || view.FirstOwner() != "" {
+		t.Errorf("%d owners, %d live, first %q", view.Owners(), view.LiveOwners(), view.FirstOwner())
+	}
+}
+
+// TestOwnTeams: a record of another incarnation gives this one nothing.
+func TestOwnTeams(t *testing.T) {
+	f := newFixture(t, testSettings("blue", "red"))
+	f.joined(leaderEntry("n1", 1, 3), teamEntry("blue", record.Team{Owner: "n0", Incarnation: 1}, 4))
+	if got := f.node.OwnTeams(); len(got) != 0 {
+		t.Errorf("teams %v of an earlier incarnation", got)
+	}
+	f.changed(teamEntry("red", record.Team{Owner: "n0", Incarnation: f.node.Incarnation()}, 12))
+	if got := f.node.OwnTeams(); len(got) != 1 || got["red"].Version != 12 {
+		t.Errorf("teams %v; want red", got)
+	}
+}
