Lookups of jobs: one typed result, and a function for each step

A lookup handed over three values of which some combinations meant nothing, and its flush was one function of sixty lines. The result is a struct now; comparing, deriving and reading are steps.

| old | new | | --- | --- | | lookupState, lookupNone | lookupOutcome, lookupNotFound | | (state, status, version) | lookupResult | | Core.asked, open, next | Core.lookups (lookupStage), sent, sendAt | | known, rest, derived | lookupBatch | | compare, read, final, finish | compareVersions, readActive/readFinal, finishFinal, finishLookup | | derive, deriveOne, derived | deriveStates, deriveAgain, finishDerived |

--- a/controller/core.go
+++ b/controller/core.go
@@ -34,7 +34,7 @@
 	peers    map[string]*sibling
 	types    typeTable
 	users    users
-	asked    lookups
+	lookups  lookupStage
 	graph    *jobgraph.Graph // the active jobs
 	jobView  jobView
 	node     *cluster.Node
--- a/controller/lookups.go
+++ b/controller/lookups.go
@@ -22,112 +22,170 @@
 	maxLookups   = 512
 	lookupWithin = 1500 * micros.Millisecond // users wait for 2 s
 	lookupGap    = 60 * micros.Millisecond   // lookups gather for so long
+	// comparedPerOp is how many versions one commit compares for each write that it could
+	// take, which bounds the commit's size.
+	comparedPerOp = 4
 )
 
-type lookupState int
+// lookupOutcome is how a lookup ended.
+type lookupOutcome int
 
 const (
-	lookupFailed lookupState = iota
-	lookupNone
+	lookupFailed   lookupOutcome = iota // the job's state cannot be told now
+	lookupNotFound                      // the job was never accepted
 	lookupFound
 )
 
+// lookupResult is what was found out about a job.
+type lookupResult struct {
+	outcome lookupOutcome
+	status  string // as on the wire
+	version uint64 // of the record of a job that is not over, else 0
+}
+
+// activeResult is the result for a job that is not over.
+func activeResult(version uint64) lookupResult {
+	return lookupResult{lookupFound, wire.JobQueued, version}
+}
+
+// finalResult is the result for a job that is over.
+func finalResult(status string) lookupResult { return lookupResult{lookupFound, status, 0} }
+
 // lookup is a question for a job's state.
 type lookup struct {
-	id    string
-	since micros.Micros
-	done  func(st lookupState, status string, version uint64)
+	id      string
+	askedAt micros.Micros
+	done    func(lookupResult)
 }
 
-// lookups is the stage of questions that wait.
-type lookups struct {
+// expired tells that the answer is of no use any more.
+func (l *lookup) expired(now micros.Micros) bool { return now-l.askedAt > lookupWithin }
+
+// lookupStage is the stage of questions for jobs' states.
+type lookupStage struct {
 	waiting []*lookup
-	open    int // reads and comparisons under way, in lookups
-	next    micros.Micros
+	sent    int // lookups for which reads or comparisons are under way
+	sendAt  micros.Micros
 }
 
-// lookup finds a job's state from the records, which alone are never outdated. For a job
-// that is not over it hands over the version of its record.
-func (c *Core) lookup(id string, done func(st lookupState, status string, version uint64)) {
+// lookup finds a job's state from the records, which alone are never outdated.
+func (c *Core) lookup(id string, done func(lookupResult)) {
 	c.count.lookups++
 	if status, ok := c.users.finals[id]; ok {
-		done(lookupFound, status, 0)
+		done(finalResult(status))
 		return
 	}
-	l := &c.asked
-	if len(l.waiting)+l.open >= maxLookups || c.storeDown() {
-		done(lookupFailed, "", 0)
+	stage := &c.lookups
+	if len(stage.waiting)+stage.sent >= maxLookups || c.storeDown() {
+		done(lookupResult{})
 		return
 	}
-	if len(l.waiting) == 0 {
-		l.next = max(l.next, c.now+lookupGap)
+	if len(stage.waiting) == 0 {
+		stage.sendAt = max(stage.sendAt, c.now+lookupGap)
 	}
-	l.waiting = append(l.waiting, &lookup{id, c.now, done})
+	stage.waiting = append(stage.waiting, &lookup{id, c.now, done})
 }
 
 // flushLookups makes the reads for what waits, as the budget allows.
 func (c *Core) flushLookups() {
-	l := &c.asked
-	for len(l.waiting) > 0 && c.now-l.waiting[0].since > lookupWithin {
-		q := l.waiting[0]
-		l.waiting = l.waiting[1:]
-		q.done(lookupFailed, "", 0)
+	stage := &c.lookups
+	c.failExpired()
+	if len(stage.waiting) == 0 || c.now < stage.sendAt {
+		return
 	}
-	if len(l.waiting) == 0 || c.now < l.next {
+	stage.sendAt = c.now + lookupGap
+	batch := c.takeLookupBatch()
+	if left := c.sendLookupBatch(batch); len(left) > 0 {
+		stage.waiting = append(left, stage.waiting...)
 		return
 	}
-	l.next = c.now + lookupGap
-	var known, rest, derived []*lookup
-	guards := map[string]uint64{}
-	for _, q := range l.waiting {
-		v := c.knownVersion(q.id)
-		if c.graph.Unsettled(q.id) {
-			derived = append(derived, q)
-		} else if v != 0 && (guards[activeKey(q.id)] == v || len(guards) < 4*c.cfg.TxnOps) {
-			guards[activeKey(q.id)] = v
-			known = append(known, q)
-		} else {
-			rest = append(rest, q)
+	c.readSingly()
+}
+
+// failExpired ends the lookups that waited for too long.
+func (c *Core) failExpired() {
+	stage := &c.lookups
+	for len(stage.waiting) > 0 && stage.waiting[0].expired(c.now) {
+		first := stage.waiting[0]
+		stage.waiting = stage.waiting[1:]
+		first.done(lookupResult{})
+	}
+}
+
+// lookupBatch is lookups of which one request answers many.
+type lookupBatch struct {
+	compared []*lookup         // whose versions are compared
+	versions map[string]uint64 // to compare, by key
+	derived  []*lookup         // of jobs whose state depends on others
+}
+
+// takeLookupBatch takes what can be answered together out of what waits.
+func (c *Core) takeLookupBatch() *lookupBatch {
+	batch := &lookupBatch{versions: map[string]uint64{}}
+	var rest []*lookup
+	for _, l := range c.lookups.waiting {
+		version := c.knownVersion(l.id)
+		switch {
+		case c.graph.Unsettled(l.id):
+			batch.derived = append(batch.derived, l)
+		case version != 0 && c.hasRoomToCompare(batch, l.id, version):
+			batch.versions[activeKey(l.id)] = version
+			batch.compared = append(batch.compared, l)
+		default:
+			rest = append(rest, l)
 		}
 	}
-	l.waiting = rest
-	// Who came first goes first: neither kind may starve the other.
-	kinds := []func() []*lookup{
-		func() []*lookup {
-			if len(known) > 0 && c.budget.MayRequest(budget.Reads, c.now) {
-				c.compare(known, guards)
-				known = nil
-			}
-			return known
-		},
-		func() []*lookup {
-			if len(derived) > 0 && c.budget.MayRequest(budget.Reads, c.now) {
-				c.derive(derived)
-				derived = nil
-			}
-			return derived
-		},
+	c.lookups.waiting = rest
+	return batch
+}
+
+// hasRoomToCompare tells whether a job's version can be compared with a batch.
+func (c *Core) hasRoomToCompare(batch *lookupBatch, id string, version uint64) bool {
+	return batch.versions[activeKey(id)] == version || len(batch.versions) < comparedPerOp*c.cfg.TxnOps
+}
+
+// sendLookupBatch sends what the budget allows of a batch and hands back the rest, in the
+// order in which it came.
+func (c *Core) sendLookupBatch(batch *lookupBatch) (left []*lookup) {
+	type part struct {
+		lookups []*lookup
+		send    func()
 	}
-	if len(derived) > 0 && (len(known) == 0 || derived[0].since < known[0].since) {
-		slices.Reverse(kinds)
+	parts := []part{
+		{batch.compared, func() { c.compareVersions(batch) }},
+		{batch.derived, func() { c.deriveStates(batch.derived) }},
 	}
-	var left []*lookup
-	for _, kind := range kinds {
-		left = append(left, kind()...)
+	if batch.derivedCameFirst() { // neither kind may starve the other
+		slices.Reverse(parts)
 	}
-	if len(left) > 0 {
-		slices.SortStableFunc(left, func(a, b *lookup) int { return cmp.Compare(a.since, b.since) })
-		l.waiting = append(left, l.waiting...)
-		return
+	for _, p := range parts {
+		switch {
+		case len(p.lookups) == 0:
+		case c.budget.MayRequest(budget.Reads, c.now):
+			p.send()
+		default:
+			left = append(left, p.lookups...)
+		}
 	}
-	for len(l.waiting) > 0 && c.budget.MayRequest(budget.Reads, c.now) {
-		q := l.waiting[0]
-		if c.knownVersion(q.id) != 0 || c.graph.Unsettled(q.id) {
-			break // its turn comes with the next comparison
+	slices.SortStableFunc(left, func(a, b *lookup) int { return cmp.Compare(a.askedAt, b.askedAt) })
+	return left
+}
+
+func (b *lookupBatch) derivedCameFirst() bool {
+	return len(b.derived) > 0 && (len(b.compared) == 0 || b.derived[0].askedAt < b.compared[0].askedAt)
+}
+
+// readSingly reads the records of jobs that are not in the view, as the budget allows.
+func (c *Core) readSingly() {
+	stage := &c.lookups
+	for len(stage.waiting) > 0 && c.budget.MayRequest(budget.Reads, c.now) {
+		first := stage.waiting[0]
+		if c.knownVersion(first.id) != 0 || c.graph.Unsettled(first.id) {
+			break // its turn comes with the next batch
 		}
-		l.waiting = l.waiting[1:]
-		l.open++
-		c.read(q)
+		stage.waiting = stage.waiting[1:]
+		stage.sent++
+		c.readActive(first)
 	}
 }
 
@@ -141,139 +199,158 @@
 	return c.graph.Version(id)
 }
 
-// compare asks whether jobs' records are as this node knows them.
-func (c *Core) compare(known []*lookup, guards map[string]uint64) {
-	c.asked.open += len(known)
-	c.store(budget.Reads, state.Commit(state.SortedGuards(guards), nil), func(r storeReply) {
-		var res state.Committed
-		failed := map[string]bool{}
+// compareVersions asks whether jobs' records are as this node knows them.
+func (c *Core) compareVersions(batch *lookupBatch) {
+	c.lookups.sent += len(batch.compared)
+	c.store(budget.Reads, state.Commit(state.SortedGuards(batch.versions), nil), func(r storeReply) {
+		var committed state.Committed
 		switch {
-		case r.outcome == outConflict && r.decode(&res) && len(res.Failed) > 0:
-			for _, k := range res.Failed {
-				failed[k] = true
-			}
-		case r.outcome != outOK:
-			for _, q := range known {
-				c.finish(q, lookupFailed, "", 0)
+		case r.outcome == outOK:
+			c.takeComparison(batch, nil)
+		case r.outcome == outConflict && r.decode(&committed) && len(committed.Failed) > 0:
+			c.takeComparison(batch, committed.Failed)
+		default:
+			for _, l := range batch.compared {
+				c.finishLookup(l, lookupResult{})
 			}
-			return
 		}
-		var again []*lookup
-		for _, q := range known {
-			key := activeKey(q.id)
-			switch {
-			case failed[key]:
-				if c.graph.Version(q.id) == guards[key] {
-					c.graph.ForgetVersion(q.id)
-				}
-				c.read(q)
-			case len(failed) > 0:
-				// Nothing says that all that failed are listed: the rest is compared again.
-				c.asked.open--
-				again = append(again, q)
-			default:
-				c.finish(q, lookupFound, wire.JobQueued, guards[key])
+	})
+}
+
+// takeComparison answers about the jobs of a batch whose keys did not fail, and reads the
+// others. Nothing says that all keys that failed are listed: if any did, the rest is compared
+// again.
+func (c *Core) takeComparison(batch *lookupBatch, failedKeys []string) {
+	failed := map[string]bool{}
+	for _, key := range failedKeys {
+		failed[key] = true
+	}
+	var again []*lookup
+	for _, l := range batch.compared {
+		key := activeKey(l.id)
+		switch {
+		case failed[key]:
+			if c.graph.Version(l.id) == batch.versions[key] {
+				c.graph.ForgetVersion(l.id)
 			}
+			c.readActive(l)
+		case len(failed) > 0:
+			c.lookups.sent--
+			again = append(again, l)
+		default:
+			c.finishLookup(l, activeResult(batch.versions[key]))
 		}
-		c.asked.waiting = append(again, c.asked.waiting...)
-	})
+	}
+	c.lookups.waiting = append(again, c.lookups.waiting...)
 }
 
-// read looks a job up by its records.
-func (c *Core) read(q *lookup) {
-	c.get(budget.Reads, activeKey(q.id), func(out outcome, e state.Entry) {
+// readActive looks a job up by its records, first by that of an active job.
+func (c *Core) readActive(l *lookup) {
+	c.get(budget.Reads, activeKey(l.id), func(out outcome, e state.Entry) {
 		switch out {
 		case outOK:
-			awaits, err := jobgraph.AwaitsOthers(e.Value)
-			if err != nil {
-				c.finish(q, lookupFailed, "", 0)
-				return
-			}
-			if w := c.graph.Waiting(q.id); awaits && (w == nil || !w.Ready()) {
-				c.deriveOne(q) // this node's view is behind
-				return
-			}
-			c.graph.SetVersion(q.id, e.Version)
-			c.finish(q, lookupFound, wire.JobQueued, e.Version)
+			c.takeActive(l, e)
 		case outMissing:
-			c.get(budget.Reads, finalKey(q.id), func(out outcome, e state.Entry) {
-				var rec finalRecord
-				switch {
-				case out == outMissing:
-					c.finish(q, lookupNone, "", 0)
-				case out == outOK && wire.Decode(e.Value, &rec) == nil:
-					c.final(q, rec.Status, rec.root(q.id))
-				default:
-					c.finish(q, lookupFailed, "", 0)
-				}
-			})
+			c.readFinal(l)
+		default:
+			c.finishLookup(l, lookupResult{})
+		}
+	})
+}
+
+// takeActive answers from the record of an active job, unless its state depends on others.
+func (c *Core) takeActive(l *lookup, e state.Entry) {
+	awaits, err := jobgraph.AwaitsOthers(e.Value)
+	if err != nil {
+		c.finishLookup(l, lookupResult{})
+		return
+	}
+	if job := c.graph.Waiting(l.id); awaits && (job == nil || !job.Ready()) {
+		c.deriveAgain(l) // this node's view is behind
+		return
+	}
+	c.graph.SetVersion(l.id, e.Version)
+	c.finishLookup(l, activeResult(e.Version))
+}
+
+// readFinal looks a job up that is not active.
+func (c *Core) readFinal(l *lookup) {
+	c.get(budget.Reads, finalKey(l.id), func(out outcome, e state.Entry) {
+		var rec finalRecord
+		switch {
+		case out == outMissing:
+			c.finishLookup(l, lookupResult{outcome: lookupNotFound})
+		case out == outOK && wire.Decode(e.Value, &rec) == nil:
+			c.finishFinal(l, rec.Status, rec.root(l.id))
 		default:
-			c.finish(q, lookupFailed, "", 0)
+			c.finishLookup(l, lookupResult{})
 		}
 	})
 }
 
-// final answers with a state that stays. That a job is cancelled is told only once the
-// siblings know: see disclose. If it was cancelled with one before it, that is what they know.
-func (c *Core) final(q *lookup, status, root string) {
+// finishFinal answers with a state that stays. That a job is cancelled is told only once the
+// peers know: see disclose. If it was cancelled with one before it, the root, that is what
+// they know.
+func (c *Core) finishFinal(l *lookup, status, root string) {
 	if status != wire.JobCancelled {
-		c.users.remember(q.id, status)
-		c.finish(q, lookupFound, status, 0)
+		c.users.remember(l.id, status)
+		c.finishLookup(l, finalResult(status))
 		return
 	}
-	c.disclose(root, q.since+lookupWithin, func(ok bool) {
+	c.disclose(root, l.askedAt+lookupWithin, func(ok bool) {
 		if !ok {
-			c.finish(q, lookupFailed, "", 0)
+			c.finishLookup(l, lookupResult{})
 			return
 		}
-		c.users.remember(q.id, status)
-		c.finish(q, lookupFound, status, 0)
+		c.users.remember(l.id, status)
+		c.finishLookup(l, finalResult(status))
 	})
 }
 
-func (c *Core) finish(q *lookup, st lookupState, status string, version uint64) {
-	c.asked.open--
-	if final := c.users.finals[q.id]; final != "" { // told meanwhile
-		st, status, version = lookupFound, final, 0
+// finishLookup hands over the result of a lookup that was sent.
+func (c *Core) finishLookup(l *lookup, result lookupResult) {
+	c.lookups.sent--
+	if final := c.users.finals[l.id]; final != "" { // told meanwhile
+		result = finalResult(final)
 	}
-	q.done(st, status, version)
+	l.done(result)
 }
 
-// derive answers about jobs that wait for others, whose state follows from how those ended:
-// one read serves them all.
-func (c *Core) derive(list []*lookup) {
-	c.asked.open += len(list)
+// deriveStates answers about jobs that wait for others, whose state follows from how those
+// ended: one read serves them all.
+func (c *Core) deriveStates(list []*lookup) {
+	c.lookups.sent += len(list)
 	c.refresh(func(ok bool) {
-		for _, q := range list {
+		for _, l := range list {
 			if !ok {
-				c.finish(q, lookupFailed, "", 0)
+				c.finishLookup(l, lookupResult{})
 				continue
 			}
-			c.settle([]string{q.id}, q.since+lookupWithin, func(ok bool) { c.derived(q, ok) })
+			c.settle([]string{l.id}, l.askedAt+lookupWithin, func(ok bool) { c.finishDerived(l, ok) })
 		}
 	})
 }
 
-// deriveOne is derive for a lookup under way.
-func (c *Core) deriveOne(q *lookup) {
-	c.asked.open--
-	if c.now-q.since > lookupWithin {
-		c.asked.open++
-		c.finish(q, lookupFailed, "", 0)
+// deriveAgain is deriveStates for a lookup that was sent.
+func (c *Core) deriveAgain(l *lookup) {
+	if l.expired(c.now) {
+		c.finishLookup(l, lookupResult{})
 		return
 	}
-	c.derive([]*lookup{q})
+	c.lookups.sent--
+	c.deriveStates([]*lookup{l})
 }
 
-func (c *Core) derived(q *lookup, ok bool) {
-	switch w := c.graph.Waiting(q.id); {
+// finishDerived answers about a job from the view, once it shows what the job depends on.
+func (c *Core) finishDerived(l *lookup, ok bool) {
+	switch job := c.graph.Waiting(l.id); {
 	case !ok:
-		c.finish(q, lookupFailed, "", 0)
-	case w == nil:
-		c.read(q) // over meanwhile
-	case w.Cancelled():
-		c.final(q, wire.JobCancelled, w.CancelledRoot)
+		c.finishLookup(l, lookupResult{})
+	case job == nil:
+		c.readActive(l) // over meanwhile
+	case job.Cancelled():
+		c.finishFinal(l, wire.JobCancelled, job.CancelledRoot)
 	default:
-		c.finish(q, lookupFound, wire.JobQueued, w.Version)
+		c.finishLookup(l, activeResult(job.Version))
 	}
 }
--- a/controller/users.go
+++ b/controller/users.go
@@ -128,11 +128,11 @@
 	}
 	if why != "" {
 		// The types on offer may have changed since the job was accepted, and the limits.
-		c.lookup(j.ID, func(st lookupState, status string, _ uint64) {
-			switch st {
+		c.lookup(j.ID, func(result lookupResult) {
+			switch result.outcome {
 			case lookupFound:
-				c.respond(r.ID, 200, wire.JobState{Ref: j.ID, Status: c.shown(j.ID, status)})
-			case lookupNone:
+				c.respond(r.ID, 200, wire.JobState{Ref: j.ID, Status: c.shown(j.ID, result.status)})
+			case lookupNotFound:
 				c.respond(r.ID, refusal, wire.Problem{Error: why})
 			default:
 				c.refuse(r.ID, 503, storeSilent)
@@ -164,12 +164,12 @@
 	id := a.job.ID
 	// instead answers about the job as it is known already, whatever became of those it awaits.
 	instead := func(status int, why string) {
-		c.lookup(id, func(st lookupState, now string, _ uint64) {
+		c.lookup(id, func(result lookupResult) {
 			u.finish(c, a, func(req uint64) {
 				switch {
-				case st == lookupFound:
-					c.respond(req, 200, wire.JobState{Ref: id, Status: c.shown(id, now)})
-				case st == lookupNone && status == 422:
+				case result.outcome == lookupFound:
+					c.respond(req, 200, wire.JobState{Ref: id, Status: c.shown(id, result.status)})
+				case result.outcome == lookupNotFound && status == 422:
 					c.respond(req, 422, wire.Problem{Error: why})
 				default:
 					c.refuse(req, 503, why)
@@ -341,10 +341,10 @@
 }
 
 func (u *users) known(c *Core, a *acceptance) {
-	c.lookup(a.job.ID, func(st lookupState, status string, _ uint64) {
+	c.lookup(a.job.ID, func(result lookupResult) {
 		u.finish(c, a, func(id uint64) {
-			if st == lookupFound {
-				c.respond(id, 200, wire.JobState{Ref: a.job.ID, Status: c.shown(a.job.ID, status)})
+			if result.outcome == lookupFound {
+				c.respond(id, 200, wire.JobState{Ref: a.job.ID, Status: c.shown(a.job.ID, result.status)})
 				return
 			}
 			c.refuse(id, 503, storeSilent)
@@ -364,13 +364,13 @@
 		c.respond(req, 404, wire.Problem{Error: "no such job"})
 		return
 	}
-	c.lookup(id, func(st lookupState, status string, _ uint64) {
-		switch st {
-		case lookupNone:
+	c.lookup(id, func(result lookupResult) {
+		switch result.outcome {
+		case lookupNotFound:
 			c.respond(req, 404, wire.Problem{Error: "no such job"})
 		case lookupFound:
-			ans := wire.JobStatus{Ref: id, Status: status}
-			if status == wire.JobQueued {
+			ans := wire.JobStatus{Ref: id, Status: result.status}
+			if result.status == wire.JobQueued {
 				ans.Done, ans.Running = c.countsOf(id)
 				if ans.Running > 0 {
 					ans.Status = wire.JobRunning
@@ -441,12 +441,12 @@
 		case outOK:
 			c.commitCancel(req, id, e.Version, until)
 		case outMissing:
-			c.lookup(id, func(st lookupState, status string, version uint64) {
+			c.lookup(id, func(result lookupResult) {
 				switch {
-				case st == lookupNone:
+				case result.outcome == lookupNotFound:
 					c.respond(req, 404, wire.Problem{Error: "no such job"})
-				case st == lookupFound && version == 0:
-					c.respond(req, 200, wire.JobState{Ref: id, Status: status})
+				case result.outcome == lookupFound && result.version == 0:
+					c.respond(req, 200, wire.JobState{Ref: id, Status: result.status})
 				default:
 					fail()
 				}
