--- a/controller/attempt.go
+++ b/controller/attempt.go
@@ -8,28 +8,47 @@
 // attemptState is the state machine of an attempt: one placement of one task.
 type attemptState int
 
+const (
+	attemptProposed attemptState = iota // not recorded yet
+	attemptRecorded                     // recorded: may be started
+	attemptOrdered                      // a start was sent, or may have been
+	attemptLive                         // the machine has it
+	attemptStopping                     // must stop
+	attemptFinished                     // done, which is not recorded yet
+	attemptLeaving                      // off the machine, which is not recorded yet
+	attemptClosed
+)
+
 func (s attemptState) String() string {
 	return [...]string{"proposed", "recorded", "ordered", "live", "stopping", "finished", "leaving", "closed"}[s]
 }
 
 // attempt is one placement of a task on a machine.
 type attempt struct {
-	job      *job
-	index    int
-	number   uint64
-	machine  *machine
-	state    attemptState
-	phase    wire.TaskPhase
-	seen     bool // the machine has reported it
+	job     *job
+	index   int // of the task in its job
+	number  uint64
+	machine *machine
+	state   attemptState
+	// phase is the task's phase in the machine's latest report, and seen whether any report
+	// listed it.
+	phase wire.TaskPhase
+	seen  bool
+	// startSeq is the sequence number of the report that its start command answered.
 	startSeq uint64
-	since    micros.Micros // placed
-	running  micros.Micros // first seen running, 0 before
-	grace    micros.Micros // for stopping
-	counted  bool          // among its job's tasks that run
-	freed    bool          // takes nothing of its machine any more
-	why      string        // why it is stopped
+	// since is when it was placed, and running when it was first reported running, or 0.
+	since   micros.Micros
+	running micros.Micros
+	// grace is the time to save when it is stopped, and why the reason for the stop.
+	grace micros.Micros
+	why   string
+	// counted: it is among its job's tasks that run.
+	counted bool
+	// freed: it takes nothing of its machine any more.
+	freed bool
 }
 
+// taskKey identifies a task.
 type taskKey struct {
 	job   string
 	index int
@@ -55,7 +74,7 @@
 	was := a.state
 	a.state = s
 	if o.c.debug {
-		o.c.log.Debug("attempt", "task", numbered(a.job.ID, a.index), "try", a.number,
+		o.c.log.Debug("attempt", "task", a.task(), "try", a.number,
 			"machine", a.machine.name, "from", was.String(), "to", s.String(), "why", a.why)
 	}
 	if was == attemptProposed {
@@ -99,6 +118,7 @@
 	}
 }
 
+// countProposed keeps count of attempts that are not recorded yet, and of jobs with such.
 func (o *owner) countProposed(j *job, by int) {
 	was := j.proposed > 0
 	j.proposed += by
@@ -204,6 +224,7 @@
 	}
 }
 
+// sorted lists the job's attempts in the order of their tasks.
 func (j *job) sorted() []*attempt {
 	list := make([]*attempt, 0, len(j.attempts))
 	for _, i := range sortedKeys(j.attempts) {
--- a/controller/job.go
+++ b/controller/job.go
@@ -29,36 +29,59 @@
 // job is a job at its owner.
 type job struct {
 	*sched.Job
-	state    jobState
-	version  uint64 // of its record
+	state jobState
+	// version is that of the job's record.
+	version  uint64
 	accepted micros.Micros
-	since    micros.Micros  // accepted, or ready if it waited for others: its times count from here
-	own      sched.Priority // as submitted: the priority may be inherited
-	mustEnd  micros.Micros  // for it and those that need it to meet their deadlines, 0: any time
-	parts    int            // further keys of its list of jobs that it awaits
-	tasks    []taskState
-	pending  int
-	lowest   int // no task below it is pending
-	done     bitmap
-	doneN    int
-	shards   map[int]*shard     // of its chunks
-	finished map[int][]*attempt // by chunk: completed, which is not recorded yet
-	proposed int                // attempts that are not recorded yet
-	runs     int                // tasks that run, for display
+	// since is when the job was accepted, or when it became ready if it waited for others:
+	// its service level objectives count from here.
+	since micros.Micros
+	// own is the priority as submitted; the job's priority may be inherited.
+	own sched.Priority
+	// mustEnd is the latest end with which this job and all that need it meet their
+	// deadlines; 0 for none.
+	mustEnd micros.Micros
+	// parts is the number of further keys of its list of jobs that it awaits.
+	parts int
+
+	// tasks are the states of its tasks; nil while all are pending (see unfold).
+	tasks   []taskState
+	pending int
+	lowest  int // no task below it is pending
+	// done is the set of completed tasks, doneN their number.
+	done  bitmap
+	doneN int
+	// shards hold the completions, and finished those that are not recorded yet, by chunk.
+	shards   map[int]*shard
+	finished map[int][]*attempt
+
+	// attempts are the placements of its tasks, by task.
 	attempts map[int]*attempt
-
-	gang      gangState
-	notUntil  micros.Micros // backing off
-	failures  int           // in a row, without any success
-	failedOn  map[string]bool
-	writing   bool          // its final record is being written
-	cancelled bool          // to be recorded as cancelled with one before it
-	unsure    bool          // its record did not match: nothing is placed until that is cleared up
-	began     bool          // some of it was placed
-	idleSince micros.Micros // nothing of it is on machines
-	evictAt   micros.Micros // room may be made for it again from then on
-	evictions int           // in vain, in a row
-	endedAt   micros.Micros // users were not told before then that it is cancelled; 0: it was not
+	proposed int // attempts that are not recorded yet
+	runs     int // tasks that run, for display
+	gang     gangState
+	// began tells whether some of it was placed, and idleSince since when nothing of it is
+	// on machines.
+	began     bool
+	idleSince micros.Micros
+
+	// notUntil is the end of its pause after failures.
+	notUntil micros.Micros
+	failures int // in a row, without any success
+	failedOn map[string]bool
+	// evictAt is when room may be made for it again, and evictions how often in a row that
+	// was in vain.
+	evictAt   micros.Micros
+	evictions int
+
+	// writing: its final record is being written.
+	writing bool
+	// cancelled: it is to be recorded as cancelled with a job that it awaits.
+	cancelled bool
+	// unsure: its record has changed, so nothing is placed until it was read again.
+	unsure bool
+	// endedAt is a time before which no user was told that it is cancelled; 0: it was not.
+	endedAt micros.Micros
 }
 
 // gangState is the state machine of a gang's attempt.
@@ -137,14 +160,3 @@
 		j.gang = s
 	}
 }
-
-const (
-	attemptProposed attemptState = iota // not recorded yet
-	attemptRecorded                     // recorded: may be started
-	attemptOrdered                      // a start was sent, or may have been
-	attemptLive                         // the machine has it
-	attemptStopping                     // must stop
-	attemptFinished                     // done, which is not recorded yet
-	attemptLeaving                      // off the machine, which is not recorded yet
-	attemptClosed
-)
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -27,9 +27,9 @@
 	return [...]string{"booting", "up", "draining", "moving", "condemned", "releasing", "deleted"}[s]
 }
 
-// fenceState is the state machine of doubt about a command: one that was sent
-// directly and not answered may still be executed, until the machine has seen a
-// higher token or begun a new session.
+// fenceState is the state machine of a machine's fence. A command that was sent directly and
+// not answered may still be executed until the machine has seen a higher token or begun a new
+// session.
 type fenceState int
 
 const (
@@ -44,52 +44,77 @@
 type machine struct {
 	name     string
 	endpoint string
-	kind     string // its type
+	kind     string // the name of its type
 	zone     string
 	spot     bool
 	size     sched.Resources
 	state    machineState
 	fence    fenceState
-	block    *block // holds its entry
-	token    uint64 // 0: not claimed yet
-	dirty    bool   // its entry must be written
-	recorded bool   // some owner's record has its entry
-	// verifying: it was adopted, and may yet turn out to be another owner's.
-	verifying    bool
-	rented       micros.Micros
-	heard        micros.Micros // last report, or when we began to wait for one
-	spared       micros.Micros // silence counts from then on, after its zone was cut off
-	tokenShownAt micros.Micros // when it last showed our token, or we began to wait for that
-	takenOver    bool          // was another owner's: it is up, or boots since we do not know when
-	listed       bool
-	unlisted     int // lists in a row without it
-	failed       bool
-	reports      bool // it has reported by itself to this owner
-
-	session, seq   uint64
-	synced         bool // has seen our token
-	tasks          []wire.TaskReport
-	notice         micros.Micros // when the cloud takes it, 0: not announced
-	sending        bool          // a direct command is under way
-	wantDispatch   bool          // commands wait for it
-	queued         bool          // it is in the owner's dispatch queue
-	inspected      bool          // was asked for its report after a takeover
-	pendingRequest uint64        // report request that waits for the claim
+	rented   micros.Micros
+
+	// block holds the machine's entry, and dirty tells whether that must be written.
+	block *block
+	dirty bool
+	// recorded: the record of some owner has its entry.
+	recorded bool
+	// token entitles to command the machine; 0: not claimed yet.
+	token uint64
+	// verifying: it was adopted, and may turn out to be another owner's.
+	verifying bool
+	// takenOver: it was another owner's. It is up, or boots since an unknown time.
+	takenOver bool
+
+	// heard is when it reported last, or when this owner began to wait for a report.
+	heard micros.Micros
+	// spared postpones the count of its silence, after its zone was partitioned.
+	spared micros.Micros
+	// tokenShownAt is when it last showed this owner's token, or when this owner began to
+	// wait for that; synced tells whether its latest report did.
+	tokenShownAt micros.Micros
+	synced       bool
+	// reports: it has reported by itself to this owner.
+	reports bool
+	// session and seq order its reports; tasks are those of the latest.
+	session, seq uint64
+	tasks        []wire.TaskReport
+	// notice is when the cloud reclaims it; 0: not announced.
+	notice micros.Micros
+	// pendingRequest is the request of a report that waits for the claim.
+	pendingRequest uint64
 	pendingReport  *wire.Report
 
-	attempts  map[taskKey]*attempt
-	used      sched.Resources
+	// listed: the cloud's list has named it; unlisted counts lists in a row without it.
+	listed   bool
+	unlisted int
+	// failed: the cloud's list says that it stopped by itself.
+	failed bool
+	// lost: it was a spot machine that the cloud reclaimed.
+	lost bool
+
+	// sending: a request with commands is under way.
+	sending bool
+	// wantDispatch: it may need commands; queued: it is in the owner's dispatch queue.
+	wantDispatch bool
+	queued       bool
+	// inspected: it was asked for its report after a takeover.
+	inspected bool
+
+	attempts map[taskKey]*attempt
+	used     sched.Resources
+	// images are those it is believed to cache, the latest last.
 	images    []string
 	idleSince micros.Micros
-	errors    int // in a row
-	pausedTo  micros.Micros
-	lost      bool   // a spot machine that the cloud took
-	moveTo    string // the owner that gets it, while moving
+	// errors counts failures in a row; nothing is placed on it until pausedTo.
+	errors   int
+	pausedTo micros.Micros
+	// moveTo is the owner that gets it, while it moves.
+	moveTo string
 }
 
 // maxImages is how many images a machine is believed to keep.
 const maxImages = 8
 
+// noteImage notes that the machine was told to fetch an image.
 func (m *machine) noteImage(image string) {
 	if image == "" {
 		return
@@ -103,6 +128,7 @@
 	}
 }
 
+// setMachine is the one place where a machine changes its state.
 func (o *owner) setMachine(m *machine, s machineState, why string) {
 	if m.state == s {
 		return
@@ -121,7 +147,7 @@
 	}
 }
 
-// setFence is the one place where doubt about a machine's commands changes.
+// setFence is the one place where a machine's fence changes its state.
 func (o *owner) setFence(m *machine, s fenceState) {
 	if m.fence == s {
 		return
@@ -133,6 +159,7 @@
 	}
 }
 
+// sorted lists the machine's attempts by job and task.
 func (m *machine) sorted() []*attempt {
 	list := slices.Collect(maps.Values(m.attempts))
 	slices.SortFunc(list, func(a, b *attempt) int {
