Health of machines in short named checks; partitioned zones in a file of their own

findSilent was one function of sixty lines with nested cases and numbers without names. It now asks short checks for a typed reason to delete a machine. Effects are the same; the log line of a zone says partitioned= instead of dark=.

| old | new | | --- | --- | | isDeaf, mostDeaf | isUnreachable, fleetHealth.manyUnreachable | | alone | fleetHealth.isolated | | findDark, dark zone, darkLeast, darkShare | findPartitions, partitioned zone, minZoneMachines, maxHeardShare | | worksOn, matesRun | keptInPartition, keptForGangs | | goneShare, lastResort | overdueCondemnShare, overdueReleaseShare | | unheard | unheardFor |

--- a/controller/commands.go
+++ b/controller/commands.go
@@ -187,7 +187,7 @@
 	for _, m := range o.list {
 		// A machine with a task of a cancelled job is asked at once, since the leader may
 		// change again soon.
-		if o.c.now-o.since < inspectAfter && !o.overdue(m, goneShare) {
+		if o.c.now-o.since < inspectAfter && !o.overdue(m, overdueCondemnShare) {
 			continue
 		}
 		if !m.takenOver || m.session != 0 || m.inspected || m.token == 0 || m.state >= machineCondemned {
--- /dev/null
+++ b/controller/partitions.go
@@ -0,0 +1,89 @@
+package controller
+
+// This file finds zones that are cut off from this node.
+
+// A zone is partitioned when of at least minZoneMachines machines at most maxHeardShare are
+// heard, while some elsewhere are.
+const (
+	minZoneMachines = 4
+	maxHeardShare   = 0.15
+)
+
+// zoneHealth counts the machines of a zone by whether they report.
+type zoneHealth struct {
+	silent int
+	heard  int
+}
+
+// partitioned tells whether a zone is cut off, given how many machines are heard in all zones.
+func (z zoneHealth) partitioned(heardInAll int) bool {
+	all := z.silent + z.heard
+	return all >= minZoneMachines && float64(z.heard) <= maxHeardShare*float64(all) && heardInAll > z.heard
+}
+
+// findPartitions finds zones that are cut off: nothing is rented there, and machines on which
+// gangs run are not given up at once, for what runs there goes on (see keptInPartition).
+func (o *owner) findPartitions() {
+	zones, heardInAll := o.zoneHealth()
+	for _, zone := range sortedKeys(zones) {
+		health := *zones[zone]
+		partitioned := health.partitioned(heardInAll)
+		if partitioned == (o.partitioned[zone] != 0) {
+			continue
+		}
+		o.c.log.Warn("zone", "zone", zone, "partitioned", partitioned, "silent", health.silent, "heard", health.heard)
+		if partitioned {
+			o.partitioned[zone] = o.c.now
+		} else {
+			delete(o.partitioned, zone)
+			o.spareZone(zone)
+		}
+	}
+}
+
+// zoneHealth counts by zone, and in all, which machines are heard.
+func (o *owner) zoneHealth() (zones map[string]*zoneHealth, heardInAll int) {
+	zones = map[string]*zoneHealth{}
+	for _, m := range o.list {
+		zone := zones[m.zone]
+		if zone == nil {
+			zone = &zoneHealth{}
+			zones[m.zone] = zone
+		}
+		switch {
+		case !hasBooted(m):
+		case o.c.now-m.heard > silentReports*o.c.cfg.ReportEvery:
+			zone.silent++
+		case m.session != 0:
+			zone.heard++
+			heardInAll++
+		}
+	}
+	return zones, heardInAll
+}
+
+// spareZone gives the workers of a zone that is not cut off any more time to find this node.
+func (o *owner) spareZone(zone string) {
+	for _, m := range o.list {
+		if m.zone == zone {
+			m.spared = o.c.now + o.c.cfg.TakeoverGrace()
+		}
+	}
+}
+
+// keptInPartition tells that a silent machine in a partitioned zone is kept: a gang runs on it,
+// which would lose its work and find no other machine, or gangs will want it as soon as the
+// partition ends. Not one with tasks of a job that is over, which must be gone in time.
+func (o *owner) keptInPartition(m *machine) bool {
+	if o.partitioned[m.zone] == 0 || o.silentFor(m) > o.c.cfg.Tuning.PartitionPatience || m.failed || m.notice != 0 {
+		return false
+	}
+	gang := len(m.attempts) == 0 && o.scarce(m) && m.state <= machineUp
+	for _, a := range m.attempts {
+		if a.job.state == jobEnded {
+			return false
+		}
+		gang = gang || a.job.Gang
+	}
+	return gang
+}
--- a/controller/rentals.go
+++ b/controller/rentals.go
@@ -159,7 +159,7 @@
 	var names []string
 	for _, name := range sortedKeys(o.machines) {
 		m := o.machines[name]
-		if (m.state == machineReleasing || m.state == machineCondemned && o.overdue(m, lastResort)) && len(names) < mostReleased {
+		if (m.state == machineReleasing || m.state == machineCondemned && o.overdue(m, overdueReleaseShare)) && len(names) < mostReleased {
 			names = append(names, name)
 		}
 	}
