--- a/controller/attempt.go
+++ b/controller/attempt.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
@@ -58,7 +59,7 @@
 func (a *attempt) key() taskKey { return taskKey{a.job.ID, a.index} }
 
 // task is the name of the attempt's task on the wire.
-func (a *attempt) task() string { return numbered(a.job.ID, a.index) }
+func (a *attempt) task() string { return wire.TaskName(a.job.ID, a.index) }
 
 // mayStart tells whether the attempt's job wants it started: a gang only once all of its
 // places are recorded.
@@ -98,7 +99,7 @@
 		a.job.setTask(a.index, taskDone)
 		if !a.job.Gang { // a gang is done as a whole, which its final record tells
 			a.job.noteFinished(a)
-			o.shardFor(a.job, a.index/chunkTasks).soil(o.c.now)
+			o.shardFor(a.job, a.index/record.ChunkTasks).soil(o.c.now)
 		}
 	case attemptClosed:
 		o.free(a)
--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -28,7 +28,7 @@
 func benchOwner() *owner {
 	o := testOwner()
 	for i := range 300 {
-		o.jobRecord(activeKey(fmt.Sprintf("req-%06d", i)), wire.Encode(plainRecord(&sched.Job{
+		o.jobRecord(record.ActiveKey(fmt.Sprintf("req-%06d", i)), wire.Encode(record.NewJob(&sched.Job{
 			ID: fmt.Sprintf("req-%06d", i), Class: "render", Team: "red", Priority: sched.Normal, Tasks: 150,
 			Need: sched.NewResources(2, 0, 2), Image: fmt.Sprint("img", i%20), Spot: true, Estimate: 30 * micros.Second,
 		}, 0)), uint64(i+1))
@@ -86,7 +86,7 @@
 		leader := record.Leader{Node: "n1"}
 		reply(state.Page{Revision: 1, Entries: []state.Entry{
 			{Key: record.TeamKey("red"), Value: wire.Encode(team), Version: 1},
-			{Key: record.KeyLeader, Value: wire.Encode(leader), Version: 1},
+			{Key: record.LeaderKey, Value: wire.Encode(leader), Version: 1},
 		}})
 	}
 }
@@ -96,7 +96,7 @@
 func benchReport(m *machine, seq uint64) []byte {
 	r := wire.Report{Machine: m.name, Endpoint: m.endpoint, Type: m.kind, Zone: m.zone, Spot: m.spot, Session: 1, Seq: seq, Token: 1}
 	for _, a := range m.sorted() {
-		r.Tasks = append(r.Tasks, wire.TaskReport{Task: numbered(a.job.ID, a.index), Attempt: a.number, Phase: wire.PhaseRunning})
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: wire.TaskName(a.job.ID, a.index), Attempt: a.number, Phase: wire.PhaseRunning})
 	}
 	return wire.Encode(r)
 }
@@ -171,7 +171,7 @@
 		fresh := newOwner(o.c, o.c.node.OwnTeams())
 		fresh.jobs, fresh.queue = map[string]*job{}, nil
 		for _, j := range o.queue {
-			fresh.jobRecord(activeKey(j.ID), wire.Encode(plainRecord(j.Job, 0)), j.version)
+			fresh.jobRecord(record.ActiveKey(j.ID), wire.Encode(record.NewJob(j.Job, 0)), j.version)
 		}
 		fresh.buildMachines(entries)
 		if len(fresh.list) != benchMachines {
--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -10,6 +10,7 @@
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/capacity"
 	"tamarindlead/internal/cluster"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -58,7 +59,7 @@
 			return b
 		}
 	}
-	return o.newBlock(numberName(o.nextNumber()))
+	return o.newBlock(record.NumberName(o.nextNumber()))
 }
 
 // blockRoom is how many machines of a type share a block: as many as fit, each with the
@@ -271,8 +272,8 @@
 func (o *owner) writeBlock(t *txn, b *block, room int) {
 	var ch blockChange
 	var moves []*machine
-	guards := map[string]uint64{prefixMachine + b.name: b.version}
-	d := &blockData{Since: int64(o.c.day), Base: ^uint64(0)}
+	guards := map[string]uint64{record.BlockPrefix + b.name: b.version}
+	d := &record.BlockData{Since: int64(o.c.day), Base: ^uint64(0)}
 	kinds, jobs := map[capacity.Offer]int{}, map[string]int{}
 	kept := b.machines[:0:0]
 	placed := 0
@@ -309,7 +310,7 @@
 			}
 		}
 		unknown := m.token == 0 && !m.recorded && !o.sole() && !strings.HasPrefix(b.name, adoptedBlock)
-		if unknown && !guardable(prefixMachine+adoptedBlock+m.name) {
+		if unknown && !guardable(record.BlockKey(adoptedBlock+m.name)) {
 			continue // its first claim comes with the next write
 		}
 		kept = append(kept, m)
@@ -318,9 +319,9 @@
 		if !ok {
 			k = len(d.Kinds)
 			kinds[of] = k
-			d.Kinds = append(d.Kinds, blockKind{Type: m.kind, Zone: m.zone, Spot: m.spot})
+			d.Kinds = append(d.Kinds, record.BlockKind{Type: m.kind, Zone: m.zone, Spot: m.spot})
 		}
-		e := blockMachine{
+		e := record.BlockMachine{
 			Name: m.name, Token: m.token, Endpoint: m.endpoint, Kind: k, Rented: int64(m.rented) - d.Since,
 			Condemned: m.state == machineCondemned || m.state == machineReleasing,
 		}
@@ -328,61 +329,61 @@
 			e.Token = 0
 			ch.claimed = append(ch.claimed, m)
 			if unknown { // that nobody adopted it
-				guards[prefixMachine+adoptedBlock+m.name] = 0
+				guards[record.BlockKey(adoptedBlock+m.name)] = 0
 			}
 		}
 		if m.state == machineCondemned {
 			ch.condemned = append(ch.condemned, m)
 		}
-		var tasks []blockTask
+		var tasks []record.BlockTask
 		for _, a := range m.recordOrder() {
 			switch a.state {
 			case attemptLeaving:
 				ch.leaving = append(ch.leaving, a)
 				continue
 			case attemptProposed:
-				if !guardable(activeKey(a.job.ID), teamKey(a.job.Team)) {
+				if !guardable(record.ActiveKey(a.job.ID), record.TeamKey(a.job.Team)) {
 					continue
 				}
 				ch.proposed = append(ch.proposed, a)
-				guards[activeKey(a.job.ID)] = a.job.version
-				guards[teamKey(a.job.Team)] = o.teams[a.job.Team].record.Version
+				guards[record.ActiveKey(a.job.ID)] = a.job.version
+				guards[record.TeamKey(a.job.Team)] = o.teams[a.job.Team].record.Version
 			}
 			n, ok := jobs[a.job.ID]
 			if !ok {
 				n = len(d.Jobs)
 				jobs[a.job.ID] = n
 				j := a.job
-				d.Jobs = append(d.Jobs, blockJob{ID: j.ID, Team: j.Team, Tasks: j.Tasks, CPU: j.Need.CPU, GPU: j.Need.GPU, Mem: j.Need.Mem})
+				d.Jobs = append(d.Jobs, record.BlockJob{ID: j.ID, Team: j.Team, Tasks: j.Tasks, CPU: j.Need.CPU, GPU: j.Need.GPU, Mem: j.Need.Mem})
 			}
-			tasks = append(tasks, blockTask{n, a.index, a.number})
+			tasks = append(tasks, record.BlockTask{Job: n, Index: a.index, Number: a.number})
 		}
-		d.pack(&e, tasks)
+		d.Pack(&e, tasks)
 		placed += len(tasks)
 		d.Machines = append(d.Machines, e)
 	}
-	rec := d.record(o.c.node.ID())
+	rec := d.Block(o.c.node.ID())
 	if placed > 0 {
 		// With few tasks most of this is the entries: taken for the tasks', nothing more would be
 		// placed on machines that stand idle, and so it would stay.
-		b.taskBytes = min(float64(rec.size()-len(kept)*entryBytes)/float64(placed), freshBytes)
+		b.taskBytes = min(float64(rec.Size()-len(kept)*entryBytes)/float64(placed), freshBytes)
 	}
-	if rec.size() > o.c.cfg.ValueBytes && len(kept) > 0 {
-		o.outgrown(b, rec.size(), ch.proposed)
+	if rec.Size() > o.c.cfg.ValueBytes && len(kept) > 0 {
+		o.outgrown(b, rec.Size(), ch.proposed)
 		return
 	}
-	if !t.takes(guards, rec.size(), o.c.cfg.TxnOps) {
+	if !t.takes(guards, rec.Size(), o.c.cfg.TxnOps) {
 		return
 	}
 	maps.Copy(t.guards, guards)
 	b.writing, b.dirty = true, false
 	left := b.left
 	b.left = nil
-	key := prefixMachine + b.name
+	key := record.BlockKey(b.name)
 	if len(kept) == 0 {
 		t.writes = append(t.writes, state.Write{Delete: key})
 	} else {
-		t.write(key, rec, rec.size())
+		t.write(key, rec, rec.Size())
 	}
 	for _, m := range kept {
 		m.dirty = false
@@ -465,7 +466,7 @@
 	to, made := b, 1
 	for i, m := range all {
 		if len(to.machines) > 0 && made < parts && (sum+weight(m)/2 > each*float64(made) || len(all)-i <= parts-made) {
-			to = o.newBlock(numberName(o.nextNumber()))
+			to = o.newBlock(record.NumberName(o.nextNumber()))
 			to.left = append(to.left, b)
 			to.taskBytes = b.taskBytes
 			b.behind++
@@ -489,7 +490,7 @@
 		if i == o.c.cfg.TxnOps {
 			return
 		}
-		guards[teamKey(name)] = o.teams[name].record.Version
+		guards[record.TeamKey(name)] = o.teams[name].record.Version
 	}
 }
 
@@ -550,7 +551,7 @@
 // Later records of others fail, since they are guarded on the one just written.
 func (o *owner) verify(m *machine, rev uint64) {
 	m.verifying = true
-	o.c.listAll(prefixMachine, func(ok bool, entries []state.Entry, _ uint64) {
+	o.c.listAll(record.BlockPrefix, func(ok bool, entries []state.Entry, _ uint64) {
 		if o.over() || o.machines[m.name] != m {
 			return
 		}
@@ -560,17 +561,17 @@
 			return
 		}
 		for _, e := range entries {
-			var rec blockRecord
-			if e.Key == prefixMachine+m.block.name || wire.Decode(e.Value, &rec) != nil {
+			var rec record.Block
+			if e.Key == record.BlockKey(m.block.name) || wire.Decode(e.Value, &rec) != nil {
 				continue
 			}
-			d, err := rec.data()
+			d, err := rec.Decode()
 			if err != nil {
 				continue
 			}
-			if slices.ContainsFunc(d.Machines, func(x blockMachine) bool { return x.Name == m.name }) {
-				o.garbage = append(o.garbage, prefixMachine+m.block.name)
-				o.notOurs(m, strings.TrimPrefix(e.Key, prefixMachine))
+			if slices.ContainsFunc(d.Machines, func(x record.BlockMachine) bool { return x.Name == m.name }) {
+				o.garbage = append(o.garbage, record.BlockKey(m.block.name))
+				o.notOurs(m, strings.TrimPrefix(e.Key, record.BlockPrefix))
 				return
 			}
 		}
@@ -595,20 +596,20 @@
 	entries = slices.Clone(entries)
 	slices.SortStableFunc(entries, func(a, b state.Entry) int { return cmp.Compare(b.Version, a.Version) })
 	for _, e := range entries {
-		var rec blockRecord
+		var rec record.Block
 		err := wire.Decode(e.Value, &rec)
 		if err == nil && !o.mine(rec.Owner) {
 			continue
 		}
-		var d *blockData
+		var d *record.BlockData
 		if err == nil {
-			d, err = rec.data()
+			d, err = rec.Decode()
 		}
 		if err != nil {
 			o.c.log.Error("record cannot be read", "key", e.Key, "error", err)
 			continue
 		}
-		b := o.newBlock(strings.TrimPrefix(e.Key, prefixMachine))
+		b := o.newBlock(strings.TrimPrefix(e.Key, record.BlockPrefix))
 		b.version = e.Version
 		for i := range d.Machines {
 			o.buildMachine(b, d, &d.Machines[i])
@@ -626,7 +627,7 @@
 	}
 }
 
-func (o *owner) buildMachine(b *block, d *blockData, e *blockMachine) {
+func (o *owner) buildMachine(b *block, d *record.BlockData, e *record.BlockMachine) {
 	if o.machines[e.Name] != nil {
 		return
 	}
@@ -637,12 +638,12 @@
 	if e.Condemned {
 		o.setMachine(m, machineReleasing, "condemned by an earlier owner")
 	}
-	tasks, err := d.unpack(e)
+	tasks, err := d.Unpack(e)
 	if err != nil {
 		o.c.log.Error("record cannot be read", "machine", e.Name, "error", err)
 	}
 	for _, t := range tasks {
-		spec := d.Jobs[t.job]
+		spec := d.Jobs[t.Job]
 		j := o.jobNamed(spec.ID)
 		if j == nil {
 			j = newJob(&sched.Job{
@@ -653,10 +654,10 @@
 			o.jobs[j.ID] = j
 			o.endings = append(o.endings, j)
 		}
-		if t.index >= j.Tasks || j.task(t.index) == taskDone && j.state != jobEnded || j.attempts[t.index] != nil {
+		if t.Index >= j.Tasks || j.task(t.Index) == taskDone && j.state != jobEnded || j.attempts[t.Index] != nil {
 			continue // completed: the record was not written since
 		}
-		a := o.attach(j, t.index, t.number, m, attemptOrdered)
+		a := o.attach(j, t.Index, t.Number, m, attemptOrdered)
 		j.began = true
 		if j.Gang {
 			o.setGang(j, gangStarting)
@@ -681,8 +682,8 @@
 		if o.jobs[j.ID] != j {
 			continue // its machines have reported
 		}
-		o.c.get(budget.Reads, finalKey(j.ID), func(out outcome, e state.Entry) {
-			var rec finalRecord
+		o.c.get(budget.Reads, record.FinalKey(j.ID), func(out outcome, e state.Entry) {
+			var rec record.Final
 			switch {
 			case o.over() || out == outMissing:
 			case out != outOK:
@@ -731,14 +732,13 @@
 	chunk int
 }
 
-func (k chunkKey) name() string { return numbered(k.job, k.chunk) }
+func (k chunkKey) name() string { return record.ChunkName(k.job, k.chunk) }
 
-func (s *shard) key() string { return shardKey(s.team, s.name) }
+func (s *shard) key() string { return record.CompletionsKey(s.team, s.name) }
 
 // chunkBytes bounds what a chunk takes in its shard.
 func (j *job) chunkBytes(chunk int) int {
-	tasks := min(chunkTasks, j.Tasks-chunk*chunkTasks)
-	return (tasks+7)/8*4/3 + len(j.ID) + 24
+	return record.ChunkSize(j.ID, j.Tasks, chunk)
 }
 
 // shardFor finds the shard of a chunk, or chooses one.
@@ -762,7 +762,7 @@
 			return s
 		}
 	}
-	s := &shard{team: j.Team, name: numberName(o.nextNumber()), chunks: map[chunkKey]*job{}}
+	s := &shard{team: j.Team, name: record.NumberName(o.nextNumber()), chunks: map[chunkKey]*job{}}
 	o.shards = append(o.shards, s)
 	return s
 }
@@ -786,9 +786,9 @@
 // writeShard records completions of jobs that go on.
 func (o *owner) writeShard(t *txn, s *shard) {
 	guards := map[string]uint64{s.key(): s.version}
-	rec := doneRecord{Chunks: map[string]string{}}
+	rec := record.Completions{Chunks: map[string]string{}}
 	for k, j := range s.chunks {
-		rec.Chunks[k.name()] = j.done.chunk(k.chunk)
+		rec.Chunks[k.name()] = j.done.Chunk(k.chunk)
 	}
 	if !t.takes(guards, s.bytes+64, o.c.cfg.TxnOps) {
 		return
@@ -829,7 +829,7 @@
 
 // noteFinished remembers that an attempt's completion must be recorded.
 func (j *job) noteFinished(a *attempt) {
-	chunk := a.index / chunkTasks
+	chunk := a.index / record.ChunkTasks
 	j.finished[chunk] = append(j.finished[chunk], a)
 }
 
@@ -855,7 +855,7 @@
 			}
 			continue
 		}
-		var rec doneRecord
+		var rec record.Completions
 		if wire.Decode(e.Value, &rec) != nil {
 			o.c.log.Error("record cannot be read", "key", e.Key)
 			continue
@@ -863,9 +863,9 @@
 		s := &shard{team: team, name: name, version: e.Version, chunks: map[chunkKey]*job{}}
 		o.shards = append(o.shards, s)
 		for _, name := range sortedKeys(rec.Chunks) {
-			id, chunk, ok := splitNumbered(name)
+			id, chunk, ok := record.SplitChunkName(name)
 			j := o.jobNamed(id)
-			if !ok || j == nil || chunk*chunkTasks >= j.Tasks {
+			if !ok || j == nil || chunk*record.ChunkTasks >= j.Tasks {
 				continue // over since
 			}
 			// It is in two shards if it was to change its shard: the one read last keeps it,
@@ -906,12 +906,12 @@
 
 func (o *owner) loadChunk(j *job, chunk int, bits string) {
 	j.unfold()
-	if err := j.done.load(chunk, bits); err != nil {
+	if err := j.done.MergeChunk(chunk, bits); err != nil {
 		o.c.log.Error("record cannot be read", "job", j.ID, "chunk", chunk, "error", err)
 		return
 	}
-	for i := chunk * chunkTasks; i < min((chunk+1)*chunkTasks, j.Tasks); i++ {
-		if j.done.has(i) {
+	for i := chunk * record.ChunkTasks; i < min((chunk+1)*record.ChunkTasks, j.Tasks); i++ {
+		if j.done.Has(i) {
 			j.setTask(i, taskDone)
 		}
 	}
@@ -923,7 +923,7 @@
 
 func (o *owner) splitShardKey(key string) (team, name string, ok bool) {
 	for team := range o.teams {
-		if name, ok := strings.CutPrefix(key, shardKey(team, "")); ok {
+		if name, ok := strings.CutPrefix(key, record.CompletionsKey(team, "")); ok {
 			return team, name, true
 		}
 	}
--- a/controller/blocks_test.go
+++ b/controller/blocks_test.go
@@ -1,52 +1,13 @@
 package controller
 
 import (
-	"math/rand/v2"
 	"slices"
 	"testing"
 
+	"tamarindlead/internal/record"
 	"tamarindlead/micros"
 )
 
-// TestPack guards against entries that do not come back as they were written, and against
-// damaged ones.
-func TestPack(t *testing.T) {
-	rng := rand.New(rand.NewPCG(1, 2))
-	for range 200 {
-		d := &blockData{Base: 1 << 40, Kinds: []blockKind{{Type: "mid", Zone: "a"}}}
-		var want []blockTask
-		for job := range rng.IntN(4) {
-			d.Jobs = append(d.Jobs, blockJob{ID: numbered("req", job)})
-			for number := range rng.IntN(3) {
-				for index := range 20 {
-					if rng.IntN(2) == 0 {
-						want = append(want, blockTask{job, index * 7, d.Base + uint64(number)})
-					}
-				}
-			}
-		}
-		d.Machines = []blockMachine{{Name: "m-000001"}}
-		d.pack(&d.Machines[0], want)
-		back, err := d.record("n0/1").data()
-		if err != nil {
-			t.Fatal(err)
-		}
-		got, err := back.unpack(&back.Machines[0])
-		if err != nil || !slices.Equal(got, want) {
-			t.Fatalf("got %v (%v), want %v", got, err, want)
-		}
-		if n := len(back.Machines[0].Tasks); n > 0 {
-			back.Machines[0].Tasks[0] = 99
-			if _, err := back.unpack(&back.Machines[0]); err == nil {
-				t.Fatal("a damaged entry was read")
-			}
-		}
-	}
-	if _, err := (blockRecord{Data: "AAAA"}).data(); err == nil {
-		t.Fatal("a damaged record was read")
-	}
-}
-
 // TestSplit guards against a block that outgrows a value: it would be refused for ever. Its
 // machines' entries must be in some record at every moment.
 func TestSplit(t *testing.T) {
@@ -69,16 +30,16 @@
 		tx := &txn{guards: map[string]uint64{}}
 		o.flushRecords(tx, func() int { return o.c.cfg.TxnOps - len(tx.writes) })
 		for _, w := range tx.writes {
-			name := (w.Put + w.Delete)[len(prefixMachine):]
+			name := (w.Put + w.Delete)[len(record.BlockPrefix):]
 			delete(stored, name)
 			if w.Put == "" {
 				continue
 			}
-			rec := w.Value.(blockRecord)
-			if rec.size() > o.c.cfg.ValueBytes {
-				t.Fatalf("%s has %d bytes", w.Put, rec.size())
+			rec := w.Value.(record.Block)
+			if rec.Size() > o.c.cfg.ValueBytes {
+				t.Fatalf("%s has %d bytes", w.Put, rec.Size())
 			}
-			d, err := rec.data()
+			d, err := rec.Decode()
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -124,7 +85,7 @@
 		o.touch(b.machines[0])
 	}
 	for i := range 10 {
-		s := &shard{team: "red", name: numberName(uint64(i)), chunks: map[chunkKey]*job{}}
+		s := &shard{team: "red", name: record.NumberName(uint64(i)), chunks: map[chunkKey]*job{}}
 		s.soil(o.c.now)
 		o.shards = append(o.shards, s)
 	}
@@ -149,7 +110,7 @@
 		bl := o.blocks[0]
 		bl.writing = false
 		o.writeBlock(t, bl, 16)
-		if _, err := t.writes[0].Value.(blockRecord).data(); err != nil {
+		if _, err := t.writes[0].Value.(record.Block).Decode(); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/controller/commands.go
+++ b/controller/commands.go
@@ -56,7 +56,7 @@
 	reported = make(map[taskKey]bool, len(m.tasks))
 	settled := m.fence == fenceNone && !m.sending
 	for _, task := range m.tasks {
-		id, index, ok := splitNumbered(task.Task)
+		id, index, ok := wire.SplitTaskName(task.Task)
 		key := taskKey{id, index}
 		reported[key] = ok
 		a := m.attempts[key]
--- a/controller/commits.go
+++ b/controller/commits.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"tamarindlead/internal/budget"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -162,15 +163,15 @@
 // cancellation; everything else is written by this node alone, as long as it leads.
 func (o *owner) conflict(failed []string) {
 	for _, key := range failed {
-		id, isJob := strings.CutPrefix(key, prefixActive)
-		if key == memberKey(o.c.cfg.Node) {
+		id, isJob := strings.CutPrefix(key, record.ActivePrefix)
+		if key == record.MemberKey(o.c.cfg.Node) {
 			o.c.node.RecordLost(o.c.now)
 			return
 		}
-		if strings.HasPrefix(key, prefixMember) {
+		if strings.HasPrefix(key, record.MemberPrefix) {
 			continue // a machine was to go to an owner that is gone
 		}
-		if name, ok := strings.CutPrefix(key, prefixMachine+adoptedBlock); ok {
+		if name, ok := strings.CutPrefix(key, record.BlockPrefix+adoptedBlock); ok {
 			if m := o.machines[name]; m != nil && m.token == 0 {
 				o.notOurs(m, adoptedBlock+name)
 				continue
@@ -233,9 +234,9 @@
 			return
 		}
 		j.writing = true
-		t.guards[activeKey(j.ID)] = j.version
-		t.writes = append(t.writes, state.Write{Delete: activeKey(j.ID)})
-		t.put(finalKey(j.ID), finalRecord{Status: wire.JobDone, At: int64(o.c.day)})
+		t.guards[record.ActiveKey(j.ID)] = j.version
+		t.writes = append(t.writes, state.Write{Delete: record.ActiveKey(j.ID)})
+		t.put(record.FinalKey(j.ID), record.Final{Status: wire.JobDone, At: o.c.day})
 		t.results = append(t.results, func(ok bool, _ uint64) {
 			j.writing = false
 			if !ok || j.state == jobEnded {
--- a/controller/core.go
+++ b/controller/core.go
@@ -12,6 +12,7 @@
 	"tamarindlead/internal/capacity"
 	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/jobgraph"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
@@ -80,7 +81,7 @@
 	}, len(cfg.Siblings)+1)
 	c.route.lastOK = now
 	c.users.init()
-	c.graph = jobgraph.New(prefixActive, jobObserver{c}, log)
+	c.graph = jobgraph.New(record.ActivePrefix, jobObserver{c}, log)
 	return c
 }
 
--- a/controller/dependencies.go
+++ b/controller/dependencies.go
@@ -3,6 +3,7 @@
 import (
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/jobgraph"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -64,7 +65,7 @@
 
 // readParts reads a list that is kept under several keys.
 func (c *Core) readParts(job *jobgraph.WaitingJob, done func(ok bool)) {
-	c.store(budget.Users, state.List(partKey(job.ID, ""), ""), func(r storeReply) {
+	c.store(budget.Users, state.List(record.PartsPrefix(job.ID), ""), func(r storeReply) {
 		var page state.Page
 		if r.outcome != outOK || !r.decode(&page) {
 			done(false)
@@ -87,7 +88,7 @@
 // joinParts joins the parts of a list; false: one cannot be read.
 func (c *Core) joinParts(entries []state.Entry) (ids []string, ok bool) {
 	for _, e := range entries {
-		var rec partRecord
+		var rec record.Part
 		if err := wire.Decode(e.Value, &rec); err != nil {
 			c.log.Error("record cannot be read", "key", e.Key, "error", err)
 			return nil, false
@@ -141,7 +142,7 @@
 			inactive = append(inactive, id)
 		}
 	}
-	d.c.readFinals(budget.Users, inactive, d.until, func(found map[string]finalRecord, ok bool) {
+	d.c.readFinals(budget.Users, inactive, d.until, func(found map[string]record.Final, ok bool) {
 		if !ok {
 			d.done(dependencyResult{})
 			return
@@ -151,7 +152,7 @@
 }
 
 // finalsRead answers if a final record decides, and else finds out what is before the active.
-func (d *dependencyCheck) finalsRead(inactive []string, found map[string]finalRecord) {
+func (d *dependencyCheck) finalsRead(inactive []string, found map[string]record.Final) {
 	root := ""
 	for _, id := range inactive {
 		rec, accepted := found[id]
@@ -160,7 +161,7 @@
 			return
 		}
 		if rec.Status == wire.JobCancelled && root == "" {
-			root = rec.root(id)
+			root = rec.CancelledRoot(id)
 		}
 	}
 	if root != "" {
--- a/controller/dump_test.go
+++ b/controller/dump_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"tamarindlead/config"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/standin"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -141,7 +142,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if data, err = unsqueeze(data); err != nil {
+		if data, err = record.Decompress(data); err != nil {
 			t.Fatal(err)
 		}
 		var d dump
@@ -219,7 +220,7 @@
 
 // kindOfRecord is the part of a key that tells what is recorded.
 func kindOfRecord(key string) string {
-	for _, p := range []string{prefixMember, prefixTeam, prefixMachine, prefixActive, prefixFinal, prefixDone, prefixRental, prefixHold} {
+	for _, p := range []string{record.MemberPrefix, record.TeamPrefix, record.BlockPrefix, record.ActivePrefix, record.FinalPrefix, record.CompletionsPrefix, record.RentalPrefix, record.HoldPrefix} {
 		if strings.HasPrefix(key, p) {
 			return p
 		}
@@ -228,7 +229,7 @@
 }
 
 // kinds that a world of each version must have written, so that nothing goes unchecked.
-var recordKinds = []string{keyLeader, keyTypes, prefixMember, prefixTeam, prefixMachine, prefixActive, prefixFinal, prefixDone, prefixRental, prefixHold}
+var recordKinds = []string{record.LeaderKey, record.TypesKey, record.MemberPrefix, record.TeamPrefix, record.BlockPrefix, record.ActivePrefix, record.FinalPrefix, record.CompletionsPrefix, record.RentalPrefix, record.HoldPrefix}
 
 // TestDumpsHoldAll sees that the dumps hold every kind of record and message.
 func TestDumpsHoldAll(t *testing.T) {
@@ -323,12 +324,12 @@
 	id := "req-000099"
 	j := sched.Job{ID: id, Class: "work", Team: "red", Tasks: 2, Need: sched.NewResources(1, 0, 1), Image: "img", ImageGB: 1, Estimate: micros.Second}
 	value := wire.Encode(map[string]any{"w": wire.FromJob(&j), "at": int64(d.Now)})
-	d.Records = append(d.Records, standin.Record{Key: activeKey(id), Value: value, Version: d.Revision + 1})
+	d.Records = append(d.Records, standin.Record{Key: record.ActiveKey(id), Value: value, Version: d.Revision + 1})
 	d.Revision++
 	d.Jobs = append(d.Jobs, dumpJob{Job: j, Info: standin.TaskInfo{CPU: 1, Mem: 1, Run: micros.Second, Fetch: micros.Second, Tasks: 2}, Accepted: true})
 	w := loadWorld(d)
 	w.beginOld(t, len(w.nodes))
-	if old := w.production.reads(activeKey(id), value); !strings.HasPrefix(old, "error") {
+	if old := w.production.reads(record.ActiveKey(id), value); !strings.HasPrefix(old, "error") {
 		t.Errorf("the version in production reads %s", old)
 	}
 	w.run(60 * micros.Second)
@@ -348,7 +349,7 @@
 	if statuses["GET queued"] != len(w.nodes) || statuses["POST queued"] != len(w.nodes) {
 		t.Errorf("answers: %v", statuses)
 	}
-	if w.began[id] != 0 || w.running[numbered(id, 0)] != "" || w.done[numbered(id, 0)] {
+	if w.began[id] != 0 || w.running[wire.TaskName(id, 0)] != "" || w.done[wire.TaskName(id, 0)] {
 		t.Error("it has started")
 	}
 	if len(w.broken) > 0 {
--- a/controller/faults_workers_test.go
+++ b/controller/faults_workers_test.go
@@ -250,7 +250,7 @@
 func (w *world) cancelNow(count int, hang micros.Micros, cut bool) {
 	var jobs []string
 	for task := range w.running {
-		if id, _, _ := splitNumbered(task); !w.wantsEnd[id] && !slices.Contains(jobs, id) {
+		if id, _, _ := wire.SplitTaskName(task); !w.wantsEnd[id] && !slices.Contains(jobs, id) {
 			jobs = append(jobs, id)
 		}
 	}
@@ -258,7 +258,7 @@
 	jobs = jobs[:min(count, len(jobs))]
 	hung := map[string]bool{}
 	for _, task := range sortedKeys(w.running) {
-		id, _, _ := splitNumbered(task)
+		id, _, _ := wire.SplitTaskName(task)
 		name := w.running[task]
 		if hang == 0 || !slices.Contains(jobs, id) || hung[name] || len(hung) == mostHung {
 			continue
@@ -304,7 +304,7 @@
 func (w *world) cancelledRunning() int {
 	n := 0
 	for task := range w.running {
-		if id, _, _ := splitNumbered(task); w.cancelled[id] > 0 {
+		if id, _, _ := wire.SplitTaskName(task); w.cancelled[id] > 0 {
 			n++
 		}
 	}
--- a/controller/finalreads.go
+++ b/controller/finalreads.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"tamarindlead/internal/budget"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -25,7 +26,7 @@
 }
 
 // takeFinal takes the final record of a job that others await.
-func (c *Core) takeFinal(id string, rec finalRecord) {
+func (c *Core) takeFinal(id string, rec record.Final) {
 	switch rec.Status {
 	case wire.JobDone:
 		at := micros.Micros(rec.At)
@@ -34,7 +35,7 @@
 		}
 		c.graph.Done(id, min(at, c.day))
 	case wire.JobCancelled:
-		c.graph.Cancelled(id, rec.root(id))
+		c.graph.Cancelled(id, rec.CancelledRoot(id))
 	}
 }
 
@@ -56,7 +57,7 @@
 	c.readFinals(purpose, c.graph.Unresolved(), c.now+acceptWithin, c.endsRead)
 }
 
-func (c *Core) endsRead(found map[string]finalRecord, ok bool) {
+func (c *Core) endsRead(found map[string]record.Final, ok bool) {
 	resolution := &c.jobView.resolution
 	resolution.reading, resolution.nextTry = false, c.now+fastTick
 	for _, id := range sortedKeys(found) {
@@ -76,14 +77,14 @@
 	purpose budget.Purpose
 	ids     []string // not read yet, in order
 	until   micros.Micros
-	found   map[string]finalRecord
-	done    func(found map[string]finalRecord, ok bool)
+	found   map[string]record.Final
+	done    func(found map[string]record.Final, ok bool)
 }
 
 // readFinals reads final records of jobs, given in order. Few are read one by one, many by
 // listing the keys about them: never in more requests than there are jobs.
-func (c *Core) readFinals(p budget.Purpose, ids []string, until micros.Micros, done func(found map[string]finalRecord, ok bool)) {
-	read := &finalsRead{c: c, purpose: p, ids: ids, until: until, found: map[string]finalRecord{}, done: done}
+func (c *Core) readFinals(p budget.Purpose, ids []string, until micros.Micros, done func(found map[string]record.Final, ok bool)) {
+	read := &finalsRead{c: c, purpose: p, ids: ids, until: until, found: map[string]record.Final{}, done: done}
 	read.next()
 }
 
@@ -100,7 +101,7 @@
 
 func (r *finalsRead) readFirst() {
 	id := r.ids[0]
-	r.c.get(r.purpose, finalKey(id), func(out outcome, e state.Entry) {
+	r.c.get(r.purpose, record.FinalKey(id), func(out outcome, e state.Entry) {
 		if out != outMissing && (out != outOK || !r.take(id, e.Value)) {
 			r.failed(out)
 			return
@@ -112,7 +113,7 @@
 
 // listFromFirst reads the page of final records that begins with the first job.
 func (r *finalsRead) listFromFirst() {
-	list := state.List(prefixFinal, keyBefore(finalKey(r.ids[0])))
+	list := state.List(record.FinalPrefix, keyBefore(record.FinalKey(r.ids[0])))
 	r.c.store(r.purpose, list, func(reply storeReply) {
 		var page state.Page
 		if reply.outcome != outOK || !reply.decode(&page) {
@@ -131,7 +132,7 @@
 func (r *finalsRead) takePage(page *state.Page) bool {
 	last := ""
 	for _, e := range page.Entries {
-		last = strings.TrimPrefix(e.Key, prefixFinal)
+		last = strings.TrimPrefix(e.Key, record.FinalPrefix)
 		if _, asked := slices.BinarySearch(r.ids, last); asked && !r.take(last, e.Value) {
 			return false
 		}
@@ -147,9 +148,9 @@
 
 // take takes a final record; false: it cannot be read.
 func (r *finalsRead) take(id string, value []byte) bool {
-	var rec finalRecord
+	var rec record.Final
 	if err := wire.Decode(value, &rec); err != nil {
-		r.c.log.Error("record cannot be read", "key", finalKey(id), "error", err)
+		r.c.log.Error("record cannot be read", "key", record.FinalKey(id), "error", err)
 		return false
 	}
 	r.found[id] = rec
--- a/controller/hold.go
+++ b/controller/hold.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"tamarindlead/internal/capacity"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -86,7 +87,7 @@
 	for _, a := range plan.Place {
 		h.machines[a.Machine.Name] = a.Count
 	}
-	if state.Size(holdRecord{h.machines}) > o.c.cfg.ValueBytes {
+	if state.Size(record.Hold{Machines: h.machines}) > o.c.cfg.ValueBytes {
 		j.evictAt = o.c.now + roomRetry
 		return false // it could never be recorded
 	}
@@ -375,10 +376,10 @@
 		h.writing = true
 		over := h.state == holdOver
 		if over {
-			t.writes = append(t.writes, state.Write{Delete: holdKey(id)})
+			t.writes = append(t.writes, state.Write{Delete: record.HoldKey(id)})
 		} else {
-			t.guards[activeKey(id)] = o.jobs[id].version
-			t.put(holdKey(id), holdRecord{h.machines})
+			t.guards[record.ActiveKey(id)] = o.jobs[id].version
+			t.put(record.HoldKey(id), record.Hold{Machines: h.machines})
 		}
 		t.results = append(t.results, func(ok bool, _ uint64) {
 			h.writing = false
@@ -399,8 +400,8 @@
 // begun; what was not is found by the gang's next look for room once the wait is over.
 func (o *owner) loadHolds(entries []state.Entry) {
 	for _, e := range entries {
-		var rec holdRecord
-		id := strings.TrimPrefix(e.Key, prefixHold)
+		var rec record.Hold
+		id := strings.TrimPrefix(e.Key, record.HoldPrefix)
 		j := o.jobNamed(id)
 		if j == nil || wire.Decode(e.Value, &rec) != nil {
 			if o.sole() { // else it may be another owner's
--- a/controller/incompatible_test.go
+++ b/controller/incompatible_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"tamarindlead/internal/peer"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/wire"
 	"tamarindlead/sched"
 )
@@ -46,23 +47,23 @@
 		Need: sched.NewResources(2, 1, 3), Image: "img", ImageGB: 1, Types: []string{"big"}, Zone: "a", OneZone: true,
 		Spread: true, Spot: true, Estimate: 7e6, Checkpoint: 8e6, Save: 9e6, Deadline: 10e6,
 	}
-	d := &blockData{
-		Base: 5, Since: 6, Kinds: []blockKind{{Type: "small", Zone: "a"}, {Type: "big", Zone: "b", Spot: true}},
-		Jobs:     []blockJob{{ID: j.ID, Team: j.Team, Tasks: 9, CPU: 1, GPU: 2, Mem: 3}},
-		Machines: []blockMachine{{Name: "m-000001", Token: 3, Endpoint: "worker:m-000001", Kind: 1, Rented: 4, Condemned: true}},
+	d := &record.BlockData{
+		Base: 5, Since: 6, Kinds: []record.BlockKind{{Type: "small", Zone: "a"}, {Type: "big", Zone: "b", Spot: true}},
+		Jobs:     []record.BlockJob{{ID: j.ID, Team: j.Team, Tasks: 9, CPU: 1, GPU: 2, Mem: 3}},
+		Machines: []record.BlockMachine{{Name: "m-000001", Token: 3, Endpoint: "worker:m-000001", Kind: 1, Rented: 4, Condemned: true}},
 	}
-	d.pack(&d.Machines[0], []blockTask{{0, 4, 7}, {0, 6, 7}})
+	d.Pack(&d.Machines[0], []record.BlockTask{{Job: 0, Index: 4, Number: 7}, {Job: 0, Index: 6, Number: 7}})
 	return map[string][]byte{
-		activeKey(j.ID):       wire.Encode(map[string]any{"j": wire.FromJob(j), "at": 11}),
-		finalKey(j.ID):        wire.Encode(finalRecord{Status: wire.JobCancelled, At: 5}),
-		keyLeader:             wire.Encode(leaderRecord{"n1", 2}),
-		memberKey("n1"):       wire.Encode(memberRecord{2}),
-		teamKey("red"):        wire.Encode(teamRecord{"n1", 2, 3, []string{"n0.1"}}),
-		prefixMachine + "1":   wire.Encode(d.record("n1.2")),
-		shardKey("red", "1"):  wire.Encode(doneRecord{map[string]string{j.ID + "/0": bitmap{3, 1}.chunk(0)}}),
-		prefixRental + "1":    wire.Encode(rentalRecord{"n1.2", "big", "b", true, 3}),
-		holdKey("req-000009"): wire.Encode(holdRecord{map[string]int{"m-000001": 2}}),
-		keyTypes:              wire.Encode(wire.MachineTypes{Builds: []wire.MachineType{{Name: "big", CPUs: 1, Cards: 2, MemGB: 3, LocalGB: 4, FetchGBPerS: 5, Hourly: 6, MarketPrice: 7, BootS: 8, Halls: []string{"a"}}}}),
+		record.ActiveKey(j.ID):            wire.Encode(map[string]any{"j": wire.FromJob(j), "at": 11}),
+		record.FinalKey(j.ID):             wire.Encode(record.Final{Status: wire.JobCancelled, At: 5}),
+		record.LeaderKey:                  wire.Encode(record.Leader{Node: "n1", Incarnation: 2}),
+		record.MemberKey("n1"):            wire.Encode(record.Member{Incarnation: 2}),
+		record.TeamKey("red"):             wire.Encode(record.Team{Owner: "n1", Incarnation: 2, Term: 3, Predecessors: []string{"n0.1"}}),
+		record.BlockKey("1"):              wire.Encode(d.Block("n1.2")),
+		record.CompletionsKey("red", "1"): wire.Encode(record.Completions{Chunks: map[string]string{j.ID + "/0": record.Bitmap{3, 1}.Chunk(0)}}),
+		record.RentalKey("1"):             wire.Encode(record.Rental{Owner: "n1.2", Type: "big", Zone: "b", Spot: true, Number: 3}),
+		record.HoldKey("req-000009"):      wire.Encode(record.Hold{Machines: map[string]int{"m-000001": 2}}),
+		record.TypesKey:                   wire.Encode(wire.MachineTypes{Builds: []wire.MachineType{{Name: "big", CPUs: 1, Cards: 2, MemGB: 3, LocalGB: 4, FetchGBPerS: 5, Hourly: 6, MarketPrice: 7, BootS: 8, Halls: []string{"a"}}}}),
 	}
 }
 
@@ -118,14 +119,14 @@
 	if text, is := v.(string); is { // a block's data
 		raw, err := base64.RawStdEncoding.DecodeString(text)
 		if err == nil {
-			raw, err = unsqueeze(raw)
+			raw, err = record.Decompress(raw)
 		}
 		var d any
 		if err != nil || wire.Decode(raw, &d) != nil {
 			return nil, false
 		}
 		d, ok := mutate(d, path, how)
-		return base64.RawStdEncoding.EncodeToString(squeeze(wire.Encode(d))), ok
+		return base64.RawStdEncoding.EncodeToString(record.Compress(wire.Encode(d))), ok
 	}
 	if len(path) == 1 {
 		return how(v, path[0])
--- a/controller/inherit_test.go
+++ b/controller/inherit_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"tamarindlead/internal/jobgraph"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -34,11 +35,11 @@
 	if j.Team == "" {
 		j.Team = "red"
 	}
-	rec := plainRecord(&j, at)
+	rec := record.NewJob(&j, at)
 	if len(awaits) > 0 {
-		rec.Job, rec.Waiting = nil, rec.Job
+		rec.Ready, rec.Waiting = nil, rec.Ready
 	}
-	w.apply(state.Change{Put: activeKey(j.ID), Value: wire.Encode(rec)})
+	w.apply(state.Change{Put: record.ActiveKey(j.ID), Value: wire.Encode(rec)})
 	w.jobs[j.ID], w.accepted[j.ID] = &j, at
 }
 
@@ -54,8 +55,8 @@
 
 func (w *tree) over(id, status string) {
 	delete(w.jobs, id)
-	w.apply(state.Change{Delete: activeKey(id)})
-	w.c.takeFinal(id, finalRecord{Status: status, At: 1})
+	w.apply(state.Change{Delete: record.ActiveKey(id)})
+	w.c.takeFinal(id, record.Final{Status: record.Status(status), At: 1})
 }
 
 // check holds what the owner makes of a job against what is expected.
--- a/controller/job.go
+++ b/controller/job.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"tamarindlead/internal/record"
 	"tamarindlead/micros"
 	"tamarindlead/sched"
 )
@@ -49,7 +50,7 @@
 	pending int
 	lowest  int // no task below it is pending
 	// done is the set of completed tasks, doneN their number.
-	done  bitmap
+	done  record.Bitmap
 	doneN int
 	// shards hold the completions, and finished those that are not recorded yet, by chunk.
 	shards   map[int]*shard
@@ -121,7 +122,7 @@
 // without: a queue of large jobs must fit into little memory.
 func (j *job) unfold() {
 	if j.tasks == nil {
-		j.tasks, j.done = make([]taskState, j.Tasks), make(bitmap, (j.Tasks+7)/8)
+		j.tasks, j.done = make([]taskState, j.Tasks), make(record.Bitmap, (j.Tasks+7)/8)
 	}
 }
 
@@ -140,7 +141,7 @@
 		j.lowest = min(j.lowest, i)
 	}
 	if s == taskDone {
-		j.done.set(i)
+		j.done.Set(i)
 		j.doneN++
 	}
 }
--- a/controller/job_queue.go
+++ b/controller/job_queue.go
@@ -7,23 +7,24 @@
 
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/peer"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
 
-// jobRecord takes an accepted job from its record.
+// record.Job takes an accepted job from its record.
 func (o *owner) jobRecord(key string, value []byte, version uint64) {
-	id := strings.TrimPrefix(key, prefixActive)
+	id := strings.TrimPrefix(key, record.ActivePrefix)
 	if o.jobs[id] != nil || o.waiting[id] != nil || o.c.ended[id] != 0 {
 		return
 	}
-	var rec jobRecord
+	var rec record.Job
 	if err := wire.Decode(value, &rec); err != nil {
 		o.c.log.Error("record cannot be read", "key", key, "error", err)
 		return
 	}
-	spec, err := rec.spec()
+	spec, err := rec.Description()
 	if err != nil {
 		o.c.log.Error("record cannot be read", "key", key, "error", err)
 		return
@@ -64,7 +65,7 @@
 func (o *owner) watchJobs(after uint64) {
 	c := o.c
 	asked := c.now
-	c.storeWithin(budget.Ownership, state.Watch(prefixActive, after, c.watchWait()), watchTimeout, func(r storeReply) {
+	c.storeWithin(budget.Ownership, state.Watch(record.ActivePrefix, after, c.watchWait()), watchTimeout, func(r storeReply) {
 		if o.over() {
 			return
 		}
--- a/controller/jobview.go
+++ b/controller/jobview.go
@@ -3,6 +3,7 @@
 import (
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/jobgraph"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -86,7 +87,7 @@
 		return
 	}
 	asked := c.now
-	c.listAll(prefixActive, func(ok bool, entries []state.Entry, revision uint64) {
+	c.listAll(record.ActivePrefix, func(ok bool, entries []state.Entry, revision uint64) {
 		if !ok {
 			view.stopFollowing(c.now)
 			return
@@ -108,7 +109,7 @@
 			return
 		}
 		asked, after := c.now, c.graph.Revision()
-		c.storeWithin(budget.Reads, state.Watch(prefixActive, after, c.watchWait()), watchTimeout, func(r storeReply) {
+		c.storeWithin(budget.Reads, state.Watch(record.ActivePrefix, after, c.watchWait()), watchTimeout, func(r storeReply) {
 			if !c.takeChanges(after, r) {
 				view.stopFollowing(c.now)
 				return
@@ -168,7 +169,7 @@
 		return
 	}
 	queue.reading = true
-	c.storeWithin(budget.Users, state.Watch(prefixActive, after, 0), storeTimeout, func(r storeReply) {
+	c.storeWithin(budget.Users, state.Watch(record.ActivePrefix, after, 0), storeTimeout, func(r storeReply) {
 		queue.reading = false
 		queue.askedAt = c.now // what came meanwhile goes out now
 		ok := c.takeChanges(after, r)
--- a/controller/jobview_test.go
+++ b/controller/jobview_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"tamarindlead/internal/budget"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/standin"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
@@ -32,12 +33,12 @@
 		Accepted int64           `cbor:"at"`
 	}
 	j := waitingJob(jobName(1))
-	writes, _ := jobWrites(j, 77, 8<<10)
+	writes, _ := record.JobWrites(j, 77, 8<<10)
 	want := wire.Encode(old{wire.FromJob(j), 77})
 	if got := wire.Encode(writes[0].Value); len(writes) != 1 || !bytes.Equal(got, want) {
 		t.Fatalf("written as %x, was %x", got, want)
 	}
-	writes, _ = jobWrites(waitingJob(jobName(1), jobName(2)), 77, 8<<10)
+	writes, _ = record.JobWrites(waitingJob(jobName(1), jobName(2)), 77, 8<<10)
 	var seen old
 	if err := wire.Decode(wire.Encode(writes[0].Value), &seen); err != nil {
 		t.Fatal(err)
@@ -57,18 +58,18 @@
 				ids = append(ids, jobName(100+i))
 			}
 			s := standinWith(limit)
-			writes, size := jobWrites(waitingJob(jobName(1), ids...), 5, limit)
+			writes, size := record.JobWrites(waitingJob(jobName(1), ids...), 5, limit)
 			var got []string
 			for _, w := range writes {
 				r, _ := s.Handle("n0", "POST", "/commit", state.Commit(nil, []state.Write{w}).Body, true)
 				if r.Status != 200 {
 					t.Fatalf("%d ids in %d bytes: %s is refused with %d", n, limit, w.Put, r.Status)
 				}
-				if p, ok := w.Value.(partRecord); ok {
+				if p, ok := w.Value.(record.Part); ok {
 					got = append(got, p.IDs...)
 				}
 			}
-			rec := writes[0].Value.(jobRecord)
+			rec := writes[0].Value.(record.Job)
 			if rec.Parts != len(writes)-1 {
 				t.Fatalf("%d ids: %d parts are %d writes", n, rec.Parts, len(writes))
 			}
@@ -101,7 +102,7 @@
 		if i%length > 0 {
 			awaits = []string{jobName(i - 1)}
 		}
-		writes, _ := jobWrites(waitingJob(jobName(i), awaits...), 1, 8<<10)
+		writes, _ := record.JobWrites(waitingJob(jobName(i), awaits...), 1, 8<<10)
 		entries = append(entries, state.Entry{Key: writes[0].Put, Value: wire.Encode(writes[0].Value), Version: uint64(i + 1)})
 	}
 	o.c.graph.Reset(entries, uint64(len(entries)))
@@ -123,10 +124,10 @@
 		g := o.c.graph
 		before, revision := g.Work().Jobs, g.Revision()
 		g.Apply(revision, &state.Changes{Revision: revision + 2, Events: []state.Change{
-			{Delete: activeKey(jobName(0)), Version: revision + 1},
-			{Delete: activeKey(jobName(5)), Version: revision + 2},
+			{Delete: record.ActiveKey(jobName(0)), Version: revision + 1},
+			{Delete: record.ActiveKey(jobName(5)), Version: revision + 2},
 		}}, o.c.day)
-		finals := map[string]finalRecord{
+		finals := map[string]record.Final{
 			jobName(0): {Status: wire.JobDone, At: 3},
 			jobName(5): {Status: wire.JobCancelled},
 		}
@@ -151,8 +152,8 @@
 			g, id := o.c.graph, jobName(5*chains)
 			for b.Loop() {
 				rev := g.Revision()
-				put := state.Change{Put: activeKey(id), Value: wire.Encode(plainRecord(waitingJob(id), 1)), Version: rev + 1}
-				g.Apply(rev, &state.Changes{Revision: rev + 2, Events: []state.Change{put, {Delete: activeKey(id), Version: rev + 2}}}, o.c.day)
+				put := state.Change{Put: record.ActiveKey(id), Value: wire.Encode(record.NewJob(waitingJob(id), 1)), Version: rev + 1}
+				g.Apply(rev, &state.Changes{Revision: rev + 2, Events: []state.Change{put, {Delete: record.ActiveKey(id), Version: rev + 2}}}, o.c.day)
 				o.c.nextSlow = 0
 				o.c.Handle(o.c.now, o.c.now, Tick{})
 			}
@@ -174,7 +175,7 @@
 		for i := range 3000 {
 			id := jobName(i)
 			if rng.IntN(3) > 0 {
-				s.Handle("n0", "POST", "/commit", state.Commit(nil, []state.Write{{Put: finalKey(id), Value: finalRecord{Status: wire.JobDone}}}).Body, true)
+				s.Handle("n0", "POST", "/commit", state.Commit(nil, []state.Write{{Put: record.FinalKey(id), Value: record.Final{Status: wire.JobDone}}}).Body, true)
 				want[id] = true
 			}
 			if rng.IntN(1+int(seed)*20) == 0 {
@@ -182,8 +183,8 @@
 			}
 		}
 		requests := 0
-		var found map[string]finalRecord
-		c.readFinals(budget.Users, slices.Clone(ids), c.now+micros.Second, func(f map[string]finalRecord, ok bool) {
+		var found map[string]record.Final
+		c.readFinals(budget.Users, slices.Clone(ids), c.now+micros.Second, func(f map[string]record.Final, ok bool) {
 			if !ok {
 				t.Fatal("not read")
 			}
@@ -215,8 +216,8 @@
 // TestKeyBefore guards the place from which a listing must start to bring a key first.
 func TestKeyBefore(t *testing.T) {
 	for _, id := range []string{"req-000000", "req-000010", "req-000019", "req-0000190"} {
-		from := keyBefore(finalKey(id))
-		if !(from < finalKey(id)) || strings.Compare(from, finalKey(id)[:len(finalKey(id))-1]) < 0 {
+		from := keyBefore(record.FinalKey(id))
+		if !(from < record.FinalKey(id)) || strings.Compare(from, record.FinalKey(id)[:len(record.FinalKey(id))-1]) < 0 {
 			t.Errorf("%s from %s", id, from)
 		}
 	}
--- a/controller/limits_test.go
+++ b/controller/limits_test.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"tamarindlead/config"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/standin"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
@@ -90,7 +91,7 @@
 	o.c.cfg.ValueBytes, o.c.cfg.TxnOps = 2<<10, 500
 	for i := range 400 {
 		id := fmt.Sprintf("req-%06d", i*7919%1000000)
-		o.jobRecord(activeKey(id), wire.Encode(plainRecord(&sched.Job{
+		o.jobRecord(record.ActiveKey(id), wire.Encode(record.NewJob(&sched.Job{
 			ID: id, Class: "work", Team: "red", Priority: sched.Normal, Tasks: 1 + i%5, Image: "img",
 			Need: sched.NewResources(float64(1+i%3)/4, 0, float64(1+i%7)/8), Estimate: 30 * micros.Second,
 		}, 0)), uint64(i+1))
@@ -112,7 +113,7 @@
 			if len(tx.writes) != 1 || b.tooLarge {
 				t.Fatalf("block %s is not written", b.name)
 			}
-			if n := tx.writes[0].Value.(blockRecord).size(); n > o.c.cfg.ValueBytes {
+			if n := tx.writes[0].Value.(record.Block).Size(); n > o.c.cfg.ValueBytes {
 				t.Fatalf("block %s has %d bytes", b.name, n)
 			}
 			o.settle(tx, true, 10)
@@ -159,25 +160,25 @@
 	o := testOwner()
 	o.c.cfg.ValueBytes = 1024
 	var entries []state.Entry
-	rec := doneRecord{Chunks: map[string]string{}}
+	rec := record.Completions{Chunks: map[string]string{}}
 	for i := range 12 {
 		id := jobName(i)
-		o.jobRecord(activeKey(id), wire.Encode(plainRecord(&sched.Job{
+		o.jobRecord(record.ActiveKey(id), wire.Encode(record.NewJob(&sched.Job{
 			ID: id, Class: "work", Team: "red", Tasks: 800, Need: sched.NewResources(1, 0, 1), Image: "img", Estimate: micros.Second,
 		}, 0)), uint64(i+1))
-		bits := make(bitmap, 100)
-		bits.set(5)
-		rec.Chunks[numbered(id, 0)] = bits.chunk(0)
-	}
-	other := make(bitmap, 100)
-	other.set(700)
-	entries = append(entries, state.Entry{Key: shardKey("red", "1"), Value: wire.Encode(rec), Version: 20},
-		state.Entry{Key: shardKey("red", "2"), Value: wire.Encode(doneRecord{Chunks: map[string]string{numbered(jobName(3), 0): other.chunk(0)}}), Version: 19})
+		bits := make(record.Bitmap, 100)
+		bits.Set(5)
+		rec.Chunks[wire.TaskName(id, 0)] = bits.Chunk(0)
+	}
+	other := make(record.Bitmap, 100)
+	other.Set(700)
+	entries = append(entries, state.Entry{Key: record.CompletionsKey("red", "1"), Value: wire.Encode(rec), Version: 20},
+		state.Entry{Key: record.CompletionsKey("red", "2"), Value: wire.Encode(record.Completions{Chunks: map[string]string{wire.TaskName(jobName(3), 0): other.Chunk(0)}}), Version: 19})
 	o.loadDone(entries)
-	if j := o.jobs[jobName(3)]; !j.done.has(5) || !j.done.has(700) || j.doneN != 2 {
+	if j := o.jobs[jobName(3)]; !j.done.Has(5) || !j.done.Has(700) || j.doneN != 2 {
 		t.Fatalf("%d completions are known", j.doneN)
 	}
-	dropped := func() bool { return slices.Contains(o.garbage, shardKey("red", "1")) }
+	dropped := func() bool { return slices.Contains(o.garbage, record.CompletionsKey("red", "1")) }
 	for range 20 {
 		if o.dropShards(); dropped() && slices.ContainsFunc(o.shards, func(s *shard) bool { return s.version == 0 }) {
 			t.Fatal("the old record goes before the new ones are written")
@@ -202,7 +203,7 @@
 	o := testOwner()
 	o.c.cfg.ValueBytes = 2 << 10
 	id := jobName(1)
-	o.jobRecord(activeKey(id), wire.Encode(plainRecord(&sched.Job{
+	o.jobRecord(record.ActiveKey(id), wire.Encode(record.NewJob(&sched.Job{
 		ID: id, Class: "work", Team: "red", Tasks: 40, Need: sched.NewResources(2, 0, 2), Image: "img", Estimate: micros.Second,
 	}, 0)), 1)
 	for i := range 6 {
--- a/controller/load.go
+++ b/controller/load.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/micros"
 	"tamarindlead/sched"
@@ -40,26 +41,26 @@
 		}
 	}
 	var machines []state.Entry
-	holds := step(prefixHold, func(entries []state.Entry, _ uint64) {
+	holds := step(record.HoldPrefix, func(entries []state.Entry, _ uint64) {
 		o.loadHolds(entries)
 		o.buildMachines(machines)
 		o.busy = false
 		o.activate()
 	})
-	rentals := step(prefixRental, func(entries []state.Entry, _ uint64) {
+	rentals := step(record.RentalPrefix, func(entries []state.Entry, _ uint64) {
 		o.loadRentals(entries)
 		holds()
 	})
-	listMachines := step(prefixMachine, func(entries []state.Entry, _ uint64) {
+	listMachines := step(record.BlockPrefix, func(entries []state.Entry, _ uint64) {
 		machines = entries
 		rentals()
 	})
-	done := step(prefixDone, func(entries []state.Entry, _ uint64) {
+	done := step(record.CompletionsPrefix, func(entries []state.Entry, _ uint64) {
 		o.loadDone(entries)
 		listMachines()
 	})
 	asked := c.now
-	step(prefixActive, func(entries []state.Entry, rev uint64) {
+	step(record.ActivePrefix, func(entries []state.Entry, rev uint64) {
 		o.watchRev, o.knownTo = rev, asked
 		c.graph.Reset(entries, rev)
 		o.listed = true
--- a/controller/lookups.go
+++ b/controller/lookups.go
@@ -6,6 +6,7 @@
 
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/jobgraph"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -129,7 +130,7 @@
 		case c.graph.Unsettled(l.id):
 			batch.derived = append(batch.derived, l)
 		case version != 0 && c.hasRoomToCompare(batch, l.id, version):
-			batch.versions[activeKey(l.id)] = version
+			batch.versions[record.ActiveKey(l.id)] = version
 			batch.compared = append(batch.compared, l)
 		default:
 			rest = append(rest, l)
@@ -141,7 +142,7 @@
 
 // hasRoomToCompare tells whether a job's version can be compared with a batch.
 func (c *Core) hasRoomToCompare(batch *lookupBatch, id string, version uint64) bool {
-	return batch.versions[activeKey(id)] == version || len(batch.versions) < comparedPerOp*c.cfg.TxnOps
+	return batch.versions[record.ActiveKey(id)] == version || len(batch.versions) < comparedPerOp*c.cfg.TxnOps
 }
 
 // sendLookupBatch sends what the budget allows of a batch and hands back the rest, in the
@@ -227,7 +228,7 @@
 	}
 	var again []*lookup
 	for _, l := range batch.compared {
-		key := activeKey(l.id)
+		key := record.ActiveKey(l.id)
 		switch {
 		case failed[key]:
 			if c.graph.Version(l.id) == batch.versions[key] {
@@ -246,7 +247,7 @@
 
 // readActive looks a job up by its records, first by that of an active job.
 func (c *Core) readActive(l *lookup) {
-	c.get(budget.Reads, activeKey(l.id), func(out outcome, e state.Entry) {
+	c.get(budget.Reads, record.ActiveKey(l.id), func(out outcome, e state.Entry) {
 		switch out {
 		case outOK:
 			c.takeActive(l, e)
@@ -275,13 +276,13 @@
 
 // readFinal looks a job up that is not active.
 func (c *Core) readFinal(l *lookup) {
-	c.get(budget.Reads, finalKey(l.id), func(out outcome, e state.Entry) {
-		var rec finalRecord
+	c.get(budget.Reads, record.FinalKey(l.id), func(out outcome, e state.Entry) {
+		var rec record.Final
 		switch {
 		case out == outMissing:
 			c.finishLookup(l, lookupResult{outcome: lookupNotFound})
 		case out == outOK && wire.Decode(e.Value, &rec) == nil:
-			c.finishFinal(l, rec.Status, rec.root(l.id))
+			c.finishFinal(l, string(rec.Status), rec.CancelledRoot(l.id))
 		default:
 			c.finishLookup(l, lookupResult{})
 		}
--- a/controller/machine_types.go
+++ b/controller/machine_types.go
@@ -2,6 +2,7 @@
 
 import (
 	"tamarindlead/internal/budget"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -36,7 +37,7 @@
 	}
 	t.asking, t.next = true, c.now+2*micros.Second
 	if len(t.list) == 0 {
-		c.get(budget.Leadership, keyTypes, func(out outcome, e state.Entry) {
+		c.get(budget.Leadership, record.TypesKey, func(out outcome, e state.Entry) {
 			t.asking = false
 			var m wire.MachineTypes
 			if out == outOK && wire.Decode(e.Value, &m) == nil && len(t.list) == 0 {
@@ -78,7 +79,7 @@
 	if c.owner == nil || t.recorded || state.Size(t.raw) > c.cfg.ValueBytes {
 		return
 	}
-	write := []state.Write{{Put: keyTypes, Value: t.raw}}
+	write := []state.Write{{Put: record.TypesKey, Value: t.raw}}
 	c.store(budget.Work, state.Commit(c.owner.guards(nil), write), func(r storeReply) {
 		t.recorded = t.recorded || r.outcome == outOK
 	})
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -4,6 +4,7 @@
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/peer"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -183,17 +184,17 @@
 }
 
 // givenBlock names the block in which a machine is given away.
-func givenBlock(m *machine) string { return givenPrefix + m.name + "-" + numberName(m.token) }
+func givenBlock(m *machine) string { return givenPrefix + m.name + "-" + record.NumberName(m.token) }
 
 // writeMove gives an empty machine away, in a block of its own.
 func (o *owner) writeMove(t *txn, m *machine) {
 	successor := o.c.cluster.MemberGuard(cluster.NodeOf(m.moveTo))
 	t.guards[successor.Key] = successor.Version
-	d := &blockData{
-		Kinds:    []blockKind{{Type: m.kind, Zone: m.zone, Spot: m.spot}},
-		Machines: []blockMachine{{Name: m.name, Endpoint: m.endpoint, Rented: int64(m.rented)}},
+	d := &record.BlockData{
+		Kinds:    []record.BlockKind{{Type: m.kind, Zone: m.zone, Spot: m.spot}},
+		Machines: []record.BlockMachine{{Name: m.name, Endpoint: m.endpoint, Rented: int64(m.rented)}},
 	}
-	t.put(prefixMachine+givenBlock(m), d.record(m.moveTo))
+	t.put(record.BlockKey(givenBlock(m)), d.Block(m.moveTo))
 }
 
 // moved drops a machine that was given away.
@@ -210,12 +211,12 @@
 	if o.state != ownerActive {
 		return
 	}
-	o.c.get(budget.Ownership, prefixMachine+name, func(out outcome, e state.Entry) {
-		var rec blockRecord
+	o.c.get(budget.Ownership, record.BlockKey(name), func(out outcome, e state.Entry) {
+		var rec record.Block
 		if o.over() || out != outOK || wire.Decode(e.Value, &rec) != nil || rec.Owner != o.c.node.ID() {
 			return
 		}
-		d, err := rec.data()
+		d, err := rec.Decode()
 		if err != nil || len(d.Machines) != 1 || d.Machines[0].Token != 0 || o.machines[d.Machines[0].Name] != nil {
 			return
 		}
--- a/controller/pairs_test.go
+++ b/controller/pairs_test.go
@@ -485,7 +485,7 @@
 	used := map[string]float64{}
 	on := map[string][]string{} // job -> zones of its tasks
 	for task, name := range w.running {
-		id, _, _ := splitNumbered(task)
+		id, _, _ := wire.SplitTaskName(task)
 		used[w.submitted[id].Team] += w.infos[id].CPU
 		on[id] = append(on[id], w.cloud.Machines[name].Zone)
 	}
@@ -494,7 +494,7 @@
 		j := w.submitted[id]
 		pending := j.Tasks - len(on[id])
 		for i := range j.Tasks {
-			if w.done[numbered(id, i)] {
+			if w.done[wire.TaskName(id, i)] {
 				pending--
 			}
 		}
@@ -606,7 +606,7 @@
 		}
 		all = append(all, k)
 		for task := range k.Tasks {
-			if id, _, _ := splitNumbered(task); w.wantsEnd[id] && k.Live(task) {
+			if id, _, _ := wire.SplitTaskName(task); w.wantsEnd[id] && k.Live(task) {
 				likely = append(likely, k)
 				break
 			}
@@ -704,7 +704,7 @@
 	for _, id := range p.open() {
 		last := !seen[id]
 		for i := range w.submitted[id].Tasks {
-			last = last && w.done[numbered(id, i)]
+			last = last && w.done[wire.TaskName(id, i)]
 		}
 		if last {
 			seen[id] = true
--- a/controller/pipelines_test.go
+++ b/controller/pipelines_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/standin"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -78,7 +79,7 @@
 		return false
 	}
 	for i := range j.Tasks {
-		if !w.done[numbered(id, i)] {
+		if !w.done[wire.TaskName(id, i)] {
 			return false
 		}
 	}
@@ -87,7 +88,7 @@
 
 // recorded is the final state that the state service keeps of a job, or "".
 func (w *world) recorded(id string) string {
-	value, ok := w.state.Get(prefixFinal + id)
+	value, ok := w.state.Get(record.FinalPrefix + id)
 	if !ok {
 		return ""
 	}
@@ -97,7 +98,7 @@
 	if err := wire.Decode(value, &f); err != nil {
 		w.breakRule("record: the final state of %s cannot be read: %v", id, err)
 	}
-	return f.Status
+	return string(f.Status)
 }
 
 // waitsForOthers tells whether users were not told yet of all jobs that a job awaits that
@@ -173,7 +174,7 @@
 	}
 	if _, ok := w.crowd.acceptedAt[id]; !ok {
 		for _, other := range p.awaits[id] {
-			_, active := w.state.Get(prefixActive + other)
+			_, active := w.state.Get(record.ActivePrefix + other)
 			if !active && w.recorded(other) == "" {
 				w.breakRule("accepted_bad: %s is accepted, %s that it awaits never was", id, other)
 			}
--- a/controller/readings_test.go
+++ b/controller/readings_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"tamarindlead/internal/peer"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/wire"
 )
 
@@ -74,45 +75,48 @@
 	return v
 }
 
+// productionNames are fields that were renamed in the program since the version in production.
+var productionNames = strings.NewReplacer(`"Incarnation":`, `"Life":`, `"Predecessors":`, `"Heir":`)
+
 func readRecord(key string, value []byte) (string, error) {
 	into := func(v any) (string, error) {
 		if err := wire.Decode(value, v); err != nil {
 			return "", err
 		}
 		text, err := json.Marshal(v)
-		return string(text), err
+		return productionNames.Replace(string(text)), err
 	}
 	switch {
-	case key == keyLeader:
-		return into(&leaderRecord{})
-	case strings.HasPrefix(key, prefixMember):
-		return into(&memberRecord{})
-	case strings.HasPrefix(key, prefixTeam):
-		return into(&teamRecord{})
-	case key == keyTypes:
+	case key == record.LeaderKey:
+		return into(&record.Leader{})
+	case strings.HasPrefix(key, record.MemberPrefix):
+		return into(&record.Member{})
+	case strings.HasPrefix(key, record.TeamPrefix):
+		return into(&record.Team{})
+	case key == record.TypesKey:
 		return into(&wire.MachineTypes{})
-	case strings.HasPrefix(key, prefixFinal):
-		return into(&finalRecord{})
-	case strings.HasPrefix(key, prefixRental):
-		return into(&rentalRecord{})
-	case strings.HasPrefix(key, prefixHold):
-		return into(&holdRecord{})
-	case strings.HasPrefix(key, prefixActive):
+	case strings.HasPrefix(key, record.FinalPrefix):
+		return into(&record.Final{})
+	case strings.HasPrefix(key, record.RentalPrefix):
+		return into(&record.Rental{})
+	case strings.HasPrefix(key, record.HoldPrefix):
+		return into(&record.Hold{})
+	case strings.HasPrefix(key, record.ActivePrefix):
 		return readJob(value)
-	case strings.HasPrefix(key, prefixMachine):
+	case strings.HasPrefix(key, record.BlockPrefix):
 		return readBlock(value)
-	case strings.HasPrefix(key, prefixDone):
+	case strings.HasPrefix(key, record.CompletionsPrefix):
 		return readShard(value)
 	}
 	return "", fmt.Errorf("%s is no key of this version", key)
 }
 
 func readJob(value []byte) (string, error) {
-	var rec jobRecord
+	var rec record.Job
 	if err := wire.Decode(value, &rec); err != nil {
 		return "", err
 	}
-	j, err := rec.spec()
+	j, err := rec.Description()
 	if err != nil {
 		return "", err
 	}
@@ -121,24 +125,24 @@
 }
 
 func readBlock(value []byte) (string, error) {
-	var rec blockRecord
+	var rec record.Block
 	if err := wire.Decode(value, &rec); err != nil {
 		return "", err
 	}
-	d, err := rec.data()
+	d, err := rec.Decode()
 	if err != nil {
 		return "", err
 	}
 	machines := []any{}
 	for i := range d.Machines {
 		m := &d.Machines[i]
-		tasks, err := d.unpack(m)
+		tasks, err := d.Unpack(m)
 		if err != nil {
 			return "", err
 		}
 		names := []string{}
 		for _, t := range tasks {
-			names = append(names, fmt.Sprintf("%+v %s attempt %d", d.Jobs[t.job], numbered(d.Jobs[t.job].ID, t.index), t.number))
+			names = append(names, fmt.Sprintf("%+v %s attempt %d", d.Jobs[t.Job], wire.TaskName(d.Jobs[t.Job].ID, t.Index), t.Number))
 		}
 		machines = append(machines, map[string]any{
 			"name": m.Name, "token": m.Token, "endpoint": m.Endpoint, "kind": d.Kinds[m.Kind],
@@ -150,22 +154,22 @@
 }
 
 func readShard(value []byte) (string, error) {
-	var rec doneRecord
+	var rec record.Completions
 	if err := wire.Decode(value, &rec); err != nil {
 		return "", err
 	}
 	done := map[string][]int{}
 	for name, bits := range rec.Chunks {
-		_, chunk, ok := splitNumbered(name)
+		_, chunk, ok := wire.SplitTaskName(name)
 		if !ok {
 			return "", fmt.Errorf("chunk %s", name)
 		}
-		b := make(bitmap, (chunk+1)*chunkTasks/8)
-		if err := b.load(chunk, bits); err != nil {
+		b := make(record.Bitmap, (chunk+1)*record.ChunkTasks/8)
+		if err := b.MergeChunk(chunk, bits); err != nil {
 			return "", err
 		}
 		for i := range len(b) * 8 {
-			if b.has(i) {
+			if b.Has(i) {
 				done[name] = append(done[name], i)
 			}
 		}
--- a/controller/rentals.go
+++ b/controller/rentals.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"tamarindlead/internal/capacity"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -48,7 +49,7 @@
 
 func (o *owner) loadRentals(entries []state.Entry) {
 	for _, e := range entries {
-		var rec rentalRecord
+		var rec record.Rental
 		if wire.Decode(e.Value, &rec) != nil {
 			o.c.log.Error("record cannot be read", "key", e.Key)
 			continue
@@ -56,7 +57,7 @@
 		if !o.mine(rec.Owner) {
 			continue
 		}
-		name := strings.TrimPrefix(e.Key, prefixRental)
+		name := strings.TrimPrefix(e.Key, record.RentalPrefix)
 		o.rentals[name] = &rental{
 			name: name, offer: capacity.Offer{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}, number: rec.Number, state: rentalAsking,
 		}
@@ -78,11 +79,13 @@
 			return
 		}
 		r.writing = true
-		key := prefixRental + name
+		key := record.RentalKey(name)
 		if r.state == rentalOver {
 			t.writes = append(t.writes, state.Write{Delete: key})
 		} else {
-			t.put(key, rentalRecord{o.c.node.ID(), r.offer.Type, r.offer.Zone, r.offer.Spot, r.number})
+			t.put(key, record.Rental{
+				Owner: o.c.node.ID(), Type: r.offer.Type, Zone: r.offer.Zone, Spot: r.offer.Spot, Number: r.number,
+			})
 		}
 		t.results = append(t.results, func(ok bool, _ uint64) {
 			r.writing = false
@@ -99,7 +102,7 @@
 
 // rent begins a rental.
 func (o *owner) rent(request capacity.Request) {
-	r := &rental{name: "h-" + numberName(o.nextNumber()), offer: request.Offer, number: request.Number}
+	r := &rental{name: "h-" + record.NumberName(o.nextNumber()), offer: request.Offer, number: request.Number}
 	o.rentals[r.name] = r
 	o.c.log.Info("rental wanted", "name", r.name, "type", r.offer.Type, "zone", r.offer.Zone,
 		"spot", r.offer.Spot, "number", r.number, "class", request.Job.Class, "short_cpus", request.ShortCPUs)
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -77,7 +77,7 @@
 
 // mayKeepTask tells whether a task has exited or belongs to a job that is known to be active.
 func (c *Core) mayKeepTask(task *wire.TaskReport) bool {
-	id, _, ok := splitNumbered(task.Task)
+	id, _, ok := wire.SplitTaskName(task.Task)
 	if !ok {
 		return false
 	}
@@ -222,7 +222,7 @@
 	listed := make(map[taskKey]bool, len(report.Tasks))
 	for i := range report.Tasks {
 		task := &report.Tasks[i]
-		id, index, ok := splitNumbered(task.Task)
+		id, index, ok := wire.SplitTaskName(task.Task)
 		if !ok {
 			continue
 		}
--- a/controller/store.go
+++ b/controller/store.go
@@ -3,6 +3,7 @@
 import (
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/peer"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -153,7 +154,7 @@
 		return
 	}
 	r.probing, r.next = true, c.now+probeEvery
-	c.storeDirect(state.Get(keyLeader), storeTimeout, func(e CallDone) {
+	c.storeDirect(state.Get(record.LeaderKey), storeTimeout, func(e CallDone) {
 		r.probing = false
 		c.noteDirect(e.Status)
 	})
--- a/controller/users.go
+++ b/controller/users.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"tamarindlead/internal/budget"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -122,7 +123,7 @@
 		return
 	}
 	refusal, why := 422, c.neverRuns(j)
-	writes, size := jobWrites(j, c.day, c.cfg.ValueBytes)
+	writes, size := record.JobWrites(j, c.day, c.cfg.ValueBytes)
 	if len(writes) > c.cfg.TxnOps || size > commitBytes || state.Size(writes[0].Value) > c.cfg.ValueBytes {
 		refusal, why = 400, "description too long"
 	}
@@ -270,13 +271,13 @@
 	var writes []state.Write
 	size := 0
 	for i, a := range batch {
-		puts, bytes := jobWrites(a.job, c.day, c.cfg.ValueBytes)
+		puts, bytes := record.JobWrites(a.job, c.day, c.cfg.ValueBytes)
 		if size += bytes; i > 0 && size > wire.MaxBody/2 {
 			u.waiting = append(batch[i:len(batch):len(batch)], u.waiting...)
 			batch = batch[:i]
 			break
 		}
-		guards = append(guards, state.Guard{Key: activeKey(a.job.ID)}, state.Guard{Key: finalKey(a.job.ID)})
+		guards = append(guards, state.Guard{Key: record.ActiveKey(a.job.ID)}, state.Guard{Key: record.FinalKey(a.job.ID)})
 		writes = append(writes, puts...)
 	}
 	u.committing = true
@@ -302,7 +303,7 @@
 			failed[k] = true
 		}
 		for _, a := range batch {
-			if failed[activeKey(a.job.ID)] || failed[finalKey(a.job.ID)] || len(failed) == 0 {
+			if failed[record.ActiveKey(a.job.ID)] || failed[record.FinalKey(a.job.ID)] || len(failed) == 0 {
 				u.known(c, a)
 			} else {
 				u.waiting = append(u.waiting, a)
@@ -436,7 +437,7 @@
 // tryCancel reads the job's record and then cancels it.
 func (c *Core) tryCancel(req uint64, id string, until micros.Micros) {
 	fail := func() { c.refuse(req, 503, storeSilent) }
-	c.get(budget.Users, activeKey(id), func(out outcome, e state.Entry) {
+	c.get(budget.Users, record.ActiveKey(id), func(out outcome, e state.Entry) {
 		switch out {
 		case outOK:
 			c.commitCancel(req, id, e.Version, until)
@@ -461,10 +462,10 @@
 const cancelWrites = 2
 
 func (c *Core) commitCancel(req uint64, id string, version uint64, until micros.Micros) {
-	guards := []state.Guard{{Key: activeKey(id), Version: version}}
+	guards := []state.Guard{{Key: record.ActiveKey(id), Version: version}}
 	writes := []state.Write{
-		{Put: finalKey(id), Value: finalRecord{Status: wire.JobCancelled, At: int64(c.day)}},
-		{Delete: activeKey(id)},
+		{Put: record.FinalKey(id), Value: record.Final{Status: wire.JobCancelled, At: c.day}},
+		{Delete: record.ActiveKey(id)},
 	}
 	c.store(budget.Users, state.Commit(guards, writes), func(r storeReply) {
 		switch {
--- a/controller/users_test.go
+++ b/controller/users_test.go
@@ -127,7 +127,7 @@
 	}
 	if st.Status == wire.JobDone {
 		for i := range j.Tasks {
-			if !w.done[numbered(id, i)] {
+			if !w.done[wire.TaskName(id, i)] {
 				w.breakRule("not_done: %s without task %d", id, i)
 				break
 			}
@@ -213,7 +213,7 @@
 		return
 	}
 	for i := range w.submitted[id].Tasks {
-		if !w.done[numbered(id, i)] {
+		if !w.done[wire.TaskName(id, i)] {
 			return
 		}
 	}
@@ -400,7 +400,7 @@
 	}
 	left := 0
 	for i := range j.Tasks {
-		if !w.done[numbered(id, i)] {
+		if !w.done[wire.TaskName(id, i)] {
 			left++
 		}
 	}
@@ -414,7 +414,7 @@
 	team := w.cfg.Teams[slices.IndexFunc(w.cfg.Teams, func(t config.Team) bool { return t.Name == j.Team })]
 	used := 0.0
 	for task := range w.running {
-		if other, _, _ := splitNumbered(task); w.submitted[other].Team == j.Team {
+		if other, _, _ := wire.SplitTaskName(task); w.submitted[other].Team == j.Team {
 			used += w.infos[other].CPU
 		}
 	}
--- a/controller/waiting.go
+++ b/controller/waiting.go
@@ -6,6 +6,7 @@
 
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/jobgraph"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -101,9 +102,9 @@
 			continue
 		}
 		j.writing = true
-		t.guards[activeKey(id)] = j.version
-		t.writes = append(t.writes, state.Write{Delete: activeKey(id)})
-		t.put(finalKey(id), finalRecord{Status: wire.JobCancelled, At: int64(o.c.day), Before: w.CancelledRoot})
+		t.guards[record.ActiveKey(id)] = j.version
+		t.writes = append(t.writes, state.Write{Delete: record.ActiveKey(id)})
+		t.put(record.FinalKey(id), record.Final{Status: wire.JobCancelled, At: o.c.day, Before: w.CancelledRoot})
 		t.results = append(t.results, func(ok bool, _ uint64) {
 			j.writing = false
 			switch {
@@ -128,7 +129,7 @@
 // dropParts has the further keys of a job's list deleted: they serve while its record exists.
 func (o *owner) dropParts(j *job) {
 	for i := range j.parts {
-		o.garbage = append(o.garbage, partKey(j.ID, partName(i)))
+		o.garbage = append(o.garbage, record.PartKey(j.ID, i))
 	}
 	j.parts = 0
 }
@@ -161,7 +162,7 @@
 		return
 	}
 	o.swept = true
-	o.c.store(budget.Cleanup, state.List(prefixPart, ""), func(r storeReply) {
+	o.c.store(budget.Cleanup, state.List(record.PartPrefix, ""), func(r storeReply) {
 		var p state.Page
 		if o.over() {
 			return
@@ -176,7 +177,7 @@
 				return
 			}
 			for _, e := range p.Entries {
-				id, _, _ := strings.Cut(strings.TrimPrefix(e.Key, prefixPart), "/")
+				id, _, _ := strings.Cut(strings.TrimPrefix(e.Key, record.PartPrefix), "/")
 				if !o.c.graph.Active(id) && !slices.Contains(o.garbage, e.Key) {
 					o.garbage = append(o.garbage, e.Key)
 				}
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -433,7 +433,7 @@
 }
 
 func (w *world) info(task string) (standin.TaskInfo, bool) {
-	id, index, _ := splitNumbered(task)
+	id, index, _ := wire.SplitTaskName(task)
 	i, ok := w.infos[id]
 	i.Run += micros.Micros(index) * w.apart[id]
 	return i, ok
@@ -441,7 +441,7 @@
 
 func (w *world) onStart(k *standin.Worker, task string, attempt uint64) {
 	w.starts++
-	id, _, _ := splitNumbered(task)
+	id, _, _ := wire.SplitTaskName(task)
 	w.noteStart(id)
 	w.checkEarly(task, id)
 	j := w.submitted[id]
@@ -460,7 +460,7 @@
 	}
 	zones := map[string]int{}
 	for other, name := range w.running {
-		if o, _, _ := splitNumbered(other); o == id {
+		if o, _, _ := wire.SplitTaskName(other); o == id {
 			zones[w.cloud.Machines[name].Zone]++
 		}
 	}
@@ -473,7 +473,7 @@
 func (w *world) onMachines(id string) int {
 	n := 0
 	for task := range w.running {
-		if o, _, _ := splitNumbered(task); o == id {
+		if o, _, _ := wire.SplitTaskName(task); o == id {
 			n++
 		}
 	}
@@ -489,7 +489,7 @@
 		return
 	}
 	w.done[task] = true
-	id, _, _ := splitNumbered(task)
+	id, _, _ := wire.SplitTaskName(task)
 	w.jobEnded(id)
 	w.noteTaskDone(id)
 	if !w.infos[id].Gang {
@@ -498,7 +498,7 @@
 	for _, name := range w.workerNames() {
 		mate := w.workers[name]
 		for i := range w.infos[id].Tasks {
-			if t := mate.Tasks[numbered(id, i)]; t != nil && !mate.Machine.Gone && t.Phase == wire.PhaseRunning && t.Attempt == k.Tasks[task].Attempt {
+			if t := mate.Tasks[wire.TaskName(id, i)]; t != nil && !mate.Machine.Gone && t.Phase == wire.PhaseRunning && t.Attempt == k.Tasks[task].Attempt {
 				mate.Complete(t)
 			}
 		}
@@ -519,14 +519,14 @@
 
 // gangCount tells whether all tasks of a gang's attempt are as asked.
 func (w *world) gangCount(task string, attempt uint64, is func(*standin.Worker, *standin.Task) bool) bool {
-	id, _, _ := splitNumbered(task)
+	id, _, _ := wire.SplitTaskName(task)
 	n := 0
 	for _, k := range w.workers {
 		if k.Machine.Gone {
 			continue
 		}
 		for name, t := range k.Tasks {
-			if o, _, _ := splitNumbered(name); o == id && t.Attempt == attempt && is(k, t) {
+			if o, _, _ := wire.SplitTaskName(name); o == id && t.Attempt == attempt && is(k, t) {
 				n++
 			}
 		}
@@ -580,7 +580,7 @@
 func (w *world) checkRules() {
 	used := map[string]float64{}
 	for task := range w.running {
-		id, _, _ := splitNumbered(task)
+		id, _, _ := wire.SplitTaskName(task)
 		used[w.submitted[id].Team] += w.infos[id].CPU
 		if at, ok := w.cancelled[id]; ok && w.now > at+w.cfg.CancelIn {
 			w.breakRule("ran_cancelled: %s is still on %s", task, w.running[task])
--- a/internal/cluster/assign.go
+++ b/internal/cluster/assign.go
@@ -44,7 +44,7 @@
 	if len(writes) == 0 {
 		return
 	}
-	guards[record.KeyLeader] = n.leadership.term
+	guards[record.LeaderKey] = n.leadership.term
 	n.assignment.committing = true
 	n.store.Call(state.Commit(state.SortedGuards(guards), writes), func(now micros.Micros, _ Reply) {
 		// Whatever the outcome, the watch tells what holds.
--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -16,7 +16,7 @@
 // starts over.
 func (n *Node) follow() {
 	n.following = true
-	n.store.Call(state.List(record.PrefixCluster, ""), func(now micros.Micros, reply Reply) {
+	n.store.Call(state.List(record.ClusterPrefix, ""), func(now micros.Micros, reply Reply) {
 		var page state.Page
 		if !reply.decode(&page) {
 			n.following = false
@@ -32,7 +32,7 @@
 	hasLeader := false
 	for _, entry := range page.Entries {
 		n.takeRecord(now, entry.Key, entry.Value, entry.Version)
-		hasLeader = hasLeader || entry.Key == record.KeyLeader
+		hasLeader = hasLeader || entry.Key == record.LeaderKey
 	}
 	if !hasLeader {
 		n.leaderGone(now, page.Revision)
@@ -42,7 +42,7 @@
 }
 
 func (n *Node) watch(after uint64) {
-	n.store.Watch(record.PrefixCluster, after, func(now micros.Micros, reply Reply) {
+	n.store.Watch(record.ClusterPrefix, after, func(now micros.Micros, reply Reply) {
 		var changes state.Changes
 		if !reply.decode(&changes) {
 			n.following = false
@@ -63,7 +63,7 @@
 	switch {
 	case change.Put != "":
 		n.takeRecord(now, change.Put, change.Value, change.Version)
-	case change.Delete == record.KeyLeader:
+	case change.Delete == record.LeaderKey:
 		n.leaderGone(now, change.Version)
 	default:
 		n.view.remove(change.Delete)
@@ -71,7 +71,7 @@
 }
 
 func (n *Node) takeRecord(now micros.Micros, key string, value []byte, version uint64) {
-	if key == record.KeyLeader {
+	if key == record.LeaderKey {
 		n.leaderChanged(now, value, version)
 		return
 	}
--- a/internal/cluster/leadership.go
+++ b/internal/cluster/leadership.go
@@ -129,9 +129,9 @@
 func (n *Node) campaign(now micros.Micros) {
 	l := &n.leadership
 	n.setLead(now, leadCampaigning)
-	guards := []state.Guard{{Key: record.KeyLeader, Version: l.term}, n.OwnGuard()}
+	guards := []state.Guard{{Key: record.LeaderKey, Version: l.term}, n.OwnGuard()}
 	leader := record.Leader{Node: n.config.Node, Incarnation: n.incarnation}
-	writes := []state.Write{{Put: record.KeyLeader, Lease: n.membership.lease, Value: leader}}
+	writes := []state.Write{{Put: record.LeaderKey, Lease: n.membership.lease, Value: leader}}
 	n.store.Call(state.Commit(guards, writes), func(now micros.Micros, reply Reply) {
 		var committed state.Committed
 		if !reply.decode(&committed) || l.state != leadCampaigning {
@@ -152,7 +152,7 @@
 	}
 	l.pausedUntil = max(l.pausedUntil, now+2*campaignJitter)
 	n.setLead(now, leadVacant)
-	n.store.Call(state.Get(record.KeyLeader), func(now micros.Micros, reply Reply) {
+	n.store.Call(state.Get(record.LeaderKey), func(now micros.Micros, reply Reply) {
 		var entry state.Entry
 		switch {
 		case reply.decode(&entry):
--- a/internal/cluster/leadership_test.go
+++ b/internal/cluster/leadership_test.go
@@ -27,11 +27,11 @@
 func TestCampaign(t *testing.T) {
 	f := newFixture(t, testSettings("red"))
 	commit, body := f.campaigning()
-	want := []state.Guard{{Key: record.KeyLeader, Version: 0}, {Key: "c/n/n0", Version: joinRevision}}
+	want := []state.Guard{{Key: record.LeaderKey, Version: 0}, {Key: "c/n/n0", Version: joinRevision}}
 	if fmt.Sprint(body.Guards) != fmt.Sprint(want) {
 		t.Errorf("guards %v; want %v", body.Guards, want)
 	}
-	if len(body.Writes) != 1 || body.Writes[0].Put != record.KeyLeader || body.Writes[0].Lease != testLease ||
+	if len(body.Writes) != 1 || body.Writes[0].Put != record.LeaderKey || body.Writes[0].Lease != testLease ||
 		body.Writes[0].Value["n"] != "n0" || body.Writes[0].Value["i"] != f.node.Incarnation() {
 		t.Errorf("writes %v", body.Writes)
 	}
@@ -45,7 +45,7 @@
 	f.expectLead(leadFollower, "n1", 3)
 	f.tick(campaignJitter)
 	f.expectNoCall()
-	f.deleted(record.KeyLeader, 12)
+	f.deleted(record.LeaderKey, 12)
 	f.expectLead(leadVacant, "", 0)
 	f.tick(campaignJitter)
 	f.expectCommit()
@@ -137,9 +137,9 @@
 	f.leading()
 	f.changed(leaderEntry("n1", 1, leaderRevision-1))
 	f.expectLead(leadLeading, "n0", leaderRevision)
-	f.deleted(record.KeyLeader, leaderRevision-1)
+	f.deleted(record.LeaderKey, leaderRevision-1)
 	f.expectLead(leadLeading, "n0", leaderRevision)
-	f.deleted(record.KeyLeader, leaderRevision+1)
+	f.deleted(record.LeaderKey, leaderRevision+1)
 	f.expectLead(leadVacant, "", 0)
 }
 
--- a/internal/cluster/stub_test.go
+++ b/internal/cluster/stub_test.go
@@ -132,7 +132,7 @@
 	joinRevision = 10
 )
 
-var listTarget = state.List(record.PrefixCluster, "").Target
+var listTarget = state.List(record.ClusterPrefix, "").Target
 
 // joined answers the calls that make the node a member, whose records it then lists.
 func (f *fixture) joined(entries ...state.Entry) {
@@ -174,7 +174,7 @@
 
 func leaderEntry(node string, incarnation, version uint64) state.Entry {
 	leader := record.Leader{Node: node, Incarnation: incarnation}
-	return state.Entry{Key: record.KeyLeader, Value: wire.Encode(leader), Version: version}
+	return state.Entry{Key: record.LeaderKey, Value: wire.Encode(leader), Version: version}
 }
 
 func teamEntry(name string, team record.Team, version uint64) state.Entry {
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -47,7 +47,7 @@
 
 // put takes a member's or a team's record. One that cannot be read is ignored.
 func (v *View) put(key string, value []byte, version uint64) {
-	if node, ok := strings.CutPrefix(key, record.PrefixMember); ok {
+	if node, ok := strings.CutPrefix(key, record.MemberPrefix); ok {
 		var member record.Member
 		if wire.Decode(value, &member) == nil {
 			v.members[node] = Member{member.Incarnation, version}
@@ -64,7 +64,7 @@
 
 // remove forgets a member whose record is gone. Teams' records are never deleted.
 func (v *View) remove(key string) {
-	if node, ok := strings.CutPrefix(key, record.PrefixMember); ok {
+	if node, ok := strings.CutPrefix(key, record.MemberPrefix); ok {
 		delete(v.members, node)
 	}
 }
--- /dev/null
+++ b/internal/record/job.go
@@ -0,0 +1,96 @@
+package record
+
+import (
+	"errors"
+
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// ErrNoDescription reports a Job without a description.
+var ErrNoDescription = errors.New("job record has no description")
+
+// Job is an accepted job. A job that depends on others has its description under a name of
+// its own, so that versions which know no dependencies cannot place it.
+type Job struct {
+	Ready    *wire.Submission `cbor:"j,omitempty"`
+	Accepted micros.Micros    `cbor:"at"` // wall clock time
+	Waiting  *wire.Submission `cbor:"w,omitempty"`
+	Parts    int              `cbor:"p,omitempty"` // how many Parts hold the dependency list; 0: Waiting has it
+}
+
+// Part is a part of a dependency list that is too long for the value of its Job.
+type Part struct {
+	IDs []string `cbor:"l"`
+}
+
+// NewJob returns the record of a job that depends on no other.
+func NewJob(j *sched.Job, accepted micros.Micros) Job {
+	description := wire.FromJob(j)
+	return Job{Ready: &description, Accepted: accepted}
+}
+
+// Description returns the job as its user described it. Dependencies that Parts hold are
+// not in it.
+func (r *Job) Description() (*sched.Job, error) {
+	switch {
+	case r.Waiting != nil:
+		return r.Waiting.Job()
+	case r.Ready != nil:
+		return r.Ready.Job()
+	}
+	return nil, ErrNoDescription
+}
+
+// Upper bounds of sizes in a part's value and commit, in bytes.
+const (
+	partBaseBytes  = 32 // of a part without entries
+	partEntryBytes = 3  // of an entry's quotes and comma
+	partKeyBytes   = 64 // of a part's key in a commit
+)
+
+// JobWrites returns the writes that accept a job, and an upper bound of the size of their
+// values. A dependency list that does not fit in a value of valueBytes goes to Parts.
+func JobWrites(j *sched.Job, accepted micros.Micros, valueBytes int) ([]state.Write, int) {
+	rec := NewJob(j, accepted)
+	if len(j.Awaits) > 0 {
+		rec.Ready, rec.Waiting = nil, rec.Ready
+	}
+	size := state.Size(rec)
+	if len(j.Awaits) == 0 || size <= valueBytes {
+		return []state.Write{{Put: ActiveKey(j.ID), Value: rec}}, size
+	}
+	rec.Waiting.Awaits = nil
+	parts, partsSize := partWrites(j.ID, j.Awaits, valueBytes)
+	rec.Parts = len(parts)
+	writes := append([]state.Write{{Put: ActiveKey(j.ID), Value: rec}}, parts...)
+	return writes, partsSize + state.Size(rec)
+}
+
+// partWrites spreads a dependency list over as few parts as fit.
+func partWrites(job string, ids []string, valueBytes int) (writes []state.Write, size int) {
+	for len(ids) > 0 {
+		n, bytes := partLength(ids, valueBytes)
+		writes = append(writes, state.Write{Put: PartKey(job, len(writes)), Value: Part{ids[:n]}})
+		size += bytes + partKeyBytes
+		ids = ids[n:]
+	}
+	return writes, size
+}
+
+// partLength tells how many of the first ids fit in a part, at least one, and the size of
+// the part.
+func partLength(ids []string, valueBytes int) (n, bytes int) {
+	bytes = partBaseBytes
+	for n < len(ids) {
+		entry := len(ids[n]) + partEntryBytes
+		if n > 0 && bytes+entry > valueBytes {
+			break
+		}
+		bytes += entry
+		n++
+	}
+	return n, bytes
+}
