Names of what an owner remembers about machines, and superseded owners

| old | new | | --- | --- | | tombs, tombLife | recentlyReturned, returnedMemory | | foreign, foreignLife | ownedElsewhere, elsewhereMemory | | strange | unclaimed | | over() | superseded() | | mostReleased | maxReleased |

--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -552,7 +552,7 @@
 func (o *owner) verify(m *machine, rev uint64) {
 	m.verifying = true
 	o.c.listAll(record.BlockPrefix, func(ok bool, entries []state.Entry, _ uint64) {
-		if o.over() || o.machines[m.name] != m {
+		if o.superseded() || o.machines[m.name] != m {
 			return
 		}
 		m.verifying = false
@@ -685,7 +685,7 @@
 		o.c.get(budget.Reads, record.FinalKey(j.ID), func(out outcome, e state.Entry) {
 			var rec record.Final
 			switch {
-			case o.over() || out == outMissing:
+			case o.superseded() || out == outMissing:
 			case out != outOK:
 				o.endings = append(o.endings, j)
 			case wire.Decode(e.Value, &rec) == nil && rec.Status == wire.JobDone:
--- a/controller/cloud_list.go
+++ b/controller/cloud_list.go
@@ -33,7 +33,7 @@
 	}
 	l := &o.listing
 	o.c.cloud("GET", "/rentals?"+q.Encode(), nil, func(status int, body []byte) {
-		if o.over() {
+		if o.superseded() {
 			return
 		}
 		var page wire.MachineList
@@ -58,13 +58,13 @@
 // usual lag late, so it still shows machines that another owner has returned: a machine
 // must stay listed for longer than that.
 func (o *owner) unexpected(name string) bool {
-	if o.tombs[name] != 0 || o.foreign[name] != 0 || o.c.claimant(name) != "" || o.c.cluster.FirstOwner() != o.c.cfg.Node {
+	if o.recentlyReturned[name] != 0 || o.ownedElsewhere[name] != 0 || o.c.claimant(name) != "" || o.c.cluster.FirstOwner() != o.c.cfg.Node {
 		return false
 	}
-	if o.strange[name] == 0 {
-		o.strange[name] = o.c.now
+	if o.unclaimed[name] == 0 {
+		o.unclaimed[name] = o.c.now
 	}
-	return o.c.now-o.strange[name] > 3*o.c.cfg.ListLag
+	return o.c.now-o.unclaimed[name] > 3*o.c.cfg.ListLag
 }
 
 func (o *owner) takeList(found map[string]wire.ListedMachine) {
@@ -82,7 +82,7 @@
 		m.failed = e.Status == wire.ListFailed
 		m.endpoint = cmp.Or(m.endpoint, e.Endpoint)
 	}
-	maps.DeleteFunc(o.strange, func(name string, _ micros.Micros) bool {
+	maps.DeleteFunc(o.unclaimed, func(name string, _ micros.Micros) bool {
 		_, ok := found[name]
 		return !ok
 	})
--- a/controller/commands.go
+++ b/controller/commands.go
@@ -148,7 +148,7 @@
 		Addr: m.endpoint, Method: "POST", Target: wire.PathCommands, Timeout: commandTimeout, MaxBody: wire.MaxBody, Body: body,
 	}, func(e CallDone) {
 		o.openCommands--
-		if o.over() || o.machines[m.name] != m {
+		if o.superseded() || o.machines[m.name] != m {
 			return
 		}
 		m.sending = false
@@ -213,7 +213,7 @@
 	}, func(e CallDone) {
 		o.openCommands--
 		report, err := wire.DecodeReport(e.Body)
-		if o.over() || o.machines[m.name] != m || e.Status != wire.StatusOK || err != nil || report.Token > m.token {
+		if o.superseded() || o.machines[m.name] != m || e.Status != wire.StatusOK || err != nil || report.Token > m.token {
 			return
 		}
 		if o.takeReport(m, report, false) && !m.synced {
--- a/controller/commits.go
+++ b/controller/commits.go
@@ -98,7 +98,7 @@
 func (o *owner) send(t *txn, p budget.Purpose, again bool) {
 	c := o.c
 	c.store(p, state.Commit(o.guards(t.guards), t.writes), func(r storeReply) {
-		if o.over() {
+		if o.superseded() {
 			return
 		}
 		var res state.Committed
@@ -146,7 +146,7 @@
 // resend repeats a commit whose fate is unknown, with the next ticks.
 func (o *owner) resend(t *txn, p budget.Purpose) {
 	o.c.after(flushRetry, func() {
-		if !o.over() {
+		if !o.superseded() {
 			o.send(t, p, true)
 		}
 	})
@@ -197,7 +197,7 @@
 		}
 		o.c.get(budget.Users, key, func(out outcome, e state.Entry) {
 			switch {
-			case o.over():
+			case o.superseded():
 			case out == outMissing:
 				o.jobGone(id, o.knownTo)
 			case out == outOK:
@@ -212,14 +212,14 @@
 	o.flushAt = max(o.flushAt, o.c.now+flushGap)
 }
 
-// foreignLife is how long a machine is remembered as another owner's, until that owner's
+// elsewhereMemory is how long a machine is remembered as another owner's, until that owner's
 // heartbeat names it.
-const foreignLife = 10 * micros.Second
+const elsewhereMemory = 10 * micros.Second
 
 // notOurs drops a machine that was taken for unexpected while it has a record already:
 // another owner's, or ours if it was given to us.
 func (o *owner) notOurs(m *machine, block string) {
-	o.foreign[m.name] = o.c.now + foreignLife
+	o.ownedElsewhere[m.name] = o.c.now + elsewhereMemory
 	o.forget(m)
 	o.takeGiven(block)
 }
@@ -281,7 +281,7 @@
 	}
 	o.flushing = true
 	o.c.store(budget.Cleanup, state.Commit(o.guards(nil), writes), func(r storeReply) {
-		if o.over() {
+		if o.superseded() {
 			return
 		}
 		o.flushing = false
--- a/controller/job_queue.go
+++ b/controller/job_queue.go
@@ -66,7 +66,7 @@
 	c := o.c
 	asked := c.now
 	c.storeWithin(budget.Ownership, state.Watch(record.ActivePrefix, after, c.watchWait()), watchTimeout, func(r storeReply) {
-		if o.over() {
+		if o.superseded() {
 			return
 		}
 		switch {
--- a/controller/load.go
+++ b/controller/load.go
@@ -31,7 +31,7 @@
 		return func() {
 			c.listAll(prefix, func(ok bool, entries []state.Entry, rev uint64) {
 				switch {
-				case o.over():
+				case o.superseded():
 				case !ok:
 					fail()
 				default:
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -199,7 +199,7 @@
 
 // moved drops a machine that was given away.
 func (o *owner) moved(m *machine) {
-	o.foreign[m.name] = o.c.now + foreignLife
+	o.ownedElsewhere[m.name] = o.c.now + elsewhereMemory
 	o.forget(m)
 	if s := o.c.peers[cluster.NodeOf(m.moveTo)]; s != nil {
 		o.c.send(s, &peer.Message{Body: &peer.Message_Given{Given: &peer.Given{Block: givenBlock(m)}}})
@@ -213,7 +213,7 @@
 	}
 	o.c.get(budget.Ownership, record.BlockKey(name), func(out outcome, e state.Entry) {
 		var rec record.Block
-		if o.over() || out != outOK || wire.Decode(e.Value, &rec) != nil || rec.Owner != o.c.node.ID() {
+		if o.superseded() || out != outOK || wire.Decode(e.Value, &rec) != nil || rec.Owner != o.c.node.ID() {
 			return
 		}
 		d, err := rec.Decode()
@@ -224,7 +224,7 @@
 		b.version = e.Version
 		o.buildMachine(b, d, &d.Machines[0])
 		m := b.machines[0]
-		delete(o.foreign, m.name)
+		delete(o.ownedElsewhere, m.name)
 		m.token, m.dirty, m.takenOver, b.dirty = e.Version, false, true, false
 		m.tokenShownAt = o.c.now
 		o.c.log.Info("machine received", "machine", m.name, "type", m.kind, "zone", m.zone)
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -24,32 +24,32 @@
 
 // owner is the part of a node that places jobs and gives commands.
 type owner struct {
-	c         *Core
-	state     ownerState
-	since     micros.Micros
-	retryAt   micros.Micros
-	busy      bool
-	teams     map[string]*team
-	machines  map[string]*machine
-	list      []*machine // the same in the order of their names
-	blocks    []*block
-	shards    []*shard
-	jobs      map[string]*job
-	waiting   map[string]*job // those that wait for others, which are not among the jobs
-	listed    bool            // the jobs were listed; changes since are taken
-	swept     bool            // leftovers of long lists were looked for
-	queue     []*job          // active jobs in the order in which they are placed
-	rentals   map[string]*rental
-	holds     map[string]*hold         // by job
-	tombs     map[string]micros.Micros // machines that were returned
-	foreign   map[string]micros.Micros // machines that another owns, though no sibling says so yet
-	strange   map[string]micros.Micros // listed machines that nobody claims, since when
-	garbage   []string                 // keys that nobody reads any more
-	cancelled []string                 // waiting jobs that are cancelled with one before them, to be recorded
-	endings   []*job                   // that records name, and of which it is not known how they ended
-	watchRev  uint64
-	watchDown bool
-	knownTo   micros.Micros // when the last answered watch of the jobs began
+	c                *Core
+	state            ownerState
+	since            micros.Micros
+	retryAt          micros.Micros
+	busy             bool
+	teams            map[string]*team
+	machines         map[string]*machine
+	list             []*machine // the same in the order of their names
+	blocks           []*block
+	shards           []*shard
+	jobs             map[string]*job
+	waiting          map[string]*job // those that wait for others, which are not among the jobs
+	listed           bool            // the jobs were listed; changes since are taken
+	swept            bool            // leftovers of long lists were looked for
+	queue            []*job          // active jobs in the order in which they are placed
+	rentals          map[string]*rental
+	holds            map[string]*hold         // by job
+	recentlyReturned map[string]micros.Micros // machines that were returned
+	ownedElsewhere   map[string]micros.Micros // machines that another owns, though no peer says so yet
+	unclaimed        map[string]micros.Micros // listed machines that nobody claims, since when
+	garbage          []string                 // keys that nobody reads any more
+	cancelled        []string                 // waiting jobs that are cancelled with one before them, to be recorded
+	endings          []*job                   // that records name, and of which it is not known how they ended
+	watchRev         uint64
+	watchDown        bool
+	knownTo          micros.Micros // when the last answered watch of the jobs began
 
 	lastHeard     micros.Micros
 	wantAt        micros.Micros // machines may be asked for again
@@ -84,18 +84,18 @@
 func newOwner(c *Core, teams map[string]cluster.Team) *owner {
 	o := &owner{
 		c: c, since: c.now, lastHeard: c.now,
-		teams:       map[string]*team{},
-		machines:    map[string]*machine{},
-		jobs:        map[string]*job{},
-		waiting:     map[string]*job{},
-		rentals:     map[string]*rental{},
-		holds:       map[string]*hold{},
-		tombs:       map[string]micros.Micros{},
-		noCapacity:  map[capacity.Offer]micros.Micros{},
-		partitioned: map[string]micros.Micros{},
-		classes:     capacity.NewClasses(),
-		foreign:     map[string]micros.Micros{},
-		strange:     map[string]micros.Micros{},
+		teams:            map[string]*team{},
+		machines:         map[string]*machine{},
+		jobs:             map[string]*job{},
+		waiting:          map[string]*job{},
+		rentals:          map[string]*rental{},
+		holds:            map[string]*hold{},
+		recentlyReturned: map[string]micros.Micros{},
+		noCapacity:       map[capacity.Offer]micros.Micros{},
+		partitioned:      map[string]micros.Micros{},
+		classes:          capacity.NewClasses(),
+		ownedElsewhere:   map[string]micros.Micros{},
+		unclaimed:        map[string]micros.Micros{},
 	}
 	for _, t := range c.cfg.Teams {
 		if v, ok := teams[t.Name]; ok {
@@ -123,8 +123,8 @@
 	}
 }
 
-// over tells callbacks of an owner that has been replaced to do nothing.
-func (o *owner) over() bool { return o.c.owner != o }
+// superseded tells callbacks of an owner that has been replaced to do nothing.
+func (o *owner) superseded() bool { return o.c.owner != o }
 
 func (o *owner) setState(s ownerState) {
 	o.c.log.Info("owner", "from", o.state.String(), "to", s.String(),
@@ -145,7 +145,7 @@
 // resync starts over from the records, after something that should not happen if
 // they were as this node believes.
 func (o *owner) resync(why string) {
-	if o.over() {
+	if o.superseded() {
 		return
 	}
 	o.c.log.Warn("reading all records again", "why", why)
@@ -189,7 +189,7 @@
 	o.tickHolds()
 	o.tickList()
 	o.tickScale()
-	for _, list := range []map[string]micros.Micros{o.tombs, o.foreign} {
+	for _, list := range []map[string]micros.Micros{o.recentlyReturned, o.ownedElsewhere} {
 		maps.DeleteFunc(list, func(_ string, until micros.Micros) bool { return o.c.now > until })
 	}
 }
--- a/controller/rentals.go
+++ b/controller/rentals.go
@@ -36,9 +36,9 @@
 
 // Bounds and pauses in dealings with the cloud.
 const (
-	cloudRetry   = micros.Second
-	mostReleased = 100
-	tombLife     = 120 * micros.Second
+	cloudRetry     = micros.Second
+	maxReleased    = 100
+	returnedMemory = 120 * micros.Second
 )
 
 func (o *owner) setRental(r *rental, s rentalState) {
@@ -124,7 +124,7 @@
 	r.asking = true
 	body := wire.RentalRequest{Hire: r.name, Type: r.offer.Type, Zone: r.offer.Zone, Spot: r.offer.Spot, Number: r.number}
 	o.c.cloud("POST", "/rentals", body, func(status int, body []byte) {
-		if o.over() {
+		if o.superseded() {
 			return
 		}
 		r.asking, r.next = false, o.c.now+cloudRetry
@@ -162,7 +162,7 @@
 	var names []string
 	for _, name := range sortedKeys(o.machines) {
 		m := o.machines[name]
-		if (m.state == machineReleasing || m.state == machineCondemned && o.overdue(m, overdueReleaseShare)) && len(names) < mostReleased {
+		if (m.state == machineReleasing || m.state == machineCondemned && o.overdue(m, overdueReleaseShare)) && len(names) < maxReleased {
 			names = append(names, name)
 		}
 	}
@@ -175,7 +175,7 @@
 	}
 	o.releasing = true
 	o.c.cloud("POST", "/rentals/release", wire.MachineNames{Machines: names}, func(status int, _ []byte) {
-		if o.over() {
+		if o.superseded() {
 			return
 		}
 		o.releasing, o.releaseAt = false, o.c.now+cloudRetry
@@ -185,7 +185,7 @@
 		o.releaseAt = o.c.now
 		for _, n := range names {
 			if m := o.machines[n]; m != nil && (m.state == machineReleasing || m.state == machineCondemned) {
-				o.tombs[n] = o.c.now + tombLife
+				o.recentlyReturned[n] = o.c.now + returnedMemory
 				o.setMachine(m, machineDeleted, "deleted by the cloud")
 			}
 		}
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -93,11 +93,11 @@
 	}
 	m := o.machines[report.Machine]
 	if m == nil {
-		if to := c.claimant(report.Machine); to != "" || o.foreign[report.Machine] != 0 {
+		if to := c.claimant(report.Machine); to != "" || o.ownedElsewhere[report.Machine] != 0 {
 			c.respond(req, wire.StatusMisdirected, wire.Redirect{ReportTo: to})
 			return
 		}
-		if o.tombs[report.Machine] != 0 {
+		if o.recentlyReturned[report.Machine] != 0 {
 			c.refuse(req, wire.StatusUnavailable, "machine was returned")
 			return
 		}
--- a/controller/waiting.go
+++ b/controller/waiting.go
@@ -138,7 +138,7 @@
 func (o *owner) waitingUnsure(j *job) {
 	j.unsure = true
 	o.c.refresh(func(ok bool) {
-		if o.over() || o.waiting[j.ID] != j {
+		if o.superseded() || o.waiting[j.ID] != j {
 			return
 		}
 		j.unsure = false
@@ -147,7 +147,7 @@
 			return
 		}
 		o.c.after(micros.Second, func() {
-			if w := o.c.graph.Waiting(j.ID); !o.over() && w != nil && w.Cancelled() {
+			if w := o.c.graph.Waiting(j.ID); !o.superseded() && w != nil && w.Cancelled() {
 				o.queueCancelled(j.ID)
 			}
 		})
@@ -164,7 +164,7 @@
 	o.swept = true
 	o.c.store(budget.Cleanup, state.List(record.PartPrefix, ""), func(r storeReply) {
 		var p state.Page
-		if o.over() {
+		if o.superseded() {
 			return
 		}
 		if r.outcome != outOK || !r.decode(&p) {
@@ -172,8 +172,8 @@
 			return
 		}
 		o.c.refresh(func(ok bool) {
-			if o.over() || !ok {
-				o.swept = o.over()
+			if o.superseded() || !ok {
+				o.swept = o.superseded()
 				return
 			}
 			for _, e := range p.Entries {
