--- a/sched/place.go
+++ b/sched/place.go
@@ -7,20 +7,29 @@
 
 // Machine is what placement knows of a machine.
 type Machine struct {
-	Name  string
-	Type  string
-	Zone  string
-	Spot  bool
-	Free  Resources
-	Slots int  // how many more tasks its record can hold
-	Idle  bool // nothing runs on it
-	// Scarce: some jobs fit only this type, so others take it last.
+	Name string
+	Type string
+	Zone string
+	Spot bool
+	// Free is what no task takes.
+	Free Resources
+	// Slots is how many more tasks its record can hold.
+	Slots int
+	// Idle tells that nothing runs on it.
+	Idle bool
+	// Scarce tells that some jobs fit only this type, so others take it last.
 	Scarce bool
-	Price  float64 // per processor and hour
+	// Price is the price of a processor and hour, or a class of prices.
+	Price float64
+	// Images are those that it caches.
 	Images []string
-	Slack  bool   // only what the jobs that fit this type alone cannot use
-	Kept   bool   // kept for gangs
-	For    string // the gang for which it is kept from all others, or ""
+	// Slack tells that this is only the part of a machine that the jobs which fit no other
+	// type cannot use.
+	Slack bool
+	// Kept tells that it is reserved for gangs.
+	Kept bool
+	// For is the gang for which it is reserved from all others, or "".
+	For string
 }
 
 // Assignment gives Count tasks to a machine.
@@ -29,67 +38,89 @@
 	Count   int
 }
 
-// Place spreads up to want tasks of the job over the machines. inZone counts the
-// tasks of the job that are in each zone already. A gang is placed whole or not at
-// all. The machines are not changed.
+// Place spreads up to want tasks of the job over the machines. inZone counts the tasks of
+// the job that are in each zone already. A gang is placed whole or not at all. The machines
+// are not changed.
 func Place(j *Job, machines []*Machine, want int, inZone map[string]int) []Assignment {
 	if want <= 0 {
 		return nil
 	}
-	fits := make([]*Machine, 0, len(machines))
-	room, in := 0, map[string]int{} // how many tasks there is room for at the most
-	for _, m := range machines {
-		if m.Kept && !j.Gang || m.For != "" && m.For != j.ID {
-			continue
-		}
-		if m.Slots > 0 && j.Allows(m.Type, m.Zone, m.Spot) && j.Need.Fits(m.Free) {
-			fits = append(fits, m)
-			if j.Gang {
-				n := j.Need.Count(m.Free, min(want, m.Slots))
-				room += n
-				in[m.Zone] += n
-			}
-		}
+	candidates, room := candidatesFor(j, machines, want)
+	if len(candidates) == 0 || j.Gang && room.total < want {
+		return nil
+	}
+	list := newSequence(j, candidates)
+	if j.OneZone {
+		return placeInOneZone(j, list, want, inZone, zonesFor(j, candidates, want, inZone, room))
 	}
-	if j.Gang && room < want || len(fits) == 0 {
+	assignments, placed := fill(j, list, want, inZone, "")
+	if j.Gang && placed < want {
 		return nil
 	}
-	list := newSequence(j, fits)
-	if !j.OneZone {
-		got, n := fill(j, list, want, inZone, "")
-		if j.Gang && n < want {
-			return nil
+	return assignments
+}
+
+// gangRoom is how many tasks of a gang there is room for at the most.
+type gangRoom struct {
+	total  int
+	byZone map[string]int
+}
+
+// candidatesFor finds the machines that take at least one task of the job now, and for a gang
+// how many tasks they have room for.
+func candidatesFor(j *Job, machines []*Machine, want int) ([]*Machine, gangRoom) {
+	candidates := make([]*Machine, 0, len(machines))
+	room := gangRoom{byZone: map[string]int{}}
+	for _, m := range machines {
+		reserved := m.Kept && !j.Gang || m.For != "" && m.For != j.ID
+		if reserved || m.Slots <= 0 || !j.Allows(m.Type, m.Zone, m.Spot) || !j.Need.Fits(m.Free) {
+			continue
+		}
+		candidates = append(candidates, m)
+		if j.Gang {
+			tasks := j.Need.Count(m.Free, min(want, m.Slots))
+			room.total += tasks
+			room.byZone[m.Zone] += tasks
 		}
-		return got
 	}
-	// All in one zone: the one where tasks of the job are, or else the one that takes the
-	// most. A gang goes where it leaves the least room, so that larger ones find more of it
-	// in one zone.
+	return candidates, room
+}
+
+// zonesFor lists the zones in which a job may go whose tasks must all be in one zone: the one
+// where tasks of it are, or else all that have room. A gang tries the zone with the least
+// room first, so that larger gangs find more of it in another.
+func zonesFor(j *Job, candidates []*Machine, want int, inZone map[string]int, room gangRoom) []string {
 	var zones []string
-	for z, n := range inZone {
-		if n > 0 {
-			zones = append(zones, z)
+	for zone, tasks := range inZone {
+		if tasks > 0 {
+			zones = append(zones, zone)
 		}
 	}
 	if len(zones) > 1 {
-		return nil
+		return nil // tasks that are still leaving are elsewhere
 	}
-	if len(zones) == 0 {
-		for _, m := range fits {
-			if !slices.Contains(zones, m.Zone) && (!j.Gang || in[m.Zone] >= want) {
-				zones = append(zones, m.Zone)
-			}
-		}
-		slices.Sort(zones)
-		if j.Gang {
-			slices.SortStableFunc(zones, func(a, b string) int { return cmp.Compare(in[a], in[b]) })
+	if len(zones) == 1 {
+		return zones
+	}
+	for _, m := range candidates {
+		if !slices.Contains(zones, m.Zone) && (!j.Gang || room.byZone[m.Zone] >= want) {
+			zones = append(zones, m.Zone)
 		}
 	}
+	slices.Sort(zones)
+	if j.Gang {
+		slices.SortStableFunc(zones, func(a, b string) int { return cmp.Compare(room.byZone[a], room.byZone[b]) })
+	}
+	return zones
+}
+
+// placeInOneZone places tasks in the first of the zones that takes the most.
+func placeInOneZone(j *Job, list *sequence, want int, inZone map[string]int, zones []string) []Assignment {
 	var best []Assignment
 	most := 0
-	for _, z := range zones {
-		if got, n := fill(j, list, want, inZone, z); n > most {
-			best, most = got, n
+	for _, zone := range zones {
+		if assignments, placed := fill(j, list, want, inZone, zone); placed > most {
+			best, most = assignments, placed
 		}
 	}
 	if j.Gang && most < want {
@@ -98,7 +129,7 @@
 	return best
 }
 
-// sequence hands out machines by preference: not scarce, cheap (so that the dear ones
+// sequence hands out machines by preference: not scarce, cheap (so that expensive machines
 // become idle and can be returned), image present, busy before idle, then the tightest,
 // then as given. Most jobs need few of thousands of machines, so these are sorted only as
 // far as they are asked for (a heap), and all that is compared is put into one number.
@@ -107,9 +138,10 @@
 	out  []*Machine // handed out so far
 }
 
+// option is a machine in the heap with its place in the order.
 type option struct {
 	key uint64
-	at  int
+	at  int // where the machine was given, for equal keys
 	m   *Machine
 }
 
@@ -117,6 +149,7 @@
 	return a.key < b.key || a.key == b.key && a.at < b.at
 }
 
+// newSequence orders machines for a job.
 func newSequence(j *Job, machines []*Machine) *sequence {
 	var prices []float64 // few: one for each type and kind
 	for _, m := range machines {
@@ -147,6 +180,7 @@
 	return s
 }
 
+// sink moves an option down the heap to its place.
 func (s *sequence) sink(i int) {
 	for {
 		least := 2*i + 1
@@ -179,6 +213,8 @@
 	return s.out[i]
 }
 
+// fill gives up to want tasks to machines in the order of the sequence, in one zone or in all
+// (""), and returns how many it gave.
 func fill(j *Job, list *sequence, want int, inZone map[string]int, zone string) ([]Assignment, int) {
 	var got []Assignment
 	total := 0
