Acknowledgements of cancellations and the bound of leases are a package of its own

Which cancellations users may be told of, and up to when leases may be renewed, was spread over the core and the records of siblings; a newcomer had to read all of the controller to check it. internal/cancelack holds it as a structure without clock and network that calls its host through three methods. Behaviour is unchanged.

| old | new | | --- | --- | | disclose, disclosure | Announce (announceCancellation in the core), announcement | | promise, takePromise, promiseFor | Grant, TakeGrant, ackPeriod | | promisedTo, toldAt, confirms | ackRequiredUntil, toldWithoutAck, named | | knownTo of a sibling | cancellationsKnownUntil | | withholdTo, readTo, mayRenew | withholdUntil, readUntil, MayRenewLease | | jobEnded, takeEnded, unconfirmed, ended | MarkEnded, TakeHeartbeat, Unacknowledged, Ended | | renewMargin, driftPart, discloseEvery | stopMargin, driftFraction, resendEvery |

--- a/controller/commits.go
+++ b/controller/commits.go
@@ -199,7 +199,7 @@
 			switch {
 			case o.superseded():
 			case out == outMissing:
-				o.jobGone(id, o.knownTo)
+				o.jobGone(id, o.cancellationsKnownUntil)
 			case out == outOK:
 				j.version, j.unsure = e.Version, false
 				o.wantSchedule = true
--- a/controller/core.go
+++ b/controller/core.go
@@ -9,6 +9,7 @@
 
 	"tamarindlead/config"
 	"tamarindlead/internal/budget"
+	"tamarindlead/internal/cancelack"
 	"tamarindlead/internal/capacity"
 	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/jobgraph"
@@ -44,9 +45,8 @@
 	count    counters
 	owner    *owner // set while this node owns teams
 
-	disclosing map[string]*disclosure   // cancelled jobs of which users will be told
-	ended      map[string]micros.Micros // jobs that are over, by the word of a sibling, and since when
-	withholdTo micros.Micros            // an earlier life's promises may last until then
+	// cancellations keeps which cancellations users may be told of, and bounds leases.
+	cancellations *cancelack.Tracker
 
 	timers    []timer
 	cloudRate *rate.Limiter
@@ -64,18 +64,17 @@
 func New(cfg *config.Settings, seed uint64, log *slog.Logger, now, day micros.Micros) *Core {
 	c := &Core{
 		cfg: cfg, log: log, now: now, day: day,
-		calls:      map[uint64]func(CallDone){},
-		debug:      log.Enabled(context.Background(), slog.LevelDebug),
-		peers:      map[string]*sibling{},
-		disclosing: map[string]*disclosure{}, ended: map[string]micros.Micros{},
+		calls: map[uint64]func(CallDone){},
+		debug: log.Enabled(context.Background(), slog.LevelDebug),
+		peers: map[string]*sibling{},
 	}
 	c.cloudRate = rate.NewLimiter(rate.Limit(cfg.CloudRPS), max(1, int(cfg.CloudRPS)))
 	c.node = cluster.New(cfg, clusterStore{c}, clusterHost{c}, rand.New(rand.NewPCG(seed, randomStream)), log)
 	c.cluster = c.node.View()
 	for _, s := range cfg.Siblings {
-		c.peers[s.Node] = &sibling{Sibling: s, toldAt: now}
-		c.withholdTo = now + promiseFor + promiseFor/driftPart
+		c.peers[s.Node] = &sibling{Sibling: s}
 	}
+	c.cancellations = newCancellations(c)
 	c.budget = budget.New(budget.Limits{
 		Requests: cfg.StateRPS, Writes: cfg.WriteRPS, MinWriteBurst: cancelWrites + 1,
 	}, len(cfg.Siblings)+1)
@@ -114,13 +113,13 @@
 		c.node.Tick(c.now)
 		c.tickJobView()
 		c.tickStatus()
-		c.forgetEnded()
+		c.cancellations.ForgetEnded(c.now)
 		if c.owner != nil {
 			c.owner.slowTick()
 		}
 	}
 	c.users.flush(c)
-	c.tickDisclosures()
+	c.cancellations.Tick(c.now)
 	c.flushLookups()
 	if c.owner != nil {
 		c.owner.advance()
--- a/controller/job_queue.go
+++ b/controller/job_queue.go
@@ -16,7 +16,7 @@
 // record.Job takes an accepted job from its record.
 func (o *owner) jobRecord(key string, value []byte, version uint64) {
 	id := strings.TrimPrefix(key, record.ActivePrefix)
-	if o.jobs[id] != nil || o.waiting[id] != nil || o.c.ended[id] != 0 {
+	if o.jobs[id] != nil || o.waiting[id] != nil || o.c.cancellations.Ended(id) {
 		return
 	}
 	var rec record.Job
@@ -81,7 +81,7 @@
 			o.resync("the watch cannot be followed")
 			return
 		}
-		o.knownTo = asked
+		o.cancellationsKnownUntil = asked
 		o.watchJobs(c.graph.Revision())
 	})
 }
--- a/controller/jobview.go
+++ b/controller/jobview.go
@@ -40,7 +40,7 @@
 func (w jobObserver) JobDeleted(id string) {
 	if o := w.c.owner; o != nil && o.listed {
 		// Users may have been told as early as what was known before ends.
-		o.jobGone(id, o.knownTo)
+		o.jobGone(id, o.cancellationsKnownUntil)
 	}
 }
 
--- a/controller/load.go
+++ b/controller/load.go
@@ -61,7 +61,7 @@
 	})
 	asked := c.now
 	step(record.ActivePrefix, func(entries []state.Entry, rev uint64) {
-		o.watchRev, o.knownTo = rev, asked
+		o.watchRev, o.cancellationsKnownUntil = rev, asked
 		c.graph.Reset(entries, rev)
 		o.listed = true
 		for _, e := range entries {
--- a/controller/lookups.go
+++ b/controller/lookups.go
@@ -290,7 +290,7 @@
 }
 
 // finishFinal answers with a state that stays. That a job is cancelled is told only once the
-// peers know: see disclose. If it was cancelled with one before it, the root, that is what
+// peers know: see announceCancellation. If it was cancelled with one before it, the root, that is what
 // they know.
 func (c *Core) finishFinal(l *lookup, status, root string) {
 	if status != wire.JobCancelled {
@@ -298,7 +298,7 @@
 		c.finishLookup(l, finalResult(status))
 		return
 	}
-	c.disclose(root, l.askedAt+lookupWithin, func(ok bool) {
+	c.announceCancellation(root, l.askedAt+lookupWithin, func(ok bool) {
 		if !ok {
 			c.finishLookup(l, lookupResult{})
 			return
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -49,7 +49,6 @@
 	endings          []*job                   // that records name, and of which it is not known how they ended
 	watchRev         uint64
 	watchDown        bool
-	knownTo          micros.Micros // when the last answered watch of the jobs began
 
 	lastHeard     micros.Micros
 	wantAt        micros.Micros // machines may be asked for again
@@ -71,6 +70,9 @@
 	classes       *capacity.Classes
 	releasing     bool
 	releaseAt     micros.Micros
+
+	// cancellationsKnownUntil is when the last answered watch of the jobs began.
+	cancellationsKnownUntil micros.Micros
 }
 
 // team is a team that this node owns.
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -4,6 +4,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"tamarindlead/config"
+	"tamarindlead/internal/cancelack"
 	"tamarindlead/internal/peer"
 	"tamarindlead/internal/state"
 	"tamarindlead/micros"
@@ -32,13 +33,6 @@
 	machines map[string]bool           // those it owns
 	idle     []*peer.IdleMachine
 	teams    []*peer.TeamUse
-	// What this node promised it, and last told users without its confirmation.
-	promisedTo micros.Micros
-	toldAt     micros.Micros
-	// knownTo is the time up to which all that it told users of cancellations is known here.
-	knownTo micros.Micros
-	// confirms are the cancelled jobs that it named in its last beat.
-	confirms []string
 }
 
 func (s *sibling) fresh(now micros.Micros) bool { return s.lastAt > 0 && now-s.lastAt < beatFresh }
@@ -58,7 +52,8 @@
 			s.asking = false
 			if b := m.GetBeat(); b != nil {
 				c.takeBeat(s, b)
-				c.takePromise(s, b, asked)
+				grant := cancelack.Acknowledgement{Period: micros.Micros(b.PromiseUs), ToldAgo: micros.Micros(b.ToldAgoUs)}
+				c.cancellations.TakeGrant(s.Node, grant, asked, c.readUntil(), c.now)
 			}
 		})
 	}
@@ -69,7 +64,7 @@
 	b := &peer.Beat{
 		Term: term, Leader: leader,
 		WorkersHeard: uint32(len(c.heard)), StoreOk: c.storeOK(),
-		Ended: c.unconfirmed(s), KnowsEnded: s.confirms,
+		Ended: c.cancellations.Unacknowledged(s.Node), KnowsEnded: c.cancellations.ToAcknowledge(s.Node),
 	}
 	if c.owner != nil {
 		c.owner.tell(b)
@@ -88,7 +83,7 @@
 	for _, name := range b.Machines {
 		s.machines[name] = true
 	}
-	c.takeEnded(s, b)
+	c.cancellations.TakeHeartbeat(s.Node, b.Ended, b.KnowsEnded, c.now)
 	c.node.HeardOfTerm(c.now, b.Term, b.Leader)
 }
 
@@ -133,12 +128,13 @@
 	case *peer.Message_Beat:
 		c.takeBeat(s, b.Beat)
 		answer := c.beat(s)
-		c.promise(s, answer)
+		grant := c.cancellations.Grant(s.Node, c.now)
+		answer.PromiseUs, answer.ToldAgoUs = uint64(grant.Period), uint64(grant.ToldAgo)
 		c.answerPeer(r.ID, &peer.Message{Body: &peer.Message_Beat{Beat: answer}})
 	case *peer.Message_StoreCall:
 		c.relay(r.ID, b.StoreCall)
 	case *peer.Message_JobEnded:
-		c.jobEnded(b.JobEnded.Id)
+		c.cancellations.MarkEnded(b.JobEnded.Id, c.now)
 		c.answerPeer(r.ID, &peer.Message{})
 	case *peer.Message_Want:
 		c.wanted(b.Want)
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -49,7 +49,7 @@
 		c.elsewhereAt = c.now
 		return false
 	}
-	if report.Token == 0 || len(report.Tasks) == 0 || !c.zonePartitioned() || !c.mayRenew() {
+	if report.Token == 0 || len(report.Tasks) == 0 || !c.zonePartitioned() || !c.mayRenewLease() {
 		return false
 	}
 	for i := range report.Tasks {
@@ -81,7 +81,7 @@
 	if !ok {
 		return false
 	}
-	return task.Phase == wire.PhaseExited || c.graph.Version(id) != 0 && c.ended[id] == 0
+	return task.Phase == wire.PhaseExited || c.graph.Version(id) != 0 && !c.cancellations.Ended(id)
 }
 
 // report handles the report of a machine at an owner.
@@ -145,7 +145,7 @@
 		o.resync("a machine has seen a higher token")
 		return
 	}
-	if !o.c.mayRenew() {
+	if !o.c.mayRenewLease() {
 		o.takeReport(m, report, true)
 		o.c.refuse(req, wire.StatusUnavailable, "cannot know what users were told")
 		return
--- a/controller/store.go
+++ b/controller/store.go
@@ -18,9 +18,9 @@
 )
 
 // watchWait is how long a watch may wait: its answer shows how far cancellations are known,
-// which must not lie too far back for leases to be renewed (see mayRenew).
+// which must not lie too far back for leases to be renewed (see mayRenewLease).
 func (c *Core) watchWait() micros.Micros {
-	return min(watchWait, max((c.cfg.CancelIn-c.cfg.Lease-renewMargin)/3, 500*micros.Millisecond))
+	return min(watchWait, max(c.cancellations.MaxKnowledgeAge()/3, 500*micros.Millisecond))
 }
 
 // outcome is how a call to the state service ended.
--- a/controller/timers.go
+++ b/controller/timers.go
@@ -35,7 +35,7 @@
 // TickEvery tells how often the time must be passed to the core now.
 func (c *Core) TickEvery() micros.Micros {
 	if c.owner != nil || len(c.users.waiting) > 0 || len(c.lookups.waiting) > 0 ||
-		len(c.timers) > 0 || len(c.disclosing) > 0 {
+		len(c.timers) > 0 || c.cancellations.Pending() {
 		return fastTick
 	}
 	return slowTick
--- a/controller/users.go
+++ b/controller/users.go
@@ -331,7 +331,7 @@
 		answer()
 		return
 	}
-	c.disclose(a.root, c.now+acceptWithin, func(ok bool) {
+	c.announceCancellation(a.root, c.now+acceptWithin, func(ok bool) {
 		if !ok {
 			u.finish(c, a, func(id uint64) { c.refuse(id, 503, "a controller has not confirmed yet") })
 			return
@@ -470,7 +470,7 @@
 	c.store(budget.Users, state.Commit(guards, writes), func(r storeReply) {
 		switch {
 		case r.outcome == outOK:
-			c.disclose(id, c.now+acceptWithin, func(ok bool) {
+			c.announceCancellation(id, c.now+acceptWithin, func(ok bool) {
 				if !ok {
 					c.refuse(req, 503, "a controller has not confirmed yet")
 					return
