--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -644,7 +644,7 @@
 	}
 	for _, t := range tasks {
 		spec := d.Jobs[t.Job]
-		j := o.jobNamed(spec.ID)
+		j := o.placedJob(spec.ID)
 		if j == nil {
 			j = newJob(&sched.Job{
 				ID: spec.ID, Team: spec.Team, Tasks: spec.Tasks,
@@ -864,7 +864,7 @@
 		o.shards = append(o.shards, s)
 		for _, name := range sortedKeys(rec.Chunks) {
 			id, chunk, ok := record.SplitChunkName(name)
-			j := o.jobNamed(id)
+			j := o.placedJob(id)
 			if !ok || j == nil || chunk*record.ChunkTasks >= j.Tasks {
 				continue // over since
 			}
--- a/controller/commits.go
+++ b/controller/commits.go
@@ -182,7 +182,7 @@
 			return
 		}
 		if j := o.waiting[id]; j != nil {
-			o.waitingUnsure(j)
+			o.recheckWaiting(j)
 			continue
 		}
 		j := o.jobs[id]
--- a/controller/hold.go
+++ b/controller/hold.go
@@ -402,7 +402,7 @@
 	for _, e := range entries {
 		var rec record.Hold
 		id := strings.TrimPrefix(e.Key, record.HoldPrefix)
-		j := o.jobNamed(id)
+		j := o.placedJob(id)
 		if j == nil || wire.Decode(e.Value, &rec) != nil {
 			if o.sole() { // else it may be another owner's
 				o.garbage = append(o.garbage, e.Key)
--- a/controller/inherit.go
+++ b/controller/inherit.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"slices"
 
 	"tamarindlead/internal/jobgraph"
@@ -39,34 +40,36 @@
 // dueSoon is the slack below which a job goes before others of its priority.
 const dueSoon = 30 * micros.Second
 
-// slack is how much later than now a job may begin to end in time.
+// minWaitLimit is left to a job that cannot end in time any more: it is placed as soon as
+// that is possible.
+const minWaitLimit = micros.Second
+
+// slack is how much later than now a job may begin and still end in time.
 func (o *owner) slack(j *job) micros.Micros { return j.mustEnd - o.c.day - o.estimate(j) }
 
-// pressing tells that a job must begin soon for it, or for some job that needs it, to end in
+// urgent tells that a job must begin soon for it, or for some job that needs it, to end in
 // time.
-func (o *owner) pressing(j *job) bool { return j.mustEnd != 0 && o.slack(j) < dueSoon }
+func (o *owner) urgent(j *job) bool { return j.mustEnd != 0 && o.slack(j) < dueSoon }
 
-// inTime orders jobs of the same priority: first those that press, by their slack.
-func (o *owner) inTime(a, b *job) int {
+// compareUrgency orders jobs of the same priority: first the urgent ones, by their slack.
+func (o *owner) compareUrgency(a, b *job) int {
 	if a.mustEnd == 0 && b.mustEnd == 0 {
 		return 0
 	}
-	x, y := o.pressing(a), o.pressing(b)
+	aUrgent, bUrgent := o.urgent(a), o.urgent(b)
 	switch {
-	case x != y:
-		return first(x)
-	case x && o.slack(a) < o.slack(b):
-		return -1
-	case x && o.slack(a) > o.slack(b):
-		return 1
+	case aUrgent != bUrgent:
+		return first(aUrgent)
+	case aUrgent:
+		return cmp.Compare(o.slack(a), o.slack(b))
 	}
 	return 0
 }
 
-// mayWait is how long a job may wait: by its class, and until it must begin to end in time.
-func (o *owner) mayWait(j *job) micros.Micros {
+// waitLimit is how long a job may wait: by its class, and until it must begin to end in time.
+func (o *owner) waitLimit(j *job) micros.Micros {
 	if j.mustEnd == 0 {
 		return o.maxWait(j)
 	}
-	return min(o.maxWait(j), max(micros.Second, o.slack(j)))
+	return min(o.maxWait(j), max(minWaitLimit, o.slack(j)))
 }
--- a/controller/job.go
+++ b/controller/job.go
@@ -77,8 +77,8 @@
 
 	// writing: its final record is being written.
 	writing bool
-	// cancelled: it is to be recorded as cancelled with a job that it awaits.
-	cancelled bool
+	// cancelQueued: it is to be recorded as cancelled with a job that it awaits.
+	cancelQueued bool
 	// unsure: its record has changed, so nothing is placed until it was read again.
 	unsure bool
 	// endedAt is a time before which no user was told that it is cancelled; 0: it was not.
--- a/controller/job_queue.go
+++ b/controller/job_queue.go
@@ -95,7 +95,7 @@
 func (o *owner) jobGone(id string, since micros.Micros) {
 	if j := o.waiting[id]; j != nil && !j.writing {
 		o.c.log.Info("job cancelled while it waits", "job", id)
-		o.waitingGone(j)
+		o.forgetWaiting(j)
 		return
 	}
 	j := o.jobs[id]
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -209,7 +209,7 @@
 		key := demandKey{j.Gang, j.Spot, j.Zone, o.classes.TypesKey(j.Class)}
 		d := byKey[key]
 		if d == nil {
-			d = capacity.NewDemand(j.Job, o.mayWait(j))
+			d = capacity.NewDemand(j.Job, o.waitLimit(j))
 			byKey[key] = d
 			list = append(list, d)
 		}
@@ -220,7 +220,7 @@
 
 // addDemand adds what runs and what waits of a job.
 func (o *owner) addDemand(d *capacity.Demand, j *job) {
-	d.MaxWait = min(d.MaxWait, o.mayWait(j))
+	d.MaxWait = min(d.MaxWait, o.waitLimit(j))
 	for _, a := range j.attempts {
 		if !a.freed {
 			offer := a.machine.offer()
@@ -240,7 +240,7 @@
 func (o *owner) addWaitingWork(d *capacity.Demand, j *job, tasks int) {
 	work := float64(tasks) * capacity.TaskCPUs(j.Job) * max(o.estimate(j).Seconds(), 1)
 	d.Waiting += work
-	if j.Priority == sched.Low && !o.pressing(j) {
+	if j.Priority == sched.Low && !o.urgent(j) {
 		d.Low += work
 		d.LowWait = max(d.LowWait, o.maxWait(j))
 	}
--- a/controller/schedule.go
+++ b/controller/schedule.go
@@ -229,7 +229,7 @@
 		case a.Priority == b.Priority && covered[a] != covered[b]:
 			return first(covered[a])
 		case a.Priority == b.Priority:
-			return cmp.Or(o.inTime(a, b), queueOrder(a, b))
+			return cmp.Or(o.compareUrgency(a, b), queueOrder(a, b))
 		}
 		return queueOrder(a, b)
 	})
--- a/controller/waiting.go
+++ b/controller/waiting.go
@@ -21,38 +21,38 @@
 func (o *owner) addWaiting(j *job) {
 	o.setJob(j, jobWaiting)
 	o.waiting[j.ID] = j
-	switch w := o.c.graph.Waiting(j.ID); {
-	case w == nil: // its record is gone already; the watch will tell
-	case w.Cancelled():
+	switch waiting := o.c.graph.Waiting(j.ID); {
+	case waiting == nil: // its record is gone already; the watch will tell
+	case waiting.Cancelled():
 		o.queueCancelled(j.ID)
-	case w.Ready():
-		o.jobReady(w)
+	case waiting.Ready():
+		o.jobReady(waiting)
 	}
 }
 
 // jobReady lets a job be placed: all that it awaits is done. Its times count from then.
-func (o *owner) jobReady(w *jobgraph.WaitingJob) {
-	j := o.waiting[w.ID]
+func (o *owner) jobReady(waiting *jobgraph.WaitingJob) {
+	j := o.waiting[waiting.ID]
 	if j == nil {
 		return
 	}
-	delete(o.waiting, w.ID)
-	j.since = max(j.accepted, w.LatestDone)
+	delete(o.waiting, j.ID)
+	j.since = max(j.accepted, waiting.LatestDone)
 	o.setJob(j, jobActive)
 	o.c.log.Info("job is ready", "job", j.ID, "class", j.Class, "waited_s", (o.c.day - j.accepted).Seconds())
 	o.enqueue(j)
 }
 
-// jobNamed finds a job that a record of an earlier owner names as placed. That owner had
+// placedJob finds a job that a record of an earlier owner names as placed. That owner had
 // read that all that the job awaits is done, which never changes.
-func (o *owner) jobNamed(id string) *job {
-	if j := o.waiting[id]; j != nil {
-		w := o.c.graph.Waiting(id)
-		if w == nil {
+func (o *owner) placedJob(id string) *job {
+	if o.waiting[id] != nil {
+		waiting := o.c.graph.Waiting(id)
+		if waiting == nil {
 			return nil
 		}
-		o.c.graph.AssumeDone(w)
-		o.jobReady(w)
+		o.c.graph.AssumeDone(waiting)
+		o.jobReady(waiting)
 	}
 	return o.jobs[id]
 }
@@ -60,8 +60,8 @@
 // queueCancelled notes that a waiting job is cancelled with one before it, which must be
 // recorded. Users are told by what the records before it say, recorded or not.
 func (o *owner) queueCancelled(id string) {
-	if j := o.waiting[id]; j != nil && !j.cancelled {
-		j.cancelled = true
+	if j := o.waiting[id]; j != nil && !j.cancelQueued {
+		j.cancelQueued = true
 		o.cancelled = append(o.cancelled, id)
 	}
 }
@@ -93,34 +93,38 @@
 	for len(o.cancelled) > 0 && !full() {
 		id := o.cancelled[0]
 		o.cancelled = o.cancelled[1:]
-		j, w := o.waiting[id], o.c.graph.Waiting(id)
+		j, waiting := o.waiting[id], o.c.graph.Waiting(id)
 		if j == nil {
 			continue
 		}
-		j.cancelled = false
-		if w == nil || !w.Cancelled() || j.unsure {
-			continue
+		j.cancelQueued = false
+		if waiting != nil && waiting.Cancelled() && !j.unsure {
+			o.recordCancelled(t, j, waiting.CancelledRoot)
 		}
-		j.writing = true
-		t.guards[record.ActiveKey(id)] = j.version
-		t.writes = append(t.writes, state.Write{Delete: record.ActiveKey(id)})
-		t.put(record.FinalKey(id), record.Final{Status: wire.JobCancelled, At: o.c.day, Before: w.CancelledRoot})
-		t.results = append(t.results, func(ok bool, _ uint64) {
-			j.writing = false
-			switch {
-			case o.waiting[id] != j:
-			case !ok:
-				o.queueCancelled(id)
-			default:
-				o.c.log.Info("job cancelled with one before it", "job", id, "before", w.CancelledRoot)
-				o.waitingGone(j)
-			}
-		})
 	}
 }
 
-// waitingGone forgets a waiting job whose record is gone.
-func (o *owner) waitingGone(j *job) {
+// recordCancelled adds to a commit that a waiting job is cancelled with one before it.
+func (o *owner) recordCancelled(t *txn, j *job, root string) {
+	j.writing = true
+	t.guards[record.ActiveKey(j.ID)] = j.version
+	t.writes = append(t.writes, state.Write{Delete: record.ActiveKey(j.ID)})
+	t.put(record.FinalKey(j.ID), record.Final{Status: wire.JobCancelled, At: o.c.day, Before: root})
+	t.results = append(t.results, func(ok bool, _ uint64) {
+		j.writing = false
+		switch {
+		case o.waiting[j.ID] != j:
+		case !ok:
+			o.queueCancelled(j.ID)
+		default:
+			o.c.log.Info("job cancelled with one before it", "job", j.ID, "before", root)
+			o.forgetWaiting(j)
+		}
+	})
+}
+
+// forgetWaiting forgets a waiting job whose record is gone.
+func (o *owner) forgetWaiting(j *job) {
 	delete(o.waiting, j.ID)
 	o.dropParts(j)
 	o.setJob(j, jobEnded)
@@ -134,8 +138,11 @@
 	j.parts = 0
 }
 
-// waitingUnsure handles a waiting job's record that is not as it was: it was cancelled.
-func (o *owner) waitingUnsure(j *job) {
+// recheckDelay lets the watch show how a job's record changed before it is written again.
+const recheckDelay = micros.Second
+
+// recheckWaiting handles a waiting job's record that is not as it was: it was cancelled.
+func (o *owner) recheckWaiting(j *job) {
 	j.unsure = true
 	o.c.refresh(func(ok bool) {
 		if o.superseded() || o.waiting[j.ID] != j {
@@ -143,48 +150,55 @@
 		}
 		j.unsure = false
 		if ok && !o.c.graph.Active(j.ID) {
-			o.waitingGone(j)
+			o.forgetWaiting(j)
 			return
 		}
-		o.c.after(micros.Second, func() {
-			if w := o.c.graph.Waiting(j.ID); !o.superseded() && w != nil && w.Cancelled() {
+		o.c.after(recheckDelay, func() {
+			if waiting := o.c.graph.Waiting(j.ID); !o.superseded() && waiting != nil && waiting.Cancelled() {
 				o.queueCancelled(j.ID)
 			}
 		})
 	})
 }
 
+// sweepAfter lets a takeover do first what is urgent.
+const sweepAfter = 20 * micros.Second
+
 // sweepParts finds keys of lists whose jobs were over before an owner could have them
-// deleted. A list is accepted with its job in one commit: where a view that is newer than
-// the list lacks the job, it is over.
+// deleted.
 func (o *owner) sweepParts() {
 	if o.swept || o.c.now-o.since < sweepAfter || !o.c.budget.MayRequest(budget.Cleanup, o.c.now) {
 		return
 	}
 	o.swept = true
 	o.c.store(budget.Cleanup, state.List(record.PartPrefix, ""), func(r storeReply) {
-		var p state.Page
+		var page state.Page
 		if o.superseded() {
 			return
 		}
-		if r.outcome != outOK || !r.decode(&p) {
+		if r.outcome != outOK || !r.decode(&page) {
 			o.swept = false
 			return
 		}
 		o.c.refresh(func(ok bool) {
-			if o.superseded() || !ok {
-				o.swept = o.superseded()
-				return
-			}
-			for _, e := range p.Entries {
-				id, _, _ := strings.Cut(strings.TrimPrefix(e.Key, record.PartPrefix), "/")
-				if !o.c.graph.Active(id) && !slices.Contains(o.garbage, e.Key) {
-					o.garbage = append(o.garbage, e.Key)
-				}
+			switch {
+			case o.superseded():
+			case !ok:
+				o.swept = false
+			default:
+				o.dropLeftoverParts(page.Entries)
 			}
 		})
 	})
 }
 
-// sweepAfter lets a takeover do first what is urgent.
-const sweepAfter = 20 * micros.Second
+// dropLeftoverParts has parts of lists deleted whose jobs are over. A list is accepted with its
+// job in one commit: where a view that is newer than the list lacks the job, it is over.
+func (o *owner) dropLeftoverParts(entries []state.Entry) {
+	for _, e := range entries {
+		id, _, _ := strings.Cut(strings.TrimPrefix(e.Key, record.PartPrefix), "/")
+		if !o.c.graph.Active(id) && !slices.Contains(o.garbage, e.Key) {
+			o.garbage = append(o.garbage, e.Key)
+		}
+	}
+}
