Names: entries and blocks are marked dirty; an owner owns all teams

| old | new | | --- | --- | | touch | markDirty | | soil (owner, shard) | markBlockDirty, markDirty | | sole | ownsAllTeams | | adoptedBlock, givenPrefix | adoptedPrefix, transferPrefix |

--- a/controller/attempt.go
+++ b/controller/attempt.go
@@ -93,13 +93,13 @@
 	switch s {
 	case attemptLeaving:
 		o.free(a)
-		o.touch(a.machine)
+		o.markDirty(a.machine)
 	case attemptFinished:
 		o.free(a)
 		a.job.setTask(a.index, taskDone)
 		if !a.job.Gang { // a gang is done as a whole, which its final record tells
 			a.job.noteFinished(a)
-			o.shardFor(a.job, a.index/record.ChunkTasks).soil(o.c.now)
+			o.shardFor(a.job, a.index/record.ChunkTasks).markDirty(o.c.now)
 		}
 	case attemptClosed:
 		o.free(a)
@@ -154,7 +154,7 @@
 	if len(m.attempts) == 0 {
 		m.idleSince = o.c.now
 		if m.state == machineMoving {
-			o.touch(m)
+			o.markDirty(m)
 		}
 	}
 	if j.attempts[a.index] == a {
--- a/controller/block_split.go
+++ b/controller/block_split.go
@@ -69,7 +69,7 @@
 		to.add(m)
 		m.dirty = true
 		if to != b {
-			o.soil(to)
+			o.markBlockDirty(to)
 		}
 	}
 	o.c.log.Info("block split", "block", b.name, "bytes", size, "machines", len(all), "kept", len(b.machines), "parts", made)
--- a/controller/block_write.go
+++ b/controller/block_write.go
@@ -58,8 +58,8 @@
 				continue
 			}
 		}
-		unknown := m.token == 0 && !m.recorded && !o.sole() && !strings.HasPrefix(b.name, adoptedBlock)
-		if unknown && !guardable(record.BlockKey(adoptedBlock+m.name)) {
+		unknown := m.token == 0 && !m.recorded && !o.ownsAllTeams() && !strings.HasPrefix(b.name, adoptedPrefix)
+		if unknown && !guardable(record.BlockKey(adoptedPrefix+m.name)) {
 			continue // its first claim comes with the next write
 		}
 		kept = append(kept, m)
@@ -78,7 +78,7 @@
 			e.Token = 0
 			ch.claimed = append(ch.claimed, m)
 			if unknown { // that nobody adopted it
-				guards[record.BlockKey(adoptedBlock+m.name)] = 0
+				guards[record.BlockKey(adoptedPrefix+m.name)] = 0
 			}
 		}
 		if m.state == machineCondemned {
@@ -144,7 +144,7 @@
 	t.results = append(t.results, func(ok bool, rev uint64) {
 		b.writing = false
 		if !ok {
-			o.soil(b)
+			o.markBlockDirty(b)
 			b.left = append(b.left, left...)
 			for _, m := range b.machines {
 				m.dirty = true
@@ -157,7 +157,7 @@
 		}
 		for _, old := range left {
 			old.behind--
-			o.soil(old) // without them now; if it is empty, its record is deleted
+			o.markBlockDirty(old) // without them now; if it is empty, its record is deleted
 		}
 		o.blockWritten(b, ch, rev)
 	})
@@ -170,7 +170,7 @@
 		}
 	}
 	for _, m := range ch.claimed {
-		if strings.HasPrefix(b.name, adoptedBlock) && m.token == 0 && !o.sole() {
+		if strings.HasPrefix(b.name, adoptedPrefix) && m.token == 0 && !o.ownsAllTeams() {
 			o.verify(m, rev)
 			continue
 		}
@@ -191,7 +191,7 @@
 	// Dirty again only if something changed while the commit was under way.
 	for _, m := range b.machines {
 		if m.dirty = m.dirty || m.changed(); m.dirty {
-			o.soil(b)
+			o.markBlockDirty(b)
 		}
 	}
 	o.dropEmpty(b)
--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -14,15 +14,15 @@
 
 // Bounds of a block. Its size is bounded by the settings; these keep it below.
 const (
-	blockMost    = 64   // machines
-	entryBytes   = 32   // of a machine without tasks, as a rule
-	taskBytes    = 4    // of a task in an entry, as a rule
-	freshBytes   = 40   // of a task that is not recorded yet, at most as a rule: it may bring its job's name
-	blockTasks   = 16   // for each machine, when a block is filled with machines and no job is known
-	blockUsed    = 0.7  // of a value, when a block is filled with machines
-	blockFull    = 0.85 // of a value, when machines are filled with tasks
-	adoptedBlock = "x-" // prefix of the block of a machine that nobody expected
-	givenPrefix  = "g-" // and of one that another owner gave
+	blockMost      = 64   // machines
+	entryBytes     = 32   // of a machine without tasks, as a rule
+	taskBytes      = 4    // of a task in an entry, as a rule
+	freshBytes     = 40   // of a task that is not recorded yet, at most as a rule: it may bring its job's name
+	blockTasks     = 16   // for each machine, when a block is filled with machines and no job is known
+	blockUsed      = 0.7  // of a value, when a block is filled with machines
+	blockFull      = 0.85 // of a value, when machines are filled with tasks
+	adoptedPrefix  = "x-" // prefix of the block of a machine that nobody expected
+	transferPrefix = "g-" // and of one that another owner gave
 )
 
 // block is a record of machines at their owner.
@@ -101,7 +101,7 @@
 
 // single tells a block that was made for one machine by its name.
 func (b *block) single() bool {
-	return strings.HasPrefix(b.name, adoptedBlock) || strings.HasPrefix(b.name, givenPrefix)
+	return strings.HasPrefix(b.name, adoptedPrefix) || strings.HasPrefix(b.name, transferPrefix)
 }
 
 // gather moves a machine that was given out of its block of its own: hundreds of such would
@@ -109,7 +109,7 @@
 // found, the newer holds. The block of an adopted machine stays, since other owners' first
 // claims are guarded against its name.
 func (o *owner) gather(b *block) {
-	if !strings.HasPrefix(b.name, givenPrefix) || len(b.machines) != 1 || b.writing {
+	if !strings.HasPrefix(b.name, transferPrefix) || len(b.machines) != 1 || b.writing {
 		return
 	}
 	m := b.machines[0]
@@ -120,7 +120,7 @@
 	b.machines, b.dirty = nil, false
 	to.add(m)
 	to.left = append(to.left, b)
-	o.touch(m)
+	o.markDirty(m)
 }
 
 func (o *owner) newBlock(name string) *block {
@@ -135,13 +135,13 @@
 	b.machines = append(b.machines, m)
 }
 
-// touch notes that a machine's entry must be written.
-func (o *owner) touch(m *machine) {
+// markDirty notes that a machine's entry must be written.
+func (o *owner) markDirty(m *machine) {
 	m.dirty = true
-	o.soil(m.block)
+	o.markBlockDirty(m.block)
 }
 
-func (o *owner) soil(b *block) {
+func (o *owner) markBlockDirty(b *block) {
 	if !b.dirty {
 		b.dirty, b.since = true, o.c.now
 	}
--- a/controller/blocks_test.go
+++ b/controller/blocks_test.go
@@ -22,10 +22,10 @@
 	}
 	names := slices.Clone(stored[b.name])
 	before := len(o.blocks)
-	o.touch(b.machines[0])
+	o.markDirty(b.machines[0])
 	for range 200 {
 		for _, m := range b.machines { // changes go on meanwhile
-			o.touch(m)
+			o.markDirty(m)
 		}
 		tx := &txn{guards: map[string]uint64{}}
 		o.flushRecords(tx, func() int { return o.c.cfg.TxnOps - len(tx.writes) })
@@ -82,11 +82,11 @@
 		j := o.queue[len(o.queue)-1]
 		o.attach(j, j.lowest, 9, b.machines[0], attemptProposed)
 		j.lowest++
-		o.touch(b.machines[0])
+		o.markDirty(b.machines[0])
 	}
 	for i := range 10 {
 		s := &shard{team: "red", name: record.NumberName(uint64(i)), chunks: map[chunkKey]*job{}}
-		s.soil(o.c.now)
+		s.markDirty(o.c.now)
 		o.shards = append(o.shards, s)
 	}
 	o.c.now += micros.Second
--- a/controller/claims.go
+++ b/controller/claims.go
@@ -21,8 +21,8 @@
 	}
 }
 
-// sole tells that this node owns all teams: then no other owner's record can come up.
-func (o *owner) sole() bool { return len(o.teams) == len(o.c.cfg.Teams) }
+// ownsAllTeams tells that this node owns all teams: then no other owner's record can come up.
+func (o *owner) ownsAllTeams() bool { return len(o.teams) == len(o.c.cfg.Teams) }
 
 // claimed takes the revision of a commit as a machine's token.
 func (o *owner) claimed(m *machine, rev uint64) {
@@ -44,7 +44,7 @@
 		}
 		m.verifying = false
 		if !ok {
-			o.touch(m)
+			o.markDirty(m)
 			return
 		}
 		for _, e := range entries {
--- a/controller/commits.go
+++ b/controller/commits.go
@@ -171,9 +171,9 @@
 		if strings.HasPrefix(key, record.MemberPrefix) {
 			continue // a machine was to go to an owner that is gone
 		}
-		if name, ok := strings.CutPrefix(key, record.BlockPrefix+adoptedBlock); ok {
+		if name, ok := strings.CutPrefix(key, record.BlockPrefix+adoptedPrefix); ok {
 			if m := o.machines[name]; m != nil && m.token == 0 {
-				o.notOurs(m, adoptedBlock+name)
+				o.notOurs(m, adoptedPrefix+name)
 				continue
 			}
 		}
--- a/controller/hold.go
+++ b/controller/hold.go
@@ -404,7 +404,7 @@
 		id := strings.TrimPrefix(e.Key, record.HoldPrefix)
 		j := o.placedJob(id)
 		if j == nil || wire.Decode(e.Value, &rec) != nil {
-			if o.sole() { // else it may be another owner's
+			if o.ownsAllTeams() { // else it may be another owner's
 				o.garbage = append(o.garbage, e.Key)
 			}
 			continue
--- a/controller/limits_test.go
+++ b/controller/limits_test.go
@@ -136,7 +136,7 @@
 	m := b.machines[0]
 	b.machines = b.machines[:1]
 	m.token, o.c.cfg.ValueBytes = 0, 60
-	o.touch(m)
+	o.markDirty(m)
 	tries := 0
 	for end := o.c.now + micros.Minute; o.c.now < end && m.state < machineReleasing; o.c.now += 100 * micros.Millisecond {
 		if !o.due(b) {
--- a/controller/load_machines.go
+++ b/controller/load_machines.go
@@ -37,7 +37,7 @@
 		for i := range d.Machines {
 			o.buildMachine(b, d, &d.Machines[i])
 		}
-		o.soil(b)
+		o.markBlockDirty(b)
 	}
 	for _, id := range sortedKeys(o.jobs) {
 		j := o.jobs[id]
--- a/controller/load_shards.go
+++ b/controller/load_shards.go
@@ -15,7 +15,7 @@
 	for _, e := range entries {
 		team, name, ok := o.splitShardKey(e.Key)
 		if !ok {
-			if o.sole() {
+			if o.ownsAllTeams() {
 				o.garbage = append(o.garbage, e.Key)
 			}
 			continue
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -143,7 +143,7 @@
 	case machineReleasing:
 		o.wantRelease = true
 	case machineMoving, machineCondemned, machineDeleted:
-		o.touch(m)
+		o.markDirty(m)
 	}
 }
 
@@ -155,7 +155,7 @@
 	o.c.log.Debug("fence", "machine", m.name, "from", m.fence.String(), "to", s.String())
 	m.fence = s
 	if s == fenceWanted {
-		o.touch(m)
+		o.markDirty(m)
 	}
 }
 
--- a/controller/machine_list.go
+++ b/controller/machine_list.go
@@ -16,7 +16,7 @@
 		attempts: map[taskKey]*attempt{},
 	}
 	b.add(m)
-	o.touch(m)
+	o.markDirty(m)
 	if t := o.c.types.find(kind); t != nil {
 		m.size = t.Size
 	}
@@ -41,11 +41,11 @@
 func (o *owner) adopt(name, kind, zone string, spot bool, endpoint string) *machine {
 	o.c.log.Info("machine adopted", "machine", name, "type", kind, "zone", zone, "spot", spot)
 	b := (*block)(nil)
-	if o.sole() {
+	if o.ownsAllTeams() {
 		b = o.blockFor(kind, zone)
 	} else {
 		// Another owner may have it without our knowing: see verify.
-		b = o.newBlock(adoptedBlock + name)
+		b = o.newBlock(adoptedPrefix + name)
 	}
 	m := o.newMachineIn(b, name, kind, zone, spot, endpoint)
 	m.rented = o.c.day
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -184,7 +184,7 @@
 }
 
 // givenBlock names the block in which a machine is given away.
-func givenBlock(m *machine) string { return givenPrefix + m.name + "-" + record.NumberName(m.token) }
+func givenBlock(m *machine) string { return transferPrefix + m.name + "-" + record.NumberName(m.token) }
 
 // writeMove gives an empty machine away, in a block of its own.
 func (o *owner) writeMove(t *txn, m *machine) {
@@ -234,7 +234,7 @@
 // tell adds to a beat what siblings must know of this owner.
 func (o *owner) tell(b *peer.Beat) {
 	b.Jobs = o.counts()
-	if o.sole() {
+	if o.ownsAllTeams() {
 		return // nobody to share machines with
 	}
 	for _, m := range o.list {
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -236,7 +236,7 @@
 // mine tells whether what an owner had is this node's to take: its own, that of owners
 // whose heir it is, and what nobody else takes.
 func (o *owner) mine(id string) bool {
-	if id == o.c.node.ID() || o.sole() {
+	if id == o.c.node.ID() || o.ownsAllTeams() {
 		return true
 	}
 	for _, t := range o.teams {
--- a/controller/proposals.go
+++ b/controller/proposals.go
@@ -22,7 +22,7 @@
 			}
 			o.attach(j, j.lowest, number, m, attemptProposed)
 		}
-		o.touch(m)
+		o.markDirty(m)
 		as.Machine.Free = as.Machine.Free.Sub(j.Need.Times(as.Count))
 		as.Machine.Slots -= as.Count
 		as.Machine.Idle = false
--- a/controller/shards.go
+++ b/controller/shards.go
@@ -23,8 +23,8 @@
 	behind  int      // new records of chunks that left it which are not written yet: it must wait
 }
 
-// soil notes that the shard must be written.
-func (s *shard) soil(now micros.Micros) {
+// markDirty notes that the shard must be written.
+func (s *shard) markDirty(now micros.Micros) {
 	if !s.dirty {
 		s.dirty, s.since = true, now
 	}
@@ -109,7 +109,7 @@
 	t.results = append(t.results, func(ok bool, rev uint64) {
 		s.writing = false
 		if !ok {
-			s.soil(o.c.now)
+			s.markDirty(o.c.now)
 			s.left = append(s.left, left...)
 			for _, a := range finished {
 				a.job.noteFinished(a)
@@ -153,7 +153,7 @@
 	delete(from.chunks, chunkKey{j.ID, chunk})
 	from.bytes -= j.chunkBytes(chunk)
 	o.keep(to, j, chunk)
-	to.soil(o.c.now)
+	to.markDirty(o.c.now)
 	if !slices.Contains(to.left, from) {
 		to.left = append(to.left, from)
 		from.behind++
