--- a/controller/commits.go
+++ b/controller/commits.go
@@ -18,38 +18,14 @@
 	flushGapShort = 300 * micros.Millisecond
 	// flushRetry is the pause before a commit is sent again.
 	flushRetry = 150 * micros.Millisecond
+	// invalidPause is the pause after a commit that the state service takes for malformed.
+	invalidPause = micros.Second
 	// commitBytes is the largest body of a commit; the state service takes 64 KiB.
 	commitBytes = 60 << 10
 	// guardBytes is what a guard adds to a commit's body, at most as a rule.
 	guardBytes = 64
 )
 
-// txn collects what one commit writes, and what holds once it has.
-type txn struct {
-	guards  map[string]uint64
-	writes  []state.Write
-	size    int
-	results []func(ok bool, revision uint64)
-}
-
-func (t *txn) put(key string, v any) { t.write(key, v, state.Size(v)) }
-
-func (t *txn) write(key string, v any, size int) {
-	t.writes = append(t.writes, state.Write{Put: key, Value: v})
-	t.size += size
-}
-
-// takes tells whether a commit has room for another write with its guards.
-func (t *txn) takes(guards map[string]uint64, size, ops int) bool {
-	n := len(t.guards) + 1 // this node's own record
-	for k := range guards {
-		if _, ok := t.guards[k]; !ok {
-			n++
-		}
-	}
-	return n <= 4*ops && t.size+size+guardBytes*n <= commitBytes
-}
-
 // flush writes the most urgent changes. One commit is under way at a time, so that
 // what a commit was built on can only be changed by somebody else.
 func (o *owner) flush() {
@@ -86,6 +62,7 @@
 	o.send(t, purpose, false)
 }
 
+// claimsWait tells whether machines wait to be claimed by this owner.
 func (o *owner) claimsWait() bool {
 	for _, m := range o.list {
 		if m.token == 0 && !m.verifying {
@@ -95,52 +72,60 @@
 	return false
 }
 
+// send sends a commit; again tells that it was sent before.
 func (o *owner) send(t *txn, p budget.Purpose, again bool) {
-	c := o.c
-	c.store(p, state.Commit(o.guards(t.guards), t.writes), func(r storeReply) {
-		if o.superseded() {
+	o.c.store(p, state.Commit(o.guards(t.guards), t.writes), func(r storeReply) {
+		if !o.superseded() {
+			o.committed(t, p, again, r)
+		}
+	})
+}
+
+// committed handles the answer to a commit.
+func (o *owner) committed(t *txn, p budget.Purpose, again bool, r storeReply) {
+	var res state.Committed
+	switch r.outcome {
+	case outOK:
+		if !r.decode(&res) {
+			o.resync("the answer to a commit cannot be read")
 			return
 		}
-		var res state.Committed
-		switch r.outcome {
-		case outOK:
-			if !r.decode(&res) {
-				o.resync("the answer to a commit cannot be read")
-				return
-			}
-			o.settle(t, true, res.Revision)
-			gap := flushGap
-			if c.budget.WriteRoom(budget.Work, c.now) < c.cfg.TxnOps/2 {
-				gap = flushGapShort
-			}
-			o.flushAt = c.now + gap
-			o.wantSchedule = true
-		case outConflict:
-			if again {
-				o.resync("a commit without answer was executed, or somebody else wrote")
-				return
-			}
-			r.decode(&res)
-			o.settle(t, false, 0)
-			o.conflict(res.Failed)
-		case outUnknown:
-			// It may be executed yet: nothing else may be decided before the same
-			// commit has been executed or refused by its guards.
-			o.flushAt = c.now + flushRetry
+		o.settle(t, true, res.Revision)
+		o.flushAt = o.c.now + o.pauseAfterCommit()
+		o.wantSchedule = true
+	case outConflict:
+		if again {
+			o.resync("a commit without answer was executed, or somebody else wrote")
+			return
+		}
+		r.decode(&res)
+		o.settle(t, false, 0)
+		o.conflict(res.Failed)
+	case outUnknown:
+		// It may be executed yet: nothing else may be decided before the same commit has
+		// been executed or refused by its guards.
+		o.flushAt = o.c.now + flushRetry
+		o.resend(t, p)
+	case outInvalid:
+		o.c.log.Error("a commit was refused as invalid", "writes", len(t.writes))
+		o.settle(t, false, 0)
+		o.flushAt = o.c.now + invalidPause
+	default:
+		if again {
 			o.resend(t, p)
-		case outInvalid:
-			c.log.Error("a commit was refused as invalid", "writes", len(t.writes))
-			o.settle(t, false, 0)
-			o.flushAt = c.now + micros.Second
-		default:
-			if again {
-				o.resend(t, p)
-				return
-			}
-			o.settle(t, false, 0)
-			o.flushAt = c.now + flushRetry
+			return
 		}
-	})
+		o.settle(t, false, 0)
+		o.flushAt = o.c.now + flushRetry
+	}
+}
+
+// pauseAfterCommit is longer while writes are scarce.
+func (o *owner) pauseAfterCommit() micros.Micros {
+	if o.c.budget.WriteRoom(budget.Work, o.c.now) < o.c.cfg.TxnOps/2 {
+		return flushGapShort
+	}
+	return flushGap
 }
 
 // resend repeats a commit whose fate is unknown, with the next ticks.
@@ -152,6 +137,7 @@
 	})
 }
 
+// settle ends a commit: what it wrote holds from now on, or is to be written again.
 func (o *owner) settle(t *txn, ok bool, revision uint64) {
 	o.flushing = false
 	for _, result := range t.results {
@@ -159,57 +145,66 @@
 	}
 }
 
-// conflict handles guards that did not hold. A job's record may have gone by a
-// cancellation; everything else is written by this node alone, as long as it leads.
+// conflict handles guards that did not hold. A job's record may have been deleted by a
+// cancellation; all others are written by this node alone, as long as it owns them.
 func (o *owner) conflict(failed []string) {
 	for _, key := range failed {
-		id, isJob := strings.CutPrefix(key, record.ActivePrefix)
-		if key == record.MemberKey(o.c.cfg.Node) {
-			o.c.node.RecordLost(o.c.now)
+		if !o.guardFailed(key) {
 			return
 		}
-		if strings.HasPrefix(key, record.MemberPrefix) {
-			continue // a machine was to go to an owner that is gone
-		}
-		if name, ok := strings.CutPrefix(key, record.BlockPrefix+adoptedPrefix); ok {
-			if m := o.machines[name]; m != nil && m.token == 0 {
-				o.notOurs(m, adoptedPrefix+name)
-				continue
-			}
-		}
-		if !isJob {
-			o.resync("a record of ours was changed: " + key)
-			return
-		}
-		if j := o.waiting[id]; j != nil {
-			o.recheckWaiting(j)
-			continue
-		}
-		j := o.jobs[id]
-		if j == nil {
-			continue
+	}
+	o.flushAt = max(o.flushAt, o.c.now+flushGap)
+}
+
+// guardFailed handles one guard that did not hold, and tells whether this owner goes on.
+func (o *owner) guardFailed(key string) bool {
+	switch {
+	case key == record.MemberKey(o.c.cfg.Node):
+		o.c.node.RecordLost(o.c.now)
+		return false
+	case strings.HasPrefix(key, record.MemberPrefix):
+		return true // a machine was to go to an owner that is gone
+	}
+	if name, ok := strings.CutPrefix(key, record.BlockPrefix+adoptedPrefix); ok {
+		if m := o.machines[name]; m != nil && m.token == 0 {
+			o.notOurs(m, adoptedPrefix+name)
+			return true
 		}
-		j.unsure = true
-		for _, a := range j.sorted() {
-			if a.state == attemptProposed {
-				o.stop(a, 0, "job's record has changed")
-			}
+	}
+	id, isJob := strings.CutPrefix(key, record.ActivePrefix)
+	if !isJob {
+		o.resync("a record of ours was changed: " + key)
+		return false
+	}
+	if j := o.waiting[id]; j != nil {
+		o.recheckWaiting(j)
+	} else if j := o.jobs[id]; j != nil {
+		o.jobUnsure(j)
+	}
+	return true
+}
+
+// jobUnsure stops placing a job whose record has changed, and reads the record again.
+func (o *owner) jobUnsure(j *job) {
+	j.unsure = true
+	for _, a := range j.sorted() {
+		if a.state == attemptProposed {
+			o.stop(a, 0, "job's record has changed")
 		}
-		o.c.get(budget.Users, key, func(out outcome, e state.Entry) {
-			switch {
-			case o.superseded():
-			case out == outMissing:
-				o.jobGone(id, o.cancellationsKnownUntil)
-			case out == outOK:
-				j.version, j.unsure = e.Version, false
-				o.wantSchedule = true
-			default:
-				j.unsure = false // the next commit will tell
-				o.flushAt = o.c.now + flushRetry
-			}
-		})
 	}
-	o.flushAt = max(o.flushAt, o.c.now+flushGap)
+	o.c.get(budget.Users, record.ActiveKey(j.ID), func(out outcome, e state.Entry) {
+		switch {
+		case o.superseded():
+		case out == outMissing:
+			o.jobGone(j.ID, o.cancellationsKnownUntil)
+		case out == outOK:
+			j.version, j.unsure = e.Version, false
+			o.wantSchedule = true
+		default:
+			j.unsure = false // the next commit will tell
+			o.flushAt = o.c.now + flushRetry
+		}
+	})
 }
 
 // elsewhereMemory is how long a machine is remembered as another owner's, until that owner's
@@ -239,28 +234,32 @@
 		t.put(record.FinalKey(j.ID), record.Final{Status: wire.JobDone, At: o.c.day})
 		t.results = append(t.results, func(ok bool, _ uint64) {
 			j.writing = false
-			if !ok || j.state == jobEnded {
-				return
-			}
-			o.c.users.remember(j.ID, wire.JobDone)
-			o.c.log.Info("job done", "job", j.ID, "class", j.Class)
-			o.c.graph.Done(j.ID, o.c.day)
-			for _, a := range j.sorted() {
-				if a.state == attemptFinished {
-					o.finishedRecorded(a)
-				}
-			}
-			o.endJob(j)
-			for _, a := range j.sorted() {
-				if a.state == attemptLive || a.state == attemptOrdered {
-					a.why = "job is done"
-					o.setAttempt(a, attemptStopping) // its machine's next report ends it
-				}
+			if ok && j.state != jobEnded {
+				o.doneRecorded(j)
 			}
 		})
 	}
 }
 
+// doneRecorded ends a job whose final record is written.
+func (o *owner) doneRecorded(j *job) {
+	o.c.users.remember(j.ID, wire.JobDone)
+	o.c.log.Info("job done", "job", j.ID, "class", j.Class)
+	o.c.graph.Done(j.ID, o.c.day)
+	for _, a := range j.sorted() {
+		if a.state == attemptFinished {
+			o.finishedRecorded(a)
+		}
+	}
+	o.endJob(j)
+	for _, a := range j.sorted() {
+		if a.state == attemptLive || a.state == attemptOrdered {
+			a.why = "job is done"
+			o.setAttempt(a, attemptStopping) // its machine's next report ends it
+		}
+	}
+}
+
 // finishedRecorded closes an attempt whose completion is recorded. The machine's
 // record still names it; that is corrected with its next change, and a reader knows
 // better from the completion.
