The client of the state service is a package of its own, with typed outcomes

Budget, route through a sibling, listings and the meaning of statuses were methods of the core. internal/store holds them; it calls its host through five methods and has no clock or network. Behaviour is unchanged otherwise.

| old | new | | --- | --- | | store, storeWithin, get, listAll | Client.Do, Watch, Get, ListAll | | outcome, outOK ... outInvalid | store.Outcome, store.OK ... store.Invalid | | storeOK, storeDown, route.lastOK | Served, Down, LastSuccess | | servedSibling, storeThrough, storeDirect | ServedPeer, SendThrough, Send | | storeReply, classify | Reply, Response.outcome |

--- a/controller/claims.go
+++ b/controller/claims.go
@@ -38,7 +38,7 @@
 // Later records of others fail, since they are guarded on the one just written.
 func (o *owner) verify(m *machine, rev uint64) {
 	m.verifying = true
-	o.c.listAll(record.BlockPrefix, func(ok bool, entries []state.Entry, _ uint64) {
+	o.c.store.ListAll(record.BlockPrefix, func(ok bool, entries []state.Entry, _ uint64) {
 		if o.superseded() || o.machines[m.name] != m {
 			return
 		}
--- a/controller/cloud.go
+++ b/controller/cloud.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"tamarindlead/internal/store"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
@@ -15,6 +16,6 @@
 	}
 	c.call(Call{
 		Addr: c.cfg.CloudAddr, Method: method, Target: target, Body: data,
-		Timeout: cloudTimeout, MaxBody: maxStoreBody,
+		Timeout: cloudTimeout, MaxBody: store.MaxBody,
 	}, func(e CallDone) { done(e.Status, e.Body) })
 }
--- a/controller/cluster.go
+++ b/controller/cluster.go
@@ -4,6 +4,7 @@
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/micros"
 )
 
@@ -13,24 +14,24 @@
 
 // Call sends a request.
 func (s clusterStore) Call(request state.Request, done func(micros.Micros, cluster.Reply)) {
-	s.core.store(budget.Leadership, request, s.answer(done))
+	s.core.store.Do(budget.Leadership, request, s.answer(done))
 }
 
 // Watch waits for changes of keys with a prefix after a revision.
 func (s clusterStore) Watch(prefix string, after uint64, done func(micros.Micros, cluster.Reply)) {
-	s.core.storeWithin(budget.Leadership, state.Watch(prefix, after, watchWait), watchTimeout, s.answer(done))
+	s.core.store.Watch(budget.Leadership, prefix, after, store.WatchWait, s.answer(done))
 }
 
-func (s clusterStore) answer(done func(micros.Micros, cluster.Reply)) func(storeReply) {
-	return func(reply storeReply) {
+func (s clusterStore) answer(done func(micros.Micros, cluster.Reply)) func(store.Reply) {
+	return func(reply store.Reply) {
 		status := cluster.ReplyFailed
-		switch reply.outcome {
-		case outOK:
+		switch reply.Outcome {
+		case store.OK:
 			status = cluster.ReplyOK
-		case outMissing:
+		case store.Missing:
 			status = cluster.ReplyMissing
 		}
-		done(s.core.now, cluster.Reply{Status: status, Body: reply.body})
+		done(s.core.now, cluster.Reply{Status: status, Body: reply.Body})
 	}
 }
 
--- a/controller/commits.go
+++ b/controller/commits.go
@@ -6,6 +6,7 @@
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
@@ -74,7 +75,7 @@
 
 // send sends a commit; again tells that it was sent before.
 func (o *owner) send(t *txn, p budget.Purpose, again bool) {
-	o.c.store(p, state.Commit(o.guards(t.guards), t.writes), func(r storeReply) {
+	o.c.store.Do(p, state.Commit(o.guards(t.guards), t.writes), func(r store.Reply) {
 		if !o.superseded() {
 			o.committed(t, p, again, r)
 		}
@@ -82,31 +83,31 @@
 }
 
 // committed handles the answer to a commit.
-func (o *owner) committed(t *txn, p budget.Purpose, again bool, r storeReply) {
+func (o *owner) committed(t *txn, p budget.Purpose, again bool, r store.Reply) {
 	var res state.Committed
-	switch r.outcome {
-	case outOK:
-		if !r.decode(&res) {
+	switch r.Outcome {
+	case store.OK:
+		if !r.Decode(&res) {
 			o.resync("the answer to a commit cannot be read")
 			return
 		}
 		o.settle(t, true, res.Revision)
 		o.flushAt = o.c.now + o.pauseAfterCommit()
 		o.wantSchedule = true
-	case outConflict:
+	case store.Conflict:
 		if again {
 			o.resync("a commit without answer was executed, or somebody else wrote")
 			return
 		}
-		r.decode(&res)
+		r.Decode(&res)
 		o.settle(t, false, 0)
 		o.conflict(res.Failed)
-	case outUnknown:
+	case store.Unknown:
 		// It may be executed yet: nothing else may be decided before the same commit has
 		// been executed or refused by its guards.
 		o.flushAt = o.c.now + flushRetry
 		o.resend(t, p)
-	case outInvalid:
+	case store.Invalid:
 		o.c.log.Error("a commit was refused as invalid", "writes", len(t.writes))
 		o.settle(t, false, 0)
 		o.flushAt = o.c.now + invalidPause
@@ -192,12 +193,12 @@
 			o.stop(a, 0, "job's record has changed")
 		}
 	}
-	o.c.get(budget.Users, record.ActiveKey(j.ID), func(out outcome, e state.Entry) {
+	o.c.store.Get(budget.Users, record.ActiveKey(j.ID), func(out store.Outcome, e state.Entry) {
 		switch {
 		case o.superseded():
-		case out == outMissing:
+		case out == store.Missing:
 			o.jobGone(j.ID, o.cancellationsKnownUntil)
-		case out == outOK:
+		case out == store.OK:
 			j.version, j.unsure = e.Version, false
 			o.wantSchedule = true
 		default:
@@ -279,13 +280,13 @@
 		writes = append(writes, state.Write{Delete: k})
 	}
 	o.flushing = true
-	o.c.store(budget.Cleanup, state.Commit(o.guards(nil), writes), func(r storeReply) {
+	o.c.store.Do(budget.Cleanup, state.Commit(o.guards(nil), writes), func(r store.Reply) {
 		if o.superseded() {
 			return
 		}
 		o.flushing = false
 		o.flushAt = o.c.now + flushGap
-		if r.outcome == outOK {
+		if r.Outcome == store.OK {
 			o.garbage = o.garbage[room:]
 		}
 	})
--- a/controller/core.go
+++ b/controller/core.go
@@ -14,6 +14,7 @@
 	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/jobgraph"
 	"tamarindlead/internal/record"
+	"tamarindlead/internal/store"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
@@ -32,7 +33,7 @@
 	calls   map[uint64]func(CallDone)
 
 	budget   *budget.Budget
-	route    route
+	store    *store.Client
 	peers    map[string]*sibling
 	types    typeTable
 	users    users
@@ -78,7 +79,7 @@
 	c.budget = budget.New(budget.Limits{
 		Requests: cfg.StateRPS, Writes: cfg.WriteRPS, MinWriteBurst: cancelWrites + 1,
 	}, len(cfg.Siblings)+1)
-	c.route.lastOK = now
+	c.store = store.New(storeHost{c}, c.budget, record.LeaderKey, log)
 	c.users.init()
 	c.graph = jobgraph.New(record.ActivePrefix, jobObserver{c}, log)
 	return c
@@ -107,7 +108,7 @@
 	c.runTimers()
 	if c.now >= c.nextSlow {
 		c.nextSlow = c.now + slowTick
-		c.tickRoute()
+		c.store.Tick()
 		c.tickPeers()
 		c.tickTypes()
 		c.node.Tick(c.now)
--- a/controller/dependencies.go
+++ b/controller/dependencies.go
@@ -5,6 +5,7 @@
 	"tamarindlead/internal/jobgraph"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
@@ -65,9 +66,9 @@
 
 // readParts reads a list that is kept under several keys.
 func (c *Core) readParts(job *jobgraph.WaitingJob, done func(ok bool)) {
-	c.store(budget.Users, state.List(record.PartsPrefix(job.ID), ""), func(r storeReply) {
+	c.store.Do(budget.Users, state.List(record.PartsPrefix(job.ID), ""), func(r store.Reply) {
 		var page state.Page
-		if r.outcome != outOK || !r.decode(&page) {
+		if r.Outcome != store.OK || !r.Decode(&page) {
 			done(false)
 			return
 		}
--- a/controller/finalreads.go
+++ b/controller/finalreads.go
@@ -7,6 +7,7 @@
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
@@ -101,8 +102,8 @@
 
 func (r *finalsRead) readFirst() {
 	id := r.ids[0]
-	r.c.get(r.purpose, record.FinalKey(id), func(out outcome, e state.Entry) {
-		if out != outMissing && (out != outOK || !r.take(id, e.Value)) {
+	r.c.store.Get(r.purpose, record.FinalKey(id), func(out store.Outcome, e state.Entry) {
+		if out != store.Missing && (out != store.OK || !r.take(id, e.Value)) {
 			r.failed(out)
 			return
 		}
@@ -114,10 +115,10 @@
 // listFromFirst reads the page of final records that begins with the first job.
 func (r *finalsRead) listFromFirst() {
 	list := state.List(record.FinalPrefix, keyBefore(record.FinalKey(r.ids[0])))
-	r.c.store(r.purpose, list, func(reply storeReply) {
+	r.c.store.Do(r.purpose, list, func(reply store.Reply) {
 		var page state.Page
-		if reply.outcome != outOK || !reply.decode(&page) {
-			r.failed(reply.outcome)
+		if reply.Outcome != store.OK || !reply.Decode(&page) {
+			r.failed(reply.Outcome)
 			return
 		}
 		if !r.takePage(&page) {
@@ -158,9 +159,9 @@
 }
 
 // failed tries again, in time, what the limit of requests did not let through.
-func (r *finalsRead) failed(out outcome) {
-	if out == outLimited && r.c.now < r.until {
-		r.c.after(limitedPause, r.next)
+func (r *finalsRead) failed(out store.Outcome) {
+	if out == store.Limited && r.c.now < r.until {
+		r.c.after(store.LimitedPause, r.next)
 		return
 	}
 	r.done(r.found, false)
--- a/controller/job_queue.go
+++ b/controller/job_queue.go
@@ -8,7 +8,7 @@
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/peer"
 	"tamarindlead/internal/record"
-	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
@@ -65,15 +65,15 @@
 func (o *owner) watchJobs(after uint64) {
 	c := o.c
 	asked := c.now
-	c.storeWithin(budget.Ownership, state.Watch(record.ActivePrefix, after, c.watchWait()), watchTimeout, func(r storeReply) {
+	c.store.Watch(budget.Ownership, record.ActivePrefix, after, c.watchWait(), func(r store.Reply) {
 		if o.superseded() {
 			return
 		}
 		switch {
-		case r.outcome == outGone:
+		case r.Outcome == store.Gone:
 			o.resync("the watch fell behind")
 			return
-		case r.outcome != outOK:
+		case r.Outcome != store.OK:
 			// Again after a pause, which the slow tick gives.
 			o.rewatch(after)
 			return
--- a/controller/jobview.go
+++ b/controller/jobview.go
@@ -5,6 +5,7 @@
 	"tamarindlead/internal/jobgraph"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
@@ -87,7 +88,7 @@
 		return
 	}
 	asked := c.now
-	c.listAll(record.ActivePrefix, func(ok bool, entries []state.Entry, revision uint64) {
+	c.store.ListAll(record.ActivePrefix, func(ok bool, entries []state.Entry, revision uint64) {
 		if !ok {
 			view.stopFollowing(c.now)
 			return
@@ -109,7 +110,7 @@
 			return
 		}
 		asked, after := c.now, c.graph.Revision()
-		c.storeWithin(budget.Reads, state.Watch(record.ActivePrefix, after, c.watchWait()), watchTimeout, func(r storeReply) {
+		c.store.Watch(budget.Reads, record.ActivePrefix, after, c.watchWait(), func(r store.Reply) {
 			if !c.takeChanges(after, r) {
 				view.stopFollowing(c.now)
 				return
@@ -126,12 +127,12 @@
 }
 
 // takeChanges applies the answer of a watch; false: it does not continue what is known.
-func (c *Core) takeChanges(after uint64, r storeReply) bool {
-	if r.outcome == outGone {
+func (c *Core) takeChanges(after uint64, r store.Reply) bool {
+	if r.Outcome == store.Gone {
 		c.graph.Desync()
 	}
 	var changes state.Changes
-	return r.outcome == outOK && r.decode(&changes) && c.graph.Apply(after, &changes, c.day)
+	return r.Outcome == store.OK && r.Decode(&changes) && c.graph.Apply(after, &changes, c.day)
 }
 
 // refreshQueue is the questions that need a view of the present state. One read serves all
@@ -169,11 +170,11 @@
 		return
 	}
 	queue.reading = true
-	c.storeWithin(budget.Users, state.Watch(record.ActivePrefix, after, 0), storeTimeout, func(r storeReply) {
+	c.store.Do(budget.Users, state.Watch(record.ActivePrefix, after, 0), func(r store.Reply) {
 		queue.reading = false
 		queue.askedAt = c.now // what came meanwhile goes out now
 		ok := c.takeChanges(after, r)
-		if r.outcome == outGone && c.owner != nil && c.owner.listed {
+		if r.Outcome == store.Gone && c.owner != nil && c.owner.listed {
 			c.owner.resync("changes of jobs were missed")
 		}
 		answerAll(batch, ok)
--- a/controller/load.go
+++ b/controller/load.go
@@ -29,7 +29,7 @@
 	o.queue = nil
 	step := func(prefix string, next func([]state.Entry, uint64)) func() {
 		return func() {
-			c.listAll(prefix, func(ok bool, entries []state.Entry, rev uint64) {
+			c.store.ListAll(prefix, func(ok bool, entries []state.Entry, rev uint64) {
 				switch {
 				case o.superseded():
 				case !ok:
--- a/controller/load_machines.go
+++ b/controller/load_machines.go
@@ -8,6 +8,7 @@
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 	"tamarindlead/sched"
@@ -105,11 +106,11 @@
 		if o.jobs[j.ID] != j {
 			continue // its machines have reported
 		}
-		o.c.get(budget.Reads, record.FinalKey(j.ID), func(out outcome, e state.Entry) {
+		o.c.store.Get(budget.Reads, record.FinalKey(j.ID), func(out store.Outcome, e state.Entry) {
 			var rec record.Final
 			switch {
-			case o.superseded() || out == outMissing:
-			case out != outOK:
+			case o.superseded() || out == store.Missing:
+			case out != store.OK:
 				o.endings = append(o.endings, j)
 			case wire.Decode(e.Value, &rec) == nil && rec.Status == wire.JobDone:
 				for _, a := range j.sorted() {
--- a/controller/lookups.go
+++ b/controller/lookups.go
@@ -8,6 +8,7 @@
 	"tamarindlead/internal/jobgraph"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
@@ -77,7 +78,7 @@
 		return
 	}
 	stage := &c.lookups
-	if len(stage.waiting)+stage.sent >= maxLookups || c.storeDown() {
+	if len(stage.waiting)+stage.sent >= maxLookups || c.store.Down() {
 		done(lookupResult{})
 		return
 	}
@@ -203,12 +204,12 @@
 // compareVersions asks whether jobs' records are as this node knows them.
 func (c *Core) compareVersions(batch *lookupBatch) {
 	c.lookups.sent += len(batch.compared)
-	c.store(budget.Reads, state.Commit(state.SortedGuards(batch.versions), nil), func(r storeReply) {
+	c.store.Do(budget.Reads, state.Commit(state.SortedGuards(batch.versions), nil), func(r store.Reply) {
 		var committed state.Committed
 		switch {
-		case r.outcome == outOK:
+		case r.Outcome == store.OK:
 			c.takeComparison(batch, nil)
-		case r.outcome == outConflict && r.decode(&committed) && len(committed.Failed) > 0:
+		case r.Outcome == store.Conflict && r.Decode(&committed) && len(committed.Failed) > 0:
 			c.takeComparison(batch, committed.Failed)
 		default:
 			for _, l := range batch.compared {
@@ -247,11 +248,11 @@
 
 // readActive looks a job up by its records, first by that of an active job.
 func (c *Core) readActive(l *lookup) {
-	c.get(budget.Reads, record.ActiveKey(l.id), func(out outcome, e state.Entry) {
+	c.store.Get(budget.Reads, record.ActiveKey(l.id), func(out store.Outcome, e state.Entry) {
 		switch out {
-		case outOK:
+		case store.OK:
 			c.takeActive(l, e)
-		case outMissing:
+		case store.Missing:
 			c.readFinal(l)
 		default:
 			c.finishLookup(l, lookupResult{})
@@ -276,12 +277,12 @@
 
 // readFinal looks a job up that is not active.
 func (c *Core) readFinal(l *lookup) {
-	c.get(budget.Reads, record.FinalKey(l.id), func(out outcome, e state.Entry) {
+	c.store.Get(budget.Reads, record.FinalKey(l.id), func(out store.Outcome, e state.Entry) {
 		var rec record.Final
 		switch {
-		case out == outMissing:
+		case out == store.Missing:
 			c.finishLookup(l, lookupResult{outcome: lookupNotFound})
-		case out == outOK && wire.Decode(e.Value, &rec) == nil:
+		case out == store.OK && wire.Decode(e.Value, &rec) == nil:
 			c.finishFinal(l, string(rec.Status), rec.CancelledRoot(l.id))
 		default:
 			c.finishLookup(l, lookupResult{})
--- a/controller/machine_types.go
+++ b/controller/machine_types.go
@@ -4,6 +4,7 @@
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 	"tamarindlead/sched"
@@ -37,10 +38,10 @@
 	}
 	t.asking, t.next = true, c.now+2*micros.Second
 	if len(t.list) == 0 {
-		c.get(budget.Leadership, record.TypesKey, func(out outcome, e state.Entry) {
+		c.store.Get(budget.Leadership, record.TypesKey, func(out store.Outcome, e state.Entry) {
 			t.asking = false
 			var m wire.MachineTypes
-			if out == outOK && wire.Decode(e.Value, &m) == nil && len(t.list) == 0 {
+			if out == store.OK && wire.Decode(e.Value, &m) == nil && len(t.list) == 0 {
 				t.list = m.Types()
 			}
 			if len(t.list) == 0 {
@@ -80,7 +81,7 @@
 		return
 	}
 	write := []state.Write{{Put: record.TypesKey, Value: t.raw}}
-	c.store(budget.Work, state.Commit(c.owner.guards(nil), write), func(r storeReply) {
-		t.recorded = t.recorded || r.outcome == outOK
+	c.store.Do(budget.Work, state.Commit(c.owner.guards(nil), write), func(r store.Reply) {
+		t.recorded = t.recorded || r.Outcome == store.OK
 	})
 }
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -6,6 +6,7 @@
 	"tamarindlead/internal/peer"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 	"tamarindlead/sched"
@@ -211,9 +212,9 @@
 	if o.state != ownerActive {
 		return
 	}
-	o.c.get(budget.Ownership, record.BlockKey(name), func(out outcome, e state.Entry) {
+	o.c.store.Get(budget.Ownership, record.BlockKey(name), func(out store.Outcome, e state.Entry) {
 		var rec record.Block
-		if o.superseded() || out != outOK || wire.Decode(e.Value, &rec) != nil || rec.Owner != o.c.node.ID() {
+		if o.superseded() || out != store.OK || wire.Decode(e.Value, &rec) != nil || rec.Owner != o.c.node.ID() {
 			return
 		}
 		d, err := rec.Decode()
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -6,7 +6,6 @@
 	"tamarindlead/config"
 	"tamarindlead/internal/cancelack"
 	"tamarindlead/internal/peer"
-	"tamarindlead/internal/state"
 	"tamarindlead/micros"
 )
 
@@ -63,7 +62,7 @@
 	leader, term := c.node.Leader()
 	b := &peer.Beat{
 		Term: term, Leader: leader,
-		WorkersHeard: uint32(len(c.heard)), StoreOk: c.storeOK(),
+		WorkersHeard: uint32(len(c.heard)), StoreOk: c.store.Served(),
 		Ended: c.cancellations.Unacknowledged(s.Node), KnowsEnded: c.cancellations.ToAcknowledge(s.Node),
 	}
 	if c.owner != nil {
@@ -149,22 +148,6 @@
 	}
 }
 
-// relay passes a sibling's request on. It is not counted against this node's part of
-// the limits: the sibling has counted it already.
-func (c *Core) relay(id uint64, call *peer.StoreCall) {
-	timeout := storeTimeout
-	if len(call.Body) == 0 {
-		timeout = watchTimeout
-	}
-	req := state.Request{Method: call.Method, Target: call.Target, Body: call.Body}
-	c.storeDirect(req, timeout, func(e CallDone) {
-		c.noteDirect(e.Status)
-		c.answerPeer(id, &peer.Message{Body: &peer.Message_StoreReply{StoreReply: &peer.StoreReply{
-			Status: uint32(e.Status), Body: e.Body,
-		}}})
-	})
-}
-
 func (c *Core) answerPeer(id uint64, m *peer.Message) {
 	m.From = c.cfg.Node
 	data, err := proto.Marshal(m)
--- a/controller/status.go
+++ b/controller/status.go
@@ -13,7 +13,6 @@
 // counters are what the node did since they were last logged.
 type counters struct {
 	events, reports, lookups, calls int
-	requests, writes                int // to the state service
 	refused                         int // requests answered 429 or 503
 	dropped                         int // messages that could not be read
 	at                              micros.Micros
@@ -25,8 +24,9 @@
 	if c.now-n.at < statusEvery {
 		return
 	}
+	usage := c.store.TakeUsage()
 	c.log.Info("status", "events", n.events, "reports", n.reports, "lookups", n.lookups, "calls", n.calls,
-		"open_calls", len(c.calls), "store_requests", n.requests, "store_writes", n.writes, "refused", n.refused,
+		"open_calls", len(c.calls), "store_requests", usage.Requests, "store_writes", usage.Writes, "refused", n.refused,
 		"dropped", n.dropped, "waiting", len(c.users.waiting))
 	*n = counters{at: c.now}
 	if c.owner != nil && c.owner.state == ownerActive {
--- a/controller/store.go
+++ b/controller/store.go
@@ -1,137 +1,77 @@
 package controller
 
 import (
-	"tamarindlead/internal/budget"
 	"tamarindlead/internal/peer"
-	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
-	"tamarindlead/internal/wire"
+	"tamarindlead/internal/store"
 	"tamarindlead/micros"
 )
 
-// Deadlines of calls to the state service.
-const (
-	storeTimeout = 1500 * micros.Millisecond
-	watchWait    = 4 * micros.Second
-	watchTimeout = 6 * micros.Second
-	maxStoreBody = 8 << 20
-)
-
-// watchWait is how long a watch may wait: its answer shows how far cancellations are known,
-// which must not lie too far back for leases to be renewed (see mayRenewLease).
-func (c *Core) watchWait() micros.Micros {
-	return min(watchWait, max(c.cancellations.MaxKnowledgeAge()/3, 500*micros.Millisecond))
-}
+// This file connects internal/store, the client of the state service, with this node's
+// outbound calls and its peers.
 
-// outcome is how a call to the state service ended.
-type outcome int
+// storeHost lets the client of the state service use this node's calls and peers.
+type storeHost struct{ c *Core }
 
-const (
-	outOK       outcome = iota
-	outMissing          // 404
-	outConflict         // 409: a guard did not hold
-	outGone             // 410: the revision is too old to watch from
-	outLimited          // 429, or our own budget: not executed
-	outRefused          // 503, or never sent: not executed
-	outUnknown          // no response: executed, or not, or later
-	outInvalid          // 400 and anything else: a mistake of ours
-)
-
-type storeReply struct {
-	outcome outcome
-	body    []byte
-}
+func (h storeHost) Now() micros.Micros { return h.c.now }
 
-func (r storeReply) decode(v any) bool { return wire.Decode(r.body, v) == nil }
+func (h storeHost) After(d micros.Micros, do func()) { h.c.after(d, do) }
 
-// route is the state machine of the way to the state service: direct, or, when this
-// node alone is refused, through a sibling.
-type route struct {
-	state    routeState
-	failures int
-	lastOK   micros.Micros
-	probing  bool
-	next     micros.Micros
+func (h storeHost) Send(request state.Request, timeout micros.Micros, done func(store.Response)) {
+	h.c.call(Call{
+		Addr: h.c.cfg.StateAddr, Method: request.Method, Target: request.Target, Body: request.Body,
+		Timeout: timeout, MaxBody: store.MaxBody,
+	}, func(e CallDone) { done(store.Response{Status: e.Status, Body: e.Body, Sent: e.Sent}) })
 }
 
-type routeState int
-
-const (
-	routeDirect routeState = iota
-	routeSibling
-)
-
-// Limits for taking and leaving the way through a sibling.
-const (
-	routeFailures = 2
-	routeSilence  = 500 * micros.Millisecond
-	probeEvery    = micros.Second
-)
-
-func (c *Core) setRoute(s routeState) {
-	if c.route.state == s {
-		return
+func (h storeHost) ServedPeer() string {
+	for _, cfg := range h.c.cfg.Siblings {
+		if s := h.c.peers[cfg.Node]; s.fresh(h.c.now) && s.storeOK {
+			return s.Node
+		}
 	}
-	c.route.state = s
-	c.log.Info("way to the state service", "through_sibling", s == routeSibling)
+	return ""
 }
 
-// store calls the state service within the budget.
-func (c *Core) store(p budget.Purpose, req state.Request, done func(storeReply)) {
-	c.storeWithin(p, req, storeTimeout, done)
-}
-
-func (c *Core) storeWithin(p budget.Purpose, req state.Request, timeout micros.Micros, done func(storeReply)) {
-	if !c.budget.Take(p, req.Writes, c.now) {
-		done(storeReply{outcome: outLimited})
-		return
-	}
-	c.count.requests++
-	c.count.writes += req.Writes
-	if c.route.state == routeSibling {
-		if s := c.servedSibling(); s != nil {
-			c.storeThrough(s, req, timeout, done)
+func (h storeHost) SendThrough(through string, request state.Request, timeout micros.Micros, done func(store.Response)) {
+	s := h.c.peers[through]
+	msg := &peer.Message{Body: &peer.Message_StoreCall{StoreCall: &peer.StoreCall{
+		Method: request.Method, Target: request.Target, Body: request.Body,
+	}}}
+	h.c.callPeer(s, msg, timeout, store.MaxBody, func(m *peer.Message, sent bool) {
+		reply := m.GetStoreReply()
+		if reply == nil {
+			s.storeOK = false // until its next heartbeat
+			done(store.Response{Sent: sent})
 			return
 		}
-	}
-	c.storeDirect(req, timeout, func(e CallDone) {
-		c.noteDirect(e.Status)
-		done(storeReply{classify(e), e.Body})
+		done(store.Response{Status: int(reply.Status), Body: reply.Body, Sent: true})
 	})
 }
 
-func (c *Core) storeDirect(req state.Request, timeout micros.Micros, done func(CallDone)) {
-	c.call(Call{
-		Addr: c.cfg.StateAddr, Method: req.Method, Target: req.Target, Body: req.Body,
-		Timeout: timeout, MaxBody: maxStoreBody,
-	}, done)
-}
-
-func (c *Core) noteDirect(status int) {
-	if status != 0 && status != 503 {
-		c.route.failures, c.route.lastOK = 0, c.now
-		c.setRoute(routeDirect)
-		return
-	}
-	c.route.failures++
+// relay sends a peer's request to the state service.
+func (c *Core) relay(id uint64, call *peer.StoreCall) {
+	request := state.Request{Method: call.Method, Target: call.Target, Body: call.Body}
+	c.store.Relay(request, func(r store.Response) {
+		c.answerPeer(id, &peer.Message{Body: &peer.Message_StoreReply{StoreReply: &peer.StoreReply{
+			Status: uint32(r.Status), Body: r.Body,
+		}}})
+	})
 }
 
-// storeOK tells siblings whether the state service serves this node itself.
-func (c *Core) storeOK() bool {
-	return c.route.state == routeDirect && c.route.failures < routeFailures
-}
+// minWatchWait keeps watches from being sent too often.
+const minWatchWait = 500 * micros.Millisecond
 
-// storeDown tells that the state service answers neither this node nor a sibling that
-// could pass on: users are then refused at once. Renewals of the lease go on and show when
-// it answers again.
-func (c *Core) storeDown() bool {
-	return c.route.failures >= 2*routeFailures && c.now-c.route.lastOK >= 2*routeSilence && c.servedSibling() == nil
+// watchWait is how long a watch of the jobs may wait: its answer shows up to when cancellations
+// are known, which must not lie too far back for leases to be renewed.
+func (c *Core) watchWait() micros.Micros {
+	return min(store.WatchWait, max(c.cancellations.MaxKnowledgeAge()/3, minWatchWait))
 }
 
-// isolated tells that this node reaches neither the state service nor any sibling. In an
-// outage of the state service siblings can be reached.
+// isolated tells that this node reaches neither the state service nor any peer. In an outage
+// of the state service peers can be reached.
 func (c *Core) isolated() bool {
-	if len(c.cfg.Siblings) == 0 || !c.storeDown() {
+	if len(c.cfg.Siblings) == 0 || !c.store.Down() {
 		return false
 	}
 	for _, s := range c.peers {
@@ -141,112 +81,3 @@
 	}
 	return true
 }
-
-func (c *Core) tickRoute() {
-	r := &c.route
-	if r.state == routeDirect {
-		if r.failures >= routeFailures && c.now-r.lastOK >= routeSilence && c.servedSibling() != nil {
-			c.setRoute(routeSibling)
-		}
-		return
-	}
-	if r.probing || c.now < r.next {
-		return
-	}
-	r.probing, r.next = true, c.now+probeEvery
-	c.storeDirect(state.Get(record.LeaderKey), storeTimeout, func(e CallDone) {
-		r.probing = false
-		c.noteDirect(e.Status)
-	})
-}
-
-// servedSibling finds a sibling that the state service serves.
-func (c *Core) servedSibling() *sibling {
-	for _, cfg := range c.cfg.Siblings {
-		if s := c.peers[cfg.Node]; s.fresh(c.now) && s.storeOK {
-			return s
-		}
-	}
-	return nil
-}
-
-func (c *Core) storeThrough(s *sibling, req state.Request, timeout micros.Micros, done func(storeReply)) {
-	msg := &peer.Message{Body: &peer.Message_StoreCall{StoreCall: &peer.StoreCall{
-		Method: req.Method, Target: req.Target, Body: req.Body,
-	}}}
-	c.callPeer(s, msg, timeout+500*micros.Millisecond, maxStoreBody, func(m *peer.Message, sent bool) {
-		rep := m.GetStoreReply()
-		if rep == nil {
-			s.storeOK = false // until its next beat
-			done(storeReply{outcome: classify(CallDone{Sent: sent})})
-			return
-		}
-		done(storeReply{classify(CallDone{Status: int(rep.Status), Sent: true}), rep.Body})
-	})
-}
-
-func classify(e CallDone) outcome {
-	switch e.Status {
-	case 200:
-		return outOK
-	case 404:
-		return outMissing
-	case 409:
-		return outConflict
-	case 410:
-		return outGone
-	case 429:
-		return outLimited
-	case 503:
-		return outRefused
-	case 0:
-		if !e.Sent {
-			return outRefused
-		}
-		return outUnknown
-	}
-	return outInvalid
-}
-
-// get reads one key.
-func (c *Core) get(p budget.Purpose, key string, done func(outcome, state.Entry)) {
-	c.store(p, state.Get(key), func(r storeReply) {
-		var e state.Entry
-		if r.outcome == outOK && !r.decode(&e) {
-			r.outcome = outUnknown
-		}
-		done(r.outcome, e)
-	})
-}
-
-// listAll reads all keys with a prefix, page by page, and hands over the revision of
-// the first page: a watch from there misses nothing.
-func (c *Core) listAll(prefix string, done func(ok bool, entries []state.Entry, revision uint64)) {
-	var all []state.Entry
-	var first uint64
-	var page func(after string)
-	page = func(after string) {
-		c.storeWithin(budget.Ownership, state.List(prefix, after), 2*storeTimeout, func(r storeReply) {
-			var p state.Page
-			if r.outcome == outLimited {
-				// To start over would use up the budget again before the end is reached.
-				c.after(limitedPause, func() { page(after) })
-				return
-			}
-			if r.outcome != outOK || !r.decode(&p) {
-				done(false, nil, 0)
-				return
-			}
-			if first == 0 {
-				first = p.Revision
-			}
-			all = append(all, p.Entries...)
-			if p.More && len(p.Entries) > 0 {
-				page(p.Entries[len(p.Entries)-1].Key)
-				return
-			}
-			done(true, all, first)
-		})
-	}
-	page("")
-}
--- a/controller/users.go
+++ b/controller/users.go
@@ -7,6 +7,7 @@
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 	"tamarindlead/sched"
@@ -18,7 +19,6 @@
 	maxWaiting   = 128           // submissions waiting for their commit
 	acceptWithin = micros.Second // a submission is given up after this
 	finalCache   = 2048          // final states kept in memory
-	limitedPause = 100 * micros.Millisecond
 )
 
 // users is the stage that accepts, answers and cancels.
@@ -118,7 +118,7 @@
 		c.refuse(r.ID, 503, "machine types are not known yet")
 		return
 	}
-	if c.storeDown() {
+	if c.store.Down() {
 		c.refuse(r.ID, 503, storeSilent)
 		return
 	}
@@ -281,23 +281,23 @@
 		writes = append(writes, puts...)
 	}
 	u.committing = true
-	c.store(budget.Users, state.Commit(guards, writes), func(r storeReply) {
+	c.store.Do(budget.Users, state.Commit(guards, writes), func(r store.Reply) {
 		u.committing = false
 		u.committed(c, batch, r)
 	})
 }
 
-func (u *users) committed(c *Core, batch []*acceptance, r storeReply) {
-	switch r.outcome {
-	case outOK:
+func (u *users) committed(c *Core, batch []*acceptance, r store.Reply) {
+	switch r.Outcome {
+	case store.OK:
 		for _, a := range batch {
 			c.log.Debug("job accepted", "job", a.job.ID)
 			u.accepted(c, a)
 		}
-	case outConflict:
+	case store.Conflict:
 		// Some job is known already: those are looked up, the rest is tried again.
 		var res state.Committed
-		r.decode(&res)
+		r.Decode(&res)
 		failed := map[string]bool{}
 		for _, k := range res.Failed {
 			failed[k] = true
@@ -309,10 +309,10 @@
 				u.waiting = append(u.waiting, a)
 			}
 		}
-	case outLimited:
+	case store.Limited:
 		u.waiting = append(batch, u.waiting...)
-		u.pause = c.now + limitedPause
-	case outUnknown:
+		u.pause = c.now + store.LimitedPause
+	case store.Unknown:
 		// It may have been executed: the same commit again tells by its guards.
 		u.waiting = append(batch, u.waiting...)
 	default:
@@ -418,7 +418,7 @@
 		c.respond(req, 200, wire.JobState{Ref: id, Status: status})
 		return
 	}
-	if c.storeDown() {
+	if c.store.Down() {
 		c.refuse(req, 503, storeSilent)
 		return
 	}
@@ -437,11 +437,11 @@
 // tryCancel reads the job's record and then cancels it.
 func (c *Core) tryCancel(req uint64, id string, until micros.Micros) {
 	fail := func() { c.refuse(req, 503, storeSilent) }
-	c.get(budget.Users, record.ActiveKey(id), func(out outcome, e state.Entry) {
+	c.store.Get(budget.Users, record.ActiveKey(id), func(out store.Outcome, e state.Entry) {
 		switch out {
-		case outOK:
+		case store.OK:
 			c.commitCancel(req, id, e.Version, until)
-		case outMissing:
+		case store.Missing:
 			c.lookup(id, func(result lookupResult) {
 				switch {
 				case result.outcome == lookupNotFound:
@@ -467,9 +467,9 @@
 		{Put: record.FinalKey(id), Value: record.Final{Status: wire.JobCancelled, At: c.day}},
 		{Delete: record.ActiveKey(id)},
 	}
-	c.store(budget.Users, state.Commit(guards, writes), func(r storeReply) {
+	c.store.Do(budget.Users, state.Commit(guards, writes), func(r store.Reply) {
 		switch {
-		case r.outcome == outOK:
+		case r.Outcome == store.OK:
 			c.announceCancellation(id, c.now+acceptWithin, func(ok bool) {
 				if !ok {
 					c.refuse(req, 503, "a controller has not confirmed yet")
@@ -477,7 +477,7 @@
 				}
 				c.respond(req, 200, wire.JobState{Ref: id, Status: wire.JobCancelled})
 			})
-		case (r.outcome == outConflict || r.outcome == outUnknown) && c.now < until:
+		case (r.Outcome == store.Conflict || r.Outcome == store.Unknown) && c.now < until:
 			c.tryCancel(req, id, until) // over meanwhile, or perhaps executed
 		default:
 			c.refuse(req, 503, storeSilent)
--- a/controller/waiting.go
+++ b/controller/waiting.go
@@ -8,6 +8,7 @@
 	"tamarindlead/internal/jobgraph"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
@@ -70,7 +71,7 @@
 // lists that are kept under several keys.
 func (o *owner) advanceWaiting() {
 	resolution := &o.c.jobView.resolution
-	if resolution.reading || o.c.now < resolution.nextTry || o.c.storeDown() {
+	if resolution.reading || o.c.now < resolution.nextTry || o.c.store.Down() {
 		return
 	}
 	if o.c.graph.HasUnresolved() {
@@ -171,12 +172,12 @@
 		return
 	}
 	o.swept = true
-	o.c.store(budget.Cleanup, state.List(record.PartPrefix, ""), func(r storeReply) {
+	o.c.store.Do(budget.Cleanup, state.List(record.PartPrefix, ""), func(r store.Reply) {
 		var page state.Page
 		if o.superseded() {
 			return
 		}
-		if r.outcome != outOK || !r.decode(&page) {
+		if r.Outcome != store.OK || !r.Decode(&page) {
 			o.swept = false
 			return
 		}
