--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -74,7 +74,7 @@
 			Addrs:     []string{cfg.Listen, cfg.PeerListen},
 			MaxConns:  inbound,
 			KeepConns: int(keepShare * float64(inbound)),
-			Spare:     func(r *httpwire.Request) bool { return r.Path == controller.PathReport },
+			Evictable: func(r *httpwire.Request) bool { return r.Path == wire.PathReport },
 			MaxBody:   n.maxBody,
 			Idle:      idleLimit, Partial: partialLimit,
 			Handle: n.take, Log: log,
@@ -91,8 +91,10 @@
 	return 24*micros.Hour + micros.FromDuration(time.Since(n.start))
 }
 
+// day is the time of day.
 func (n *node) day() micros.Micros { return micros.Micros(time.Now().UnixMicro()) }
 
+// maxBody is the largest body that a listener takes.
 func (n *node) maxBody(listener string) int {
 	if listener == n.cfg.PeerListen {
 		return maxPeerBody
@@ -149,6 +151,7 @@
 	}
 }
 
+// do makes a call and feeds its result to the core.
 func (n *node) do(call controller.Call) {
 	res := n.client.Do(reactor.Call{
 		Addr: call.Addr, Method: call.Method, Target: call.Target, Body: call.Body,
--- a/internal/reactor/client.go
+++ b/internal/reactor/client.go
@@ -33,8 +33,10 @@
 // Client makes calls over kept connections.
 type Client struct {
 	contentType string
-	keep        int // idle connections kept for each address
-	most        int // and for all: hundreds of machines must not use up the sockets
+	// keep is the number of idle connections kept for each address, and most that for all
+	// addresses: hundreds of machines must not use up the sockets.
+	keep int
+	most int
 
 	mu    sync.Mutex
 	idle  map[string][]idleConn
@@ -42,6 +44,7 @@
 	order []string // addresses of idle connections, the longest idle first; some are in use again
 }
 
+// idleConn is a kept connection and when it was last used.
 type idleConn struct {
 	conn  net.Conn
 	since time.Time
@@ -77,7 +80,7 @@
 	}
 }
 
-// exchange returns stale if the connection turned out to be closed before the
+// exchange sends the call on a connection and reads the response. It returns stale if the connection turned out to be closed before the
 // request was written.
 func (c *Client) exchange(conn net.Conn, call Call, deadline time.Time) (res Result, stale bool) {
 	conn.SetDeadline(deadline)
@@ -110,6 +113,7 @@
 	}
 }
 
+// take returns a kept connection to an address, or nil.
 func (c *Client) take(addr string) (net.Conn, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -126,6 +130,7 @@
 	return nil, false
 }
 
+// put keeps a connection for the next call to its address.
 func (c *Client) put(addr string, conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/reactor/reactor_test.go
+++ b/internal/reactor/reactor_test.go
@@ -29,9 +29,9 @@
 	go func() {
 		served <- Serve(ctx, Options{
 			Addrs: []string{addr}, MaxConns: most, KeepConns: keep,
-			Spare:   func(r *httpwire.Request) bool { return r.Path == "/report" },
-			MaxBody: func(string) int { return 1024 },
-			Idle:    micros.Minute, Partial: micros.Minute,
+			Evictable: func(r *httpwire.Request) bool { return r.Path == "/report" },
+			MaxBody:   func(string) int { return 1024 },
+			Idle:      micros.Minute, Partial: micros.Minute,
 			Handle: func(x *Exchange, loop *Loop) { x.Reply(loop, 200, "text/plain", []byte("ok"), 0) },
 			Log:    slog.New(slog.NewTextHandler(io.Discard, nil)),
 		})
--- a/internal/reactor/server.go
+++ b/internal/reactor/server.go
@@ -1,9 +1,9 @@
-// Package reactor moves bytes: it serves HTTP connections on an event loop and
-// makes outbound calls with deadlines. It knows nothing of what is said on them.
+// Package reactor serves HTTP connections on an event loop and makes outbound calls with
+// deadlines. It does not interpret what is sent on them.
 //
-// The house library evio ends its whole loop on any failed accept (a connection
-// reset before it was accepted, no free descriptor), so its nearest kin gnet is
-// used, which retries the former; the latter is kept away by MaxConns.
+// The event loop is gnet's. The similar library evio ends its whole loop on any failed accept
+// (a connection reset before it was accepted, no free descriptor); gnet retries the former,
+// and MaxConns prevents the latter.
 package reactor
 
 import (
@@ -21,6 +21,19 @@
 	"tamarindlead/micros"
 )
 
+// Statuses that the server answers itself or looks at, and what it tells clients to wait, in
+// seconds, if it has no connection left.
+const (
+	statusOK          = 200
+	statusMalformed   = 400
+	statusTooLarge    = 413
+	statusUnavailable = 503
+	retryAfter        = 1
+)
+
+// restartPause is the pause before a failed event loop is started again.
+const restartPause = time.Second
+
 // Exchange is one request that waits for its response.
 type Exchange struct {
 	Listener string // address of the listener that took it
@@ -36,15 +49,21 @@
 
 // Options of a server.
 type Options struct {
-	Addrs    []string
+	// Addrs are the addresses to listen on.
+	Addrs []string
+	// MaxConns is the largest number of open connections.
 	MaxConns int
-	// KeepConns is how many connections may be open before those that Spare chooses by
-	// their request are ended with the response, so that others never find all taken.
+	// KeepConns is how many connections may be open before those that are evictable are
+	// ended with the response, so that others never find all taken.
 	KeepConns int
-	Spare     func(*httpwire.Request) bool
-	MaxBody   func(listener string) int
-	Idle      micros.Micros // a connection without a request for this long is closed
-	Partial   micros.Micros // a request must be whole after this long
+	// Evictable tells by a connection's request whether it may be ended in favour of others.
+	Evictable func(*httpwire.Request) bool
+	// MaxBody is the largest body of a request, by listener.
+	MaxBody func(listener string) int
+	// Idle is the time without a request after which a connection is closed, and Partial
+	// the time within which a request must be complete.
+	Idle    micros.Micros
+	Partial micros.Micros
 	// Handle takes a request on the event loop; it must not block, and Reply must follow
 	// once. While it runs, the next requests wait in the kernel.
 	Handle func(*Exchange, *Loop)
@@ -52,27 +71,27 @@
 }
 
 type connState struct {
-	listener string
-	busy     bool // a request waits for its response
-	spare    bool // its latest request was of those that may lose their connection
-	closing  bool // no more requests are taken
-	gone     bool // the connection has ended
-	since    time.Time
-	partial  bool
+	listener  string
+	busy      bool // a request waits for its response
+	evictable bool // its latest request was of those that may lose their connection
+	closing   bool // no more requests are taken
+	gone      bool // the connection has ended
+	since     time.Time
+	partial   bool
 }
 
 type server struct {
 	gnet.BuiltinEventEngine
 	opts  Options
 	conns map[gnet.Conn]*connState
-	open  atomic.Int64 // how many these are, for other goroutines
-	idle  []idleSpare  // the longest idle first; some are in use again, or gone
-	now   gnet.Conn    // the connection whose request is being handled
+	open  atomic.Int64    // how many these are, for other goroutines
+	idle  []idleEvictable // the longest idle first; some are in use again, or gone
+	now   gnet.Conn       // the connection whose request is being handled
 	eng   gnet.Engine
 }
 
-// idleSpare is a connection that may be ended for another one, unless it was used since.
-type idleSpare struct {
+// idleEvictable is a connection that may be ended for another one, unless it was used since.
+type idleEvictable struct {
 	conn  gnet.Conn
 	state *connState
 	since time.Time
@@ -105,19 +124,22 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(time.Second):
+		case <-time.After(restartPause):
 		}
 	}
 }
 
+// OnBoot implements gnet.EventHandler.
 func (s *server) OnBoot(eng gnet.Engine) gnet.Action {
 	s.eng = eng
 	return gnet.None
 }
 
+// OnOpen implements gnet.EventHandler: it takes a connection, or refuses it if there are
+// too many.
 func (s *server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	if len(s.conns) >= s.opts.MaxConns && !s.endSpare() {
-		return httpwire.AppendResponse(nil, 503, "", nil, 1, true), gnet.Close
+	if len(s.conns) >= s.opts.MaxConns && !s.evictIdle() {
+		return httpwire.AppendResponse(nil, statusUnavailable, "", nil, retryAfter, true), gnet.Close
 	}
 	st := &connState{listener: c.LocalAddr().String(), since: time.Now()}
 	s.conns[c] = st
@@ -126,9 +148,9 @@
 	return nil, gnet.None
 }
 
-// endSpare ends the connection that has been idle for the longest of those that may be
-// ended: a herd of them must not crowd out users, siblings and health checks.
-func (s *server) endSpare() bool {
+// evictIdle ends the evictable connection that has been idle for the longest: many of them
+// must not keep out users, other controllers and health checks.
+func (s *server) evictIdle() bool {
 	for len(s.idle) > 0 {
 		i := s.idle[0]
 		s.idle = s.idle[1:]
@@ -142,18 +164,20 @@
 	return false
 }
 
-func (i idleSpare) valid() bool {
+// valid tells whether the connection is still open and was not used since it was noted.
+func (i idleEvictable) valid() bool {
 	return !i.state.gone && !i.state.busy && !i.state.partial && i.state.since.Equal(i.since)
 }
 
-// spared notes that a connection which may be ended is idle.
-func (s *server) spared(c gnet.Conn, st *connState) {
+// noteIdle notes that a connection which may be ended is idle.
+func (s *server) noteIdle(c gnet.Conn, st *connState) {
 	if len(s.idle) > 4*s.opts.MaxConns {
-		s.idle = slices.DeleteFunc(s.idle, func(i idleSpare) bool { return !i.valid() })
+		s.idle = slices.DeleteFunc(s.idle, func(i idleEvictable) bool { return !i.valid() })
 	}
-	s.idle = append(s.idle, idleSpare{c, st, st.since})
+	s.idle = append(s.idle, idleEvictable{c, st, st.since})
 }
 
+// OnClose implements gnet.EventHandler.
 func (s *server) OnClose(c gnet.Conn, _ error) gnet.Action {
 	if st := s.conns[c]; st != nil {
 		st.gone = true
@@ -163,6 +187,7 @@
 	return gnet.None
 }
 
+// OnTraffic implements gnet.EventHandler: it reads a request and has it handled.
 func (s *server) OnTraffic(c gnet.Conn) gnet.Action {
 	st, ok := c.Context().(*connState)
 	if !ok || st.closing {
@@ -171,7 +196,7 @@
 	}
 	if st.busy {
 		if c.InboundBuffered() > 2*httpwire.MaxHead+s.opts.MaxBody(st.listener) {
-			return gnet.Close // pipelining does not occur; this peer floods
+			return gnet.Close // pipelining does not occur, so this client floods
 		}
 		return gnet.None
 	}
@@ -187,18 +212,28 @@
 		}
 		return gnet.None
 	case err != nil:
-		status := 400
-		if errors.Is(err, httpwire.ErrTooLarge) {
-			status = 413
-		}
-		c.Discard(-1)
-		st.closing = true
-		c.Write(httpwire.AppendResponse(nil, status, "", nil, 0, true))
-		return gnet.Close
+		return rejectRequest(c, st, err)
 	}
 	c.Discard(n)
+	return s.handle(c, st, req)
+}
+
+// rejectRequest answers what is no valid request and ends the connection.
+func rejectRequest(c gnet.Conn, st *connState, err error) gnet.Action {
+	status := statusMalformed
+	if errors.Is(err, httpwire.ErrTooLarge) {
+		status = statusTooLarge
+	}
+	c.Discard(-1)
+	st.closing = true
+	c.Write(httpwire.AppendResponse(nil, status, "", nil, 0, true))
+	return gnet.Close
+}
+
+// handle hands a request over and closes the connection if the response asked for that.
+func (s *server) handle(c gnet.Conn, st *connState, req httpwire.Request) gnet.Action {
 	st.busy, st.partial, st.since = true, false, time.Now()
-	st.spare = s.opts.Spare(&req)
+	st.evictable = s.opts.Evictable(&req)
 	s.now = c
 	s.opts.Handle(&Exchange{Listener: st.listener, Request: req, conn: c, state: st, server: s}, &Loop{})
 	s.now = nil
@@ -208,6 +243,7 @@
 	return gnet.None
 }
 
+// OnTick implements gnet.EventHandler: it closes connections that are idle for too long.
 func (s *server) OnTick() (time.Duration, gnet.Action) {
 	now := time.Now()
 	for c, st := range s.conns {
@@ -225,7 +261,7 @@
 // Reply answers an exchange, once. It may be called from any goroutine, with nil for
 // loop, or on the event loop.
 func (e *Exchange) Reply(loop *Loop, status int, contentType string, body []byte, retryAfter int) {
-	if e.state.spare && (status != 200 || e.server.open.Load() > int64(e.server.opts.KeepConns)) {
+	if e.state.evictable && (status != statusOK || e.server.open.Load() > int64(e.server.opts.KeepConns)) {
 		e.Request.Close = true
 	}
 	data := httpwire.AppendResponse(nil, status, contentType, body, retryAfter, e.Request.Close)
@@ -254,8 +290,8 @@
 		return e.conn.Close()
 	case e.conn.InboundBuffered() > 0:
 		return e.conn.Wake(nil)
-	case e.state.spare:
-		e.server.spared(e.conn, e.state)
+	case e.state.evictable:
+		e.server.noteIdle(e.conn, e.state)
 	}
 	return nil
 }
