Blocks and shards are written and loaded in named steps

writeBlock had 140 lines and five results in local variables; it is now a blockWrite with a step for each question. Splitting, loading after a takeover and writing of shards likewise. Effects are as before.

| old | new | | --- | --- | | blockChange | blockWrite, shardWrite | | left, behind (block, shard) | sources, unwrittenTargets | | since, notBefore, tooLarge, taskBytes (block) | dirtySince, retryAt, oversized, bytesPerTask | | blockMost, blockTasks, blockUsed, blockFull | maxBlockMachines, assumedTasks, machineFill, taskFill | | entryBytes, taskBytes, freshBytes | machineEntryBytes, taskEntryBytes, newTaskBytes | | blockRoom, slotsOf, gather, single | maxMachines, freeSlots, mergeTransferred, forOneMachine | | outgrown, unwritable | handleOversized, oversizedRetry | | due, urgency, claims, changed | isDue, blockUrgency, hasUnclaimed, mustBeWritten | | guardTeams, shardMost, keep | guardOwnTeams, maxShardBytes, shard.add | | buildMachines, buildMachine, loadDone, loadChunk | loadBlocks, loadMachine, loadShards, loadCompletions |

--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -173,7 +173,7 @@
 		for _, j := range o.queue {
 			fresh.jobRecord(record.ActiveKey(j.ID), wire.Encode(record.NewJob(j.Job, 0)), j.version)
 		}
-		fresh.buildMachines(entries)
+		fresh.loadBlocks(entries)
 		if len(fresh.list) != benchMachines {
 			b.Fatal("machines are missing")
 		}
--- a/controller/block_split.go
+++ b/controller/block_split.go
@@ -7,70 +7,100 @@
 	"tamarindlead/micros"
 )
 
-// unwritable is the pause before a block that fits no value is tried again: tasks may have
-// ended meanwhile.
-const unwritable = 5 * micros.Second
+// oversizedRetry is the pause before a block that fits no value is written again: tasks may
+// have ended meanwhile.
+const oversizedRetry = 5 * micros.Second
 
-// outgrown deals with a block that fits no value. What is proposed is given up at first,
+// handleOversized deals with a block that fits no value. What is proposed is given up first,
 // and nothing more is placed there; what is too large without it is split. The limits may
 // have become smaller since the block was written.
-func (o *owner) outgrown(b *block, size int, proposed []*attempt) {
-	if len(proposed) > 0 && (!b.tooLarge || len(b.machines) == 1) {
-		b.tooLarge = true
+func (o *owner) handleOversized(b *block, size int, proposed []*attempt) {
+	giveUp := len(proposed) > 0 && (!b.oversized || len(b.machines) == 1)
+	b.oversized = true
+	switch {
+	case giveUp:
 		o.c.log.Warn("block too large", "block", b.name, "bytes", size, "machines", len(b.machines))
-		for _, a := range proposed {
-			if a.job.Gang {
-				o.stopJob(a.job, 0, "no room in the record")
-			} else {
-				o.stop(a, 0, "no room in the record")
-			}
-		}
-		return
-	}
-	b.tooLarge = true
-	if len(b.machines) > 1 {
+		o.giveUpProposed(proposed)
+	case len(b.machines) > 1:
 		o.split(b, size)
-		return
+	default:
+		o.retireOversized(b, size)
 	}
-	// One entry alone, from the time of larger values. Its tasks end with their lease, since
-	// nobody can claim the machine; then the cloud takes it. Its record stays until then, so
-	// that nobody starts these tasks elsewhere.
+}
+
+// giveUpProposed ends attempts that no record has room for; gangs end as a whole.
+func (o *owner) giveUpProposed(proposed []*attempt) {
+	const why = "no room in the record"
+	for _, a := range proposed {
+		if a.job.Gang {
+			o.stopJob(a.job, 0, why)
+		} else {
+			o.stop(a, 0, why)
+		}
+	}
+}
+
+// retireOversized deals with one machine whose entry fits no value, from the time of larger
+// values. Its tasks end with their lease, since nobody can claim the machine; then it is
+// returned to the cloud. Its record stays until then, so that nobody starts these tasks
+// elsewhere.
+func (o *owner) retireOversized(b *block, size int) {
 	m := b.machines[0]
-	b.notBefore = o.c.now + unwritable
+	b.retryAt = o.c.now + oversizedRetry
 	o.c.log.Error("a machine's entry fits no value", "machine", m.name, "bytes", size, "most", o.c.cfg.ValueBytes, "tasks", len(m.attempts))
-	if m.token == 0 && m.state < machineReleasing && o.c.now-b.since > o.c.cfg.Lease+o.c.cfg.SilentAfter() {
+	leaseEnded := o.c.now-b.dirtySince > o.c.cfg.Lease+o.c.cfg.SilentAfter()
+	if m.token == 0 && m.state < machineReleasing && leaseEnded {
 		o.setMachine(m, machineReleasing, "its entry fits no value")
 	}
 }
 
-// split moves all but some machines of a block that has outgrown a value to new ones, as
-// many as will each fit. As with gather, the old record is written again only after the new
-// ones hold them.
+// split moves machines of a block that has outgrown a value to new blocks, so that each
+// part takes about the same. The old record is written again only after the new ones hold
+// the machines that left it.
 func (o *owner) split(b *block, size int) {
-	parts := int(math.Ceil(float64(size) / (blockFull * float64(o.c.cfg.ValueBytes))))
+	parts := int(math.Ceil(float64(size) / (taskFill * float64(o.c.cfg.ValueBytes))))
 	parts = min(max(2, parts), len(b.machines))
-	weight := func(m *machine) float64 { return entryBytes + max(b.taskBytes, taskBytes)*float64(len(m.attempts)) }
-	total := 0.0
-	for _, m := range b.machines {
-		total += weight(m)
-	}
-	all, each, sum := b.machines, total/float64(parts), 0.0
+	all := b.machines
+	share := b.estimatedBytes() / float64(parts)
 	b.machines, b.dirty = nil, false
-	to, made := b, 1
+	target, made, filled := b, 1, 0.0
 	for i, m := range all {
-		if len(to.machines) > 0 && made < parts && (sum+weight(m)/2 > each*float64(made) || len(all)-i <= parts-made) {
-			to = o.newBlock(record.NumberName(o.nextNumber()))
-			to.left = append(to.left, b)
-			to.taskBytes = b.taskBytes
-			b.behind++
+		bytes := b.entryBytes(m)
+		full := filled+bytes/2 > share*float64(made)
+		lastChance := len(all)-i <= parts-made // each part gets a machine
+		if len(target.machines) > 0 && made < parts && (full || lastChance) {
+			target = o.newPart(b)
 			made++
 		}
-		sum += weight(m)
-		to.add(m)
+		filled += bytes
+		target.add(m)
 		m.dirty = true
-		if to != b {
-			o.markBlockDirty(to)
+		if target != b {
+			o.markBlockDirty(target)
 		}
 	}
 	o.c.log.Info("block split", "block", b.name, "bytes", size, "machines", len(all), "kept", len(b.machines), "parts", made)
 }
+
+// newPart makes a block for machines of one that is split.
+func (o *owner) newPart(b *block) *block {
+	part := o.newBlock(record.NumberName(o.nextNumber()))
+	part.sources = append(part.sources, b)
+	part.bytesPerTask = b.bytesPerTask
+	b.unwrittenTargets++
+	return part
+}
+
+// entryBytes estimates what a machine's entry takes.
+func (b *block) entryBytes(m *machine) float64 {
+	return machineEntryBytes + max(b.bytesPerTask, taskEntryBytes)*float64(len(m.attempts))
+}
+
+// estimatedBytes estimates what all entries take.
+func (b *block) estimatedBytes() float64 {
+	sum := 0.0
+	for _, m := range b.machines {
+		sum += b.entryBytes(m)
+	}
+	return sum
+}
--- a/controller/block_write.go
+++ b/controller/block_write.go
@@ -2,7 +2,7 @@
 
 import (
 	"maps"
-	"strings"
+	"math"
 
 	"tamarindlead/internal/capacity"
 	"tamarindlead/internal/cluster"
@@ -10,200 +10,323 @@
 	"tamarindlead/internal/state"
 )
 
-// blockChange is what one write of a block means for its machines.
-type blockChange struct {
-	claimed, condemned, gone, left []*machine
-	leaving, proposed              []*attempt
+// maxGuardsPerOp bounds the guards of one block, in units of the operations that a commit may
+// have: a commit takes four guards for each, and what other records need is left to them.
+const maxGuardsPerOp = 3
+
+// blockWrite is one write of a block: the record, the guards under which it is written, and
+// the machines and attempts whose state changes once it has been.
+type blockWrite struct {
+	owner  *owner
+	block  *block
+	data   *record.BlockData
+	guards map[string]uint64
+	// kinds and jobs are indexes in the lists of the data.
+	kinds map[capacity.Offer]int
+	jobs  map[string]int
+	// maxTransfers is how many machines may be transferred: each takes a write of its own.
+	maxTransfers int
+
+	stored  []*machine // entries in the record
+	tasks   int        // in these entries
+	sources []*block   // blocks that machines came from, see block.sources
+
+	claimed     []*machine
+	condemned   []*machine
+	deleted     []*machine
+	transferred []*machine
+	proposed    []*attempt
+	leaving     []*attempt
 }
 
-// writeBlock adds a block's record to a commit. A block that does not fit any more waits
-// for the next one.
+// writeBlock adds a block's record to a commit in which room writes are left. A block that
+// the commit has no room for waits for the next one.
 func (o *owner) writeBlock(t *txn, b *block, room int) {
-	var ch blockChange
-	var moves []*machine
-	guards := map[string]uint64{record.BlockPrefix + b.name: b.version}
-	d := &record.BlockData{Since: int64(o.c.day), Base: ^uint64(0)}
-	kinds, jobs := map[capacity.Offer]int{}, map[string]int{}
-	kept := b.machines[:0:0]
-	placed := 0
-	// A block that needs more guards than there may be is written in several steps. What
-	// other records take of a commit leaves it these.
-	guardable := func(keys ...string) bool {
-		n := len(guards)
-		for _, k := range keys {
-			if _, ok := guards[k]; !ok {
-				n++
-			}
-		}
-		return n < 3*o.c.cfg.TxnOps
+	w := o.newBlockWrite(b, room)
+	for _, m := range b.machines {
+		w.addMachine(m)
 	}
-	if b.claims() {
-		o.guardTeams(guards)
+	value := w.data.Block(o.c.node.ID())
+	w.noteTaskSize(value.Size())
+	if value.Size() > o.c.cfg.ValueBytes && len(w.stored) > 0 {
+		o.handleOversized(b, value.Size(), w.proposed)
+		return
+	}
+	if !t.takes(w.guards, value.Size(), o.c.cfg.TxnOps) {
+		return
+	}
+	w.addTo(t, value)
+}
+
+// newBlockWrite begins the write of a block, without entries.
+func (o *owner) newBlockWrite(b *block, room int) *blockWrite {
+	w := &blockWrite{
+		owner: o, block: b, maxTransfers: room - 1,
+		data:   &record.BlockData{Since: int64(o.c.day), Base: math.MaxUint64},
+		guards: map[string]uint64{record.BlockKey(b.name): b.version},
+		kinds:  map[capacity.Offer]int{}, jobs: map[string]int{},
+	}
+	if b.hasUnclaimed() {
+		o.guardOwnTeams(w.guards)
 	}
 	for _, m := range b.machines {
 		for _, a := range m.attempts {
-			d.Base = min(d.Base, a.number)
+			w.data.Base = min(w.data.Base, a.number)
 		}
-		d.Since = min(d.Since, int64(m.rented))
+		w.data.Since = min(w.data.Since, int64(m.rented))
 	}
-	for _, m := range b.machines {
-		if m.state == machineDeleted {
-			ch.gone = append(ch.gone, m)
-			continue
-		}
-		if m.state == machineMoving && len(m.attempts) == 0 && len(moves) < room-1 && o.canMove(m) {
-			if successor := o.c.cluster.MemberGuard(cluster.NodeOf(m.moveTo)); guardable(successor.Key) {
-				guards[successor.Key] = successor.Version
-				moves = append(moves, m)
-				continue
-			}
-		}
-		unknown := m.token == 0 && !m.recorded && !o.ownsAllTeams() && !strings.HasPrefix(b.name, adoptedPrefix)
-		if unknown && !guardable(record.BlockKey(adoptedPrefix+m.name)) {
-			continue // its first claim comes with the next write
-		}
-		kept = append(kept, m)
-		of := m.offer()
-		k, ok := kinds[of]
-		if !ok {
-			k = len(d.Kinds)
-			kinds[of] = k
-			d.Kinds = append(d.Kinds, record.BlockKind{Type: m.kind, Zone: m.zone, Spot: m.spot})
-		}
-		e := record.BlockMachine{
-			Name: m.name, Token: m.token, Endpoint: m.endpoint, Kind: k, Rented: int64(m.rented) - d.Since,
-			Condemned: m.state == machineCondemned || m.state == machineReleasing,
-		}
-		if m.token == 0 || m.fence == fenceWanted {
-			e.Token = 0
-			ch.claimed = append(ch.claimed, m)
-			if unknown { // that nobody adopted it
-				guards[record.BlockKey(adoptedPrefix+m.name)] = 0
-			}
+	return w
+}
+
+// mayGuard tells whether the write has room for more guards. A block that needs more is
+// written in several steps.
+func (w *blockWrite) mayGuard(keys ...string) bool {
+	n := len(w.guards)
+	for _, key := range keys {
+		if _, ok := w.guards[key]; !ok {
+			n++
 		}
-		if m.state == machineCondemned {
-			ch.condemned = append(ch.condemned, m)
+	}
+	return n < maxGuardsPerOp*w.owner.c.cfg.TxnOps
+}
+
+// addMachine adds a machine's entry, unless the machine is gone, goes to another owner or
+// must wait for the next write.
+func (w *blockWrite) addMachine(m *machine) {
+	if m.state == machineDeleted {
+		w.deleted = append(w.deleted, m)
+		return
+	}
+	if w.transfer(m) {
+		return
+	}
+	unknown := w.unknownToOthers(m)
+	if unknown && !w.mayGuard(record.BlockKey(adoptedPrefix+m.name)) {
+		return // its first claim comes with the next write
+	}
+	w.stored = append(w.stored, m)
+	entry := w.newEntry(m)
+	if m.token == 0 || m.fence == fenceWanted {
+		w.claim(m, &entry, unknown)
+	}
+	if m.state == machineCondemned {
+		w.condemned = append(w.condemned, m)
+	}
+	tasks := w.addAttempts(m)
+	w.data.Pack(&entry, tasks)
+	w.tasks += len(tasks)
+	w.data.Machines = append(w.data.Machines, entry)
+}
+
+// transfer leaves out an empty machine that goes to another owner, if that owner lives and
+// the commit has room for its record.
+func (w *blockWrite) transfer(m *machine) bool {
+	if m.state != machineMoving || len(m.attempts) > 0 || len(w.transferred) >= w.maxTransfers || !w.owner.canMove(m) {
+		return false
+	}
+	successor := w.owner.c.cluster.MemberGuard(cluster.NodeOf(m.moveTo))
+	if !w.mayGuard(successor.Key) {
+		return false
+	}
+	w.guards[successor.Key] = successor.Version
+	w.transferred = append(w.transferred, m)
+	return true
+}
+
+// unknownToOthers tells that the write holds the first claim of a machine that another owner
+// may adopt at the same time.
+func (w *blockWrite) unknownToOthers(m *machine) bool {
+	return m.token == 0 && !m.recorded && !w.owner.ownsAllTeams() && !w.block.isAdopted()
+}
+
+// newEntry returns a machine's entry without its tasks.
+func (w *blockWrite) newEntry(m *machine) record.BlockMachine {
+	return record.BlockMachine{
+		Name: m.name, Token: m.token, Endpoint: m.endpoint, Kind: w.kindIndex(m),
+		Rented:    int64(m.rented) - w.data.Since,
+		Condemned: m.state == machineCondemned || m.state == machineReleasing,
+	}
+}
+
+// claim makes the revision of the record the machine's token. The first claim of a machine is
+// guarded on no other owner having adopted it.
+func (w *blockWrite) claim(m *machine, entry *record.BlockMachine, unknown bool) {
+	entry.Token = 0
+	w.claimed = append(w.claimed, m)
+	if unknown {
+		w.guards[record.BlockKey(adoptedPrefix+m.name)] = 0
+	}
+}
+
+// addAttempts returns the attempts of a machine's entry. An attempt that is recorded for the
+// first time is guarded on its job, which may be cancelled, and on its team.
+func (w *blockWrite) addAttempts(m *machine) []record.BlockTask {
+	var tasks []record.BlockTask
+	for _, a := range m.recordOrder() {
+		if a.state == attemptLeaving {
+			w.leaving = append(w.leaving, a)
+			continue
 		}
-		var tasks []record.BlockTask
-		for _, a := range m.recordOrder() {
-			switch a.state {
-			case attemptLeaving:
-				ch.leaving = append(ch.leaving, a)
-				continue
-			case attemptProposed:
-				if !guardable(record.ActiveKey(a.job.ID), record.TeamKey(a.job.Team)) {
-					continue
-				}
-				ch.proposed = append(ch.proposed, a)
-				guards[record.ActiveKey(a.job.ID)] = a.job.version
-				guards[record.TeamKey(a.job.Team)] = o.teams[a.job.Team].record.Version
-			}
-			n, ok := jobs[a.job.ID]
-			if !ok {
-				n = len(d.Jobs)
-				jobs[a.job.ID] = n
-				j := a.job
-				d.Jobs = append(d.Jobs, record.BlockJob{ID: j.ID, Team: j.Team, Tasks: j.Tasks, CPU: j.Need.CPU, GPU: j.Need.GPU, Mem: j.Need.Mem})
-			}
-			tasks = append(tasks, record.BlockTask{Job: n, Index: a.index, Number: a.number})
+		if a.state == attemptProposed && !w.propose(a) {
+			continue
 		}
-		d.Pack(&e, tasks)
-		placed += len(tasks)
-		d.Machines = append(d.Machines, e)
-	}
-	rec := d.Block(o.c.node.ID())
-	if placed > 0 {
-		// With few tasks most of this is the entries: taken for the tasks', nothing more would be
-		// placed on machines that stand idle, and so it would stay.
-		b.taskBytes = min(float64(rec.Size()-len(kept)*entryBytes)/float64(placed), freshBytes)
-	}
-	if rec.Size() > o.c.cfg.ValueBytes && len(kept) > 0 {
-		o.outgrown(b, rec.Size(), ch.proposed)
-		return
+		tasks = append(tasks, record.BlockTask{Job: w.jobIndex(a.job), Index: a.index, Number: a.number})
+	}
+	return tasks
+}
+
+// propose guards an attempt that is recorded for the first time, if there is room for that.
+func (w *blockWrite) propose(a *attempt) bool {
+	jobKey, teamKey := record.ActiveKey(a.job.ID), record.TeamKey(a.job.Team)
+	if !w.mayGuard(jobKey, teamKey) {
+		return false
 	}
-	if !t.takes(guards, rec.Size(), o.c.cfg.TxnOps) {
+	w.guards[jobKey] = a.job.version
+	w.guards[teamKey] = w.owner.teams[a.job.Team].record.Version
+	w.proposed = append(w.proposed, a)
+	return true
+}
+
+// kindIndex returns the index of a machine's kind in the record.
+func (w *blockWrite) kindIndex(m *machine) int {
+	offer := m.offer()
+	i, ok := w.kinds[offer]
+	if !ok {
+		i = len(w.data.Kinds)
+		w.kinds[offer] = i
+		w.data.Kinds = append(w.data.Kinds, record.BlockKind{Type: m.kind, Zone: m.zone, Spot: m.spot})
+	}
+	return i
+}
+
+// jobIndex returns the index of a job in the record.
+func (w *blockWrite) jobIndex(j *job) int {
+	i, ok := w.jobs[j.ID]
+	if !ok {
+		i = len(w.data.Jobs)
+		w.jobs[j.ID] = i
+		w.data.Jobs = append(w.data.Jobs, record.BlockJob{
+			ID: j.ID, Team: j.Team, Tasks: j.Tasks, CPU: j.Need.CPU, GPU: j.Need.GPU, Mem: j.Need.Mem,
+		})
+	}
+	return i
+}
+
+// noteTaskSize notes what a task takes in the block. With few tasks most of the record is the
+// entries: taken for the tasks', nothing more would be placed on machines that stand idle,
+// and so it would stay. So it is bounded.
+func (w *blockWrite) noteTaskSize(size int) {
+	if w.tasks == 0 {
 		return
 	}
-	maps.Copy(t.guards, guards)
+	taskBytes := float64(size - len(w.stored)*machineEntryBytes)
+	w.block.bytesPerTask = min(taskBytes/float64(w.tasks), newTaskBytes)
+}
+
+// addTo puts the write into a commit.
+func (w *blockWrite) addTo(t *txn, value record.Block) {
+	b := w.block
+	maps.Copy(t.guards, w.guards)
 	b.writing, b.dirty = true, false
-	left := b.left
-	b.left = nil
+	w.sources, b.sources = b.sources, nil
 	key := record.BlockKey(b.name)
-	if len(kept) == 0 {
+	if len(w.stored) == 0 {
 		t.writes = append(t.writes, state.Write{Delete: key})
 	} else {
-		t.write(key, rec, rec.Size())
+		t.write(key, value, value.Size())
 	}
-	for _, m := range kept {
+	for _, m := range w.stored {
 		m.dirty = false
 	}
-	for _, m := range moves {
-		o.writeMove(t, m)
-	}
-	ch.left = moves
-	t.results = append(t.results, func(ok bool, rev uint64) {
-		b.writing = false
-		if !ok {
-			o.markBlockDirty(b)
-			b.left = append(b.left, left...)
-			for _, m := range b.machines {
-				m.dirty = true
-			}
-			return
-		}
-		b.version, b.tooLarge = rev, false
-		for _, m := range kept {
-			m.recorded = true
-		}
-		for _, old := range left {
-			old.behind--
-			o.markBlockDirty(old) // without them now; if it is empty, its record is deleted
-		}
-		o.blockWritten(b, ch, rev)
-	})
+	for _, m := range w.transferred {
+		w.owner.writeMove(t, m)
+	}
+	t.results = append(t.results, w.finish)
+}
+
+// finish takes the result of the commit.
+func (w *blockWrite) finish(committed bool, revision uint64) {
+	w.block.writing = false
+	if !committed {
+		w.undo()
+		return
+	}
+	w.block.version, w.block.oversized = revision, false
+	for _, m := range w.stored {
+		m.recorded = true
+	}
+	for _, source := range w.sources {
+		source.unwrittenTargets--
+		w.owner.markBlockDirty(source) // if it is empty now, its record is deleted
+	}
+	w.advanceMachines(revision)
+	w.markChanged()
+	w.owner.dropEmpty(w.block)
 }
 
-func (o *owner) blockWritten(b *block, ch blockChange, rev uint64) {
-	for _, m := range ch.condemned {
+// undo marks everything dirty again.
+func (w *blockWrite) undo() {
+	b := w.block
+	w.owner.markBlockDirty(b)
+	b.sources = append(b.sources, w.sources...)
+	for _, m := range b.machines {
+		m.dirty = true
+	}
+}
+
+// advanceMachines changes the states of machines and attempts that waited for the record.
+func (w *blockWrite) advanceMachines(revision uint64) {
+	o := w.owner
+	for _, m := range w.condemned {
 		if m.state == machineCondemned {
 			o.setMachine(m, machineReleasing, "recorded")
 		}
 	}
-	for _, m := range ch.claimed {
-		if strings.HasPrefix(b.name, adoptedPrefix) && m.token == 0 && !o.ownsAllTeams() {
-			o.verify(m, rev)
+	for _, m := range w.claimed {
+		if w.block.isAdopted() && m.token == 0 && !o.ownsAllTeams() {
+			o.verify(m, revision)
 			continue
 		}
-		o.claimed(m, rev)
+		o.claimed(m, revision)
 	}
-	for _, a := range ch.leaving {
+	for _, a := range w.leaving {
 		o.setAttempt(a, attemptClosed)
 	}
-	for _, a := range ch.proposed {
+	for _, a := range w.proposed {
 		o.recorded(a)
 	}
-	for _, m := range ch.gone {
+	for _, m := range w.deleted {
 		o.forget(m)
 	}
-	for _, m := range ch.left {
+	for _, m := range w.transferred {
 		o.moved(m)
 	}
-	// Dirty again only if something changed while the commit was under way.
-	for _, m := range b.machines {
-		if m.dirty = m.dirty || m.changed(); m.dirty {
-			o.markBlockDirty(b)
+}
+
+// markChanged marks what changed while the commit was under way.
+func (w *blockWrite) markChanged() {
+	for _, m := range w.block.machines {
+		m.dirty = m.dirty || m.mustBeWritten()
+		if m.dirty {
+			w.owner.markBlockDirty(w.block)
 		}
 	}
-	o.dropEmpty(b)
 }
 
-// changed tells whether a machine's entry must be written.
-func (m *machine) changed() bool {
+// mustBeWritten tells whether a machine's state or an attempt on it waits for the record.
+func (m *machine) mustBeWritten() bool {
 	for _, a := range m.attempts {
 		if a.state == attemptProposed || a.state == attemptLeaving {
 			return true
 		}
 	}
-	return m.token == 0 && !m.verifying || m.fence == fenceWanted || m.state == machineMoving && len(m.attempts) == 0 ||
-		m.state == machineCondemned || m.state == machineDeleted
+	switch m.state {
+	case machineCondemned, machineDeleted:
+		return true
+	case machineMoving:
+		if len(m.attempts) == 0 {
+			return true
+		}
+	}
+	return m.isUnclaimed() || m.fence == fenceWanted
 }
--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -9,120 +9,154 @@
 	"tamarindlead/micros"
 )
 
-// This file keeps the machines' entries. One write holds the entries of a whole block,
-// so that a commit carries the starts and ends on hundreds of machines.
+// Sizes of blocks, as a rule: the exact size is known only when a block is written.
+const (
+	// maxBlockMachines bounds the machines of a block. Few can be that many in most values.
+	maxBlockMachines = 64
+	// machineEntryBytes is what a machine's entry takes without tasks.
+	machineEntryBytes = 32
+	// taskEntryBytes is the least that a task takes in an entry.
+	taskEntryBytes = 4
+	// newTaskBytes is the most that a task takes which is not recorded yet: it may bring the
+	// description of its job.
+	newTaskBytes = 40
+	// assumedTasks is how many tasks a machine gets while no job is known.
+	assumedTasks = 16
+	// machineFill is the part of a value that a block may take when machines are added to it.
+	machineFill = 0.7
+	// taskFill is the part of a value that a block may take when tasks are placed on its machines.
+	taskFill = 0.85
+	// slotShares is among how many machines the free bytes of a block are divided, at most:
+	// tasks that are placed in one pass may go to several machines of one block.
+	slotShares = 3
+)
 
-// Bounds of a block. Its size is bounded by the settings; these keep it below.
+// Prefixes of the names of blocks that are made for one machine.
 const (
-	blockMost      = 64   // machines
-	entryBytes     = 32   // of a machine without tasks, as a rule
-	taskBytes      = 4    // of a task in an entry, as a rule
-	freshBytes     = 40   // of a task that is not recorded yet, at most as a rule: it may bring its job's name
-	blockTasks     = 16   // for each machine, when a block is filled with machines and no job is known
-	blockUsed      = 0.7  // of a value, when a block is filled with machines
-	blockFull      = 0.85 // of a value, when machines are filled with tasks
-	adoptedPrefix  = "x-" // prefix of the block of a machine that nobody expected
-	transferPrefix = "g-" // and of one that another owner gave
+	adoptedPrefix  = "x-" // the machine had no entry in any record
+	transferPrefix = "g-" // the machine was transferred by another owner
 )
 
-// block is a record of machines at their owner.
+// block is a record of machines at their owner. One write holds the entries of all machines
+// of a block, so that a commit carries the starts and ends on hundreds of machines.
 type block struct {
 	name     string
-	version  uint64
+	version  uint64 // of the record; 0: not written yet
 	machines []*machine
-	dirty    bool
-	since    micros.Micros // dirty
-	writing  bool
-	left     []*block // of machines that came from these, until the record says so
-	behind   int      // new records of machines that left it which are not written yet: it must wait
-	// tooLarge: it outgrew a value, and nothing is placed on its machines until it is written.
-	tooLarge  bool
-	notBefore micros.Micros // the next attempt to write what fits no value
-	// taskBytes is what a task takes, with its part of the names of jobs.
-	taskBytes float64
+
+	dirty      bool // it must be written
+	dirtySince micros.Micros
+	writing    bool // a commit with it is under way
+
+	// sources are the blocks from which machines came since the last write. They are written
+	// without them once this block has been written.
+	sources []*block
+	// unwrittenTargets counts the blocks to which machines went and which are not written
+	// yet. Until they are, this block must not be written.
+	unwrittenTargets int
+
+	// oversized: the block did not fit a value. Nothing is placed on its machines until it
+	// has been written.
+	oversized bool
+	retryAt   micros.Micros // the next attempt to write it, if it fits no value
+	// bytesPerTask is what a task took in the last write, with its part of the jobs' names.
+	bytesPerTask float64
 }
 
-// blockFor finds the block that a new machine's entry goes to. Machines of one type and
-// zone share blocks: a gang is then recorded by few writes.
+// blockFor returns the block that a new machine's entry goes to. Machines of one type and
+// zone share blocks, so that a gang is recorded by few writes.
 func (o *owner) blockFor(kind, zone string) *block {
+	most := o.maxMachines(kind)
 	for _, b := range o.blocks {
-		if n := len(b.machines); n > 0 && n < o.blockRoom(kind) && b.machines[0].kind == kind && b.machines[0].zone == zone &&
-			!b.single() {
+		if n := len(b.machines); n == 0 || n >= most || b.forOneMachine() {
+			continue
+		}
+		if first := b.machines[0]; first.kind == kind && first.zone == zone {
 			return b
 		}
 	}
 	return o.newBlock(record.NumberName(o.nextNumber()))
 }
 
-// blockRoom is how many machines of a type share a block: as many as fit, each with the
+// maxMachines is how many machines of a type share a block: as many as fit, each with the
 // tasks that it may get.
-func (o *owner) blockRoom(kind string) int {
-	tasks := blockTasks
+func (o *owner) maxMachines(kind string) int {
+	tasks := assumedTasks
 	if t := o.c.types.find(kind); t != nil {
 		if n := o.classes.MostUsualTasks(t.Size, recordSlots); n > 0 {
 			tasks = n
 		}
 	}
-	return min(max(1, int(float64(o.c.cfg.ValueBytes)*blockUsed)/(entryBytes+tasks*taskBytes)), blockMost)
+	fillBytes := int(float64(o.c.cfg.ValueBytes) * machineFill)
+	fitting := fillBytes / (machineEntryBytes + tasks*taskEntryBytes)
+	return min(max(1, fitting), maxBlockMachines)
 }
 
-// slotsOf is how many more tasks a machine's entry can hold: a part of what is left in
+// freeSlots is how many more tasks a machine's entry can hold: a part of what is left in
 // its block, by what a task took there when it was written last. A task that is not recorded
-// yet is taken for the first of its job.
-func (o *owner) slotsOf(m *machine, left map[*block]float64) int {
+// yet is taken for the first of its job. The free bytes of blocks are kept in freeBytes.
+func (o *owner) freeSlots(m *machine, freeBytes map[*block]float64) int {
 	b := m.block
-	free, ok := left[b]
+	free, ok := freeBytes[b]
 	if !ok {
 		free = o.freeBytes(b)
-		left[b] = free
+		freeBytes[b] = free
 	}
-	if b.tooLarge {
+	if b.oversized {
 		return 0
 	}
-	return min(int(free/max(b.taskBytes, freshBytes))/min(3, len(b.machines)), recordSlots-len(m.attempts))
+	slots := int(free / max(b.bytesPerTask, newTaskBytes))
+	return min(slots/min(slotShares, len(b.machines)), recordSlots-len(m.attempts))
 }
 
-// freeBytes is what is left of a value in a block.
+// freeBytes is how much more of a value the tasks of a block may take.
 func (o *owner) freeBytes(b *block) float64 {
-	each := max(b.taskBytes, taskBytes)
-	left := float64(o.c.cfg.ValueBytes) * blockFull
+	recorded := max(b.bytesPerTask, taskEntryBytes)
+	proposed := max(recorded, newTaskBytes)
+	free := float64(o.c.cfg.ValueBytes) * taskFill
 	for _, m := range b.machines {
-		left -= entryBytes
+		free -= machineEntryBytes
 		for _, a := range m.attempts {
 			if a.state == attemptProposed {
-				left -= max(each, freshBytes)
+				free -= proposed
 			} else {
-				left -= each
+				free -= recorded
 			}
 		}
 	}
-	return left
+	return free
 }
 
-// single tells a block that was made for one machine by its name.
-func (b *block) single() bool {
-	return strings.HasPrefix(b.name, adoptedPrefix) || strings.HasPrefix(b.name, transferPrefix)
-}
+// isAdopted tells that the block was made for a machine that had no entry in any record.
+func (b *block) isAdopted() bool { return strings.HasPrefix(b.name, adoptedPrefix) }
+
+// isTransfer tells that the block was made by another owner, to transfer a machine.
+func (b *block) isTransfer() bool { return strings.HasPrefix(b.name, transferPrefix) }
+
+// forOneMachine tells that the block was made for one machine.
+func (b *block) forOneMachine() bool { return b.isAdopted() || b.isTransfer() }
 
-// gather moves a machine that was given out of its block of its own: hundreds of such would
-// use up the writes. The old record goes only after the new one is written; should both be
-// found, the newer holds. The block of an adopted machine stays, since other owners' first
-// claims are guarded against its name.
-func (o *owner) gather(b *block) {
-	if !strings.HasPrefix(b.name, transferPrefix) || len(b.machines) != 1 || b.writing {
+// mergeTransferred moves a machine from the block in which it was transferred to a shared
+// one: hundreds of blocks with one machine would use up the writes. The old record is deleted
+// only after the new one is written; should both be found, the newer holds. The block of an
+// adopted machine stays, since other owners' first claims are guarded against its name.
+func (o *owner) mergeTransferred(b *block) {
+	if !b.isTransfer() || len(b.machines) != 1 || b.writing {
 		return
 	}
 	m := b.machines[0]
-	to := o.blockFor(m.kind, m.zone)
-	if m.token == 0 || m.fence != fenceNone || m.verifying || to.writing || m.state >= machineMoving {
+	target := o.blockFor(m.kind, m.zone)
+	settled := m.token != 0 && m.fence == fenceNone && !m.verifying && m.state < machineMoving
+	if !settled || target.writing {
 		return
 	}
 	b.machines, b.dirty = nil, false
-	to.add(m)
-	to.left = append(to.left, b)
+	target.add(m)
+	target.sources = append(target.sources, b)
 	o.markDirty(m)
 }
 
+// newBlock makes a block; the owner's blocks are kept in the order of their names.
 func (o *owner) newBlock(name string) *block {
 	b := &block{name: name}
 	i, _ := slices.BinarySearchFunc(o.blocks, name, func(b *block, n string) int { return cmp.Compare(b.name, n) })
@@ -130,6 +164,7 @@
 	return b
 }
 
+// add puts a machine's entry into the block.
 func (b *block) add(m *machine) {
 	m.block = b
 	b.machines = append(b.machines, m)
@@ -141,12 +176,14 @@
 	o.markBlockDirty(m.block)
 }
 
+// markBlockDirty notes that a block must be written.
 func (o *owner) markBlockDirty(b *block) {
 	if !b.dirty {
-		b.dirty, b.since = true, o.c.now
+		b.dirty, b.dirtySince = true, o.c.now
 	}
 }
 
+// dropEmpty forgets a block without machines, once nothing must be written for it.
 func (o *owner) dropEmpty(b *block) {
 	if len(b.machines) == 0 && !b.writing && !b.dirty {
 		o.blocks = slices.DeleteFunc(o.blocks, func(x *block) bool { return x == b })
--- a/controller/blocks_test.go
+++ b/controller/blocks_test.go
@@ -64,7 +64,7 @@
 		t.Fatal("no block was split")
 	}
 	for _, bl := range o.blocks {
-		if bl.behind != 0 {
+		if bl.unwrittenTargets != 0 {
 			t.Fatalf("block %s waits for ever", bl.name)
 		}
 	}
--- a/controller/claims.go
+++ b/controller/claims.go
@@ -9,10 +9,10 @@
 	"tamarindlead/internal/wire"
 )
 
-// guardTeams adds the guards of machines' first claims: that this owner has its teams still.
-// No owner that lives loses a team, and each commit is guarded on this node's life: so when
-// there are more teams than a commit takes guards, some suffice.
-func (o *owner) guardTeams(guards map[string]uint64) {
+// guardOwnTeams adds the guards of machines' first claims: that this owner has its teams still.
+// No owner that lives loses a team, and each commit is guarded on this node's member record:
+// so when there are more teams than a commit takes guards, some suffice.
+func (o *owner) guardOwnTeams(guards map[string]uint64) {
 	for i, name := range sortedKeys(o.teams) {
 		if i == o.c.cfg.TxnOps {
 			return
@@ -24,9 +24,15 @@
 // ownsAllTeams tells that this node owns all teams: then no other owner's record can come up.
 func (o *owner) ownsAllTeams() bool { return len(o.teams) == len(o.c.cfg.Teams) }
 
+// isUnclaimed tells that the machine has no token yet, nor waits for verify.
+func (m *machine) isUnclaimed() bool { return m.token == 0 && !m.verifying }
+
+// hasUnclaimed tells whether the block has machines that must be claimed.
+func (b *block) hasUnclaimed() bool { return slices.ContainsFunc(b.machines, (*machine).isUnclaimed) }
+
 // claimed takes the revision of a commit as a machine's token.
-func (o *owner) claimed(m *machine, rev uint64) {
-	m.token, m.synced = rev, false
+func (o *owner) claimed(m *machine, revision uint64) {
+	m.token, m.synced = revision, false
 	m.tokenShownAt = max(m.tokenShownAt, o.c.now)
 	if m.fence == fenceWanted {
 		o.setFence(m, fenceRaised)
@@ -36,7 +42,7 @@
 
 // verify looks whether another owner had recorded an adopted machine before this one did.
 // Later records of others fail, since they are guarded on the one just written.
-func (o *owner) verify(m *machine, rev uint64) {
+func (o *owner) verify(m *machine, revision uint64) {
 	m.verifying = true
 	o.c.store.ListAll(record.BlockPrefix, func(ok bool, entries []state.Entry, _ uint64) {
 		if o.superseded() || o.machines[m.name] != m {
@@ -47,21 +53,28 @@
 			o.markDirty(m)
 			return
 		}
-		for _, e := range entries {
-			var rec record.Block
-			if e.Key == record.BlockKey(m.block.name) || wire.Decode(e.Value, &rec) != nil {
-				continue
-			}
-			d, err := rec.Decode()
-			if err != nil {
-				continue
-			}
-			if slices.ContainsFunc(d.Machines, func(x record.BlockMachine) bool { return x.Name == m.name }) {
-				o.garbage = append(o.garbage, record.BlockKey(m.block.name))
-				o.notOurs(m, strings.TrimPrefix(e.Key, record.BlockPrefix))
-				return
-			}
+		if block, found := o.otherBlockWith(m, entries); found {
+			o.garbage = append(o.garbage, record.BlockKey(m.block.name))
+			o.notOurs(m, block)
+			return
 		}
-		o.claimed(m, rev)
+		o.claimed(m, revision)
 	})
 }
+
+// otherBlockWith finds a block that has an entry of the machine, besides the machine's own.
+// Records that cannot be read are passed over.
+func (o *owner) otherBlockWith(m *machine, entries []state.Entry) (name string, found bool) {
+	isMachine := func(entry record.BlockMachine) bool { return entry.Name == m.name }
+	for _, e := range entries {
+		var rec record.Block
+		if e.Key == record.BlockKey(m.block.name) || wire.Decode(e.Value, &rec) != nil {
+			continue
+		}
+		data, err := rec.Decode()
+		if err == nil && slices.ContainsFunc(data.Machines, isMachine) {
+			return strings.TrimPrefix(e.Key, record.BlockPrefix), true
+		}
+	}
+	return "", false
+}
--- a/controller/commits.go
+++ b/controller/commits.go
@@ -66,7 +66,7 @@
 // claimsWait tells whether machines wait to be claimed by this owner.
 func (o *owner) claimsWait() bool {
 	for _, m := range o.list {
-		if m.token == 0 && !m.verifying {
+		if m.isUnclaimed() {
 			return true
 		}
 	}
--- a/controller/due_records.go
+++ b/controller/due_records.go
@@ -5,50 +5,29 @@
 	"slices"
 )
 
-// Weights of what a write of a block brings, in tasks that may start.
+// Weights of what the write of a record brings, in tasks that may start.
 const (
 	claimWeight   = 1000
 	fenceWeight   = 100
 	machineWeight = 20
 	gangWeight    = 8  // a gang waits for its last task
 	waitWeight    = 20 // for each second that a block has waited: none may starve
-	shardWeight   = 4  // and for each that a shard has
+	shardWeight   = 4  // for each second that a shard has waited
 )
 
-// urgency orders blocks that must be written.
-func (o *owner) urgency(b *block) int {
-	n := int(waitWeight * (o.c.now - b.since).Seconds())
-	for _, m := range b.machines {
-		switch {
-		case m.token == 0 && !m.verifying:
-			n += claimWeight
-		case m.fence == fenceWanted:
-			n += fenceWeight
-		case m.state == machineCondemned || m.state == machineDeleted:
-			n += machineWeight
-		}
-		if !m.dirty {
-			continue
-		}
-		for _, a := range m.attempts {
-			switch {
-			case a.state != attemptProposed && a.state != attemptLeaving:
-			case a.job.Gang:
-				n += gangWeight
-			default:
-				n++
-			}
-		}
-	}
-	return n
+// dueRecord is a block or a shard that must be written.
+type dueRecord struct {
+	block   *block
+	shard   *shard
+	urgency int
 }
 
 // flushClaims writes the blocks with machines that must be claimed, the most urgent first.
 func (o *owner) flushClaims(t *txn, room func() int) {
 	var due []dueRecord
 	for _, b := range o.blocks {
-		if o.due(b) && b.claims() {
-			due = append(due, dueRecord{block: b, n: o.urgency(b)})
+		if o.isDue(b) && b.hasUnclaimed() {
+			due = append(due, dueRecord{block: b, urgency: o.blockUrgency(b)})
 		}
 	}
 	o.flushDue(t, due, room)
@@ -57,31 +36,25 @@
 // flushRecords writes blocks and shards, the most urgent first.
 func (o *owner) flushRecords(t *txn, room func() int) {
 	for _, b := range slices.Clone(o.blocks) {
-		o.gather(b)
+		o.mergeTransferred(b)
 	}
 	var due []dueRecord
 	for _, b := range o.blocks {
-		if o.due(b) {
-			due = append(due, dueRecord{block: b, n: o.urgency(b)})
+		if o.isDue(b) {
+			due = append(due, dueRecord{block: b, urgency: o.blockUrgency(b)})
 		}
 	}
 	for _, s := range o.shards {
-		if s.dirty && !s.writing && s.behind == 0 {
-			due = append(due, dueRecord{shard: s, n: o.shardUrgency(s)})
+		if s.isDue() {
+			due = append(due, dueRecord{shard: s, urgency: o.shardUrgency(s)})
 		}
 	}
 	o.flushDue(t, due, room)
 }
 
-// dueRecord is a block or a shard that must be written.
-type dueRecord struct {
-	block *block
-	shard *shard
-	n     int // urgency
-}
-
+// flushDue writes records while the commit has room.
 func (o *owner) flushDue(t *txn, due []dueRecord, room func() int) {
-	slices.SortStableFunc(due, func(x, y dueRecord) int { return cmp.Compare(y.n, x.n) })
+	slices.SortStableFunc(due, func(a, b dueRecord) int { return cmp.Compare(b.urgency, a.urgency) })
 	for _, r := range due {
 		if room() < 1 {
 			return
@@ -94,19 +67,54 @@
 	}
 }
 
-// due tells whether the block must and may be written.
-func (o *owner) due(b *block) bool {
-	return b.dirty && !b.writing && b.behind == 0 && o.c.now >= b.notBefore
+// isDue tells whether the block must and may be written.
+func (o *owner) isDue(b *block) bool {
+	return b.dirty && !b.writing && b.unwrittenTargets == 0 && o.c.now >= b.retryAt
+}
+
+// blockUrgency orders blocks that must be written.
+func (o *owner) blockUrgency(b *block) int {
+	n := int(waitWeight * (o.c.now - b.dirtySince).Seconds())
+	for _, m := range b.machines {
+		n += m.urgency()
+		if m.dirty {
+			n += m.attemptsUrgency()
+		}
+	}
+	return n
+}
+
+// urgency is what the machine's own state adds to the urgency of its block.
+func (m *machine) urgency() int {
+	switch {
+	case m.isUnclaimed():
+		return claimWeight
+	case m.fence == fenceWanted:
+		return fenceWeight
+	case m.state == machineCondemned || m.state == machineDeleted:
+		return machineWeight
+	}
+	return 0
+}
+
+// attemptsUrgency is what the attempts on a machine add to the urgency of its block.
+func (m *machine) attemptsUrgency() int {
+	n := 0
+	for _, a := range m.attempts {
+		switch {
+		case a.state != attemptProposed && a.state != attemptLeaving:
+		case a.job.Gang:
+			n += gangWeight
+		default:
+			n++
+		}
+	}
+	return n
 }
 
 // shardUrgency orders shards among blocks. A completion waits at no cost: its room is free,
 // and its machine goes on reporting it. Many teams have as many shards, all of which change
 // with every second; written first, they would take all writes from placements.
 func (o *owner) shardUrgency(s *shard) int {
-	return int(shardWeight * (o.c.now - s.since).Seconds())
-}
-
-// claims tells whether machines of the block are not claimed yet.
-func (b *block) claims() bool {
-	return slices.ContainsFunc(b.machines, func(m *machine) bool { return m.token == 0 && !m.verifying })
+	return int(shardWeight * (o.c.now - s.dirtySince).Seconds())
 }
--- a/controller/limits_test.go
+++ b/controller/limits_test.go
@@ -110,7 +110,7 @@
 				continue
 			}
 			o.writeBlock(tx, b, 500)
-			if len(tx.writes) != 1 || b.tooLarge {
+			if len(tx.writes) != 1 || b.oversized {
 				t.Fatalf("block %s is not written", b.name)
 			}
 			if n := tx.writes[0].Value.(record.Block).Size(); n > o.c.cfg.ValueBytes {
@@ -139,7 +139,7 @@
 	o.markDirty(m)
 	tries := 0
 	for end := o.c.now + micros.Minute; o.c.now < end && m.state < machineReleasing; o.c.now += 100 * micros.Millisecond {
-		if !o.due(b) {
+		if !o.isDue(b) {
 			continue
 		}
 		tries++
@@ -174,7 +174,7 @@
 	other.Set(700)
 	entries = append(entries, state.Entry{Key: record.CompletionsKey("red", "1"), Value: wire.Encode(rec), Version: 20},
 		state.Entry{Key: record.CompletionsKey("red", "2"), Value: wire.Encode(record.Completions{Chunks: map[string]string{wire.TaskName(jobName(3), 0): other.Chunk(0)}}), Version: 19})
-	o.loadDone(entries)
+	o.loadShards(entries)
 	if j := o.jobs[jobName(3)]; !j.done.Has(5) || !j.done.Has(700) || j.doneN != 2 {
 		t.Fatalf("%d completions are known", j.doneN)
 	}
@@ -219,7 +219,7 @@
 		t.Fatal("the block was not written")
 	}
 	for _, m := range o.list {
-		if n := o.slotsOf(m, map[*block]float64{}); n < 5 {
+		if n := o.freeSlots(m, map[*block]float64{}); n < 5 {
 			t.Errorf("%s takes %d more tasks", m.name, n)
 		}
 	}
--- a/controller/load.go
+++ b/controller/load.go
@@ -43,7 +43,7 @@
 	var machines []state.Entry
 	holds := step(record.HoldPrefix, func(entries []state.Entry, _ uint64) {
 		o.loadHolds(entries)
-		o.buildMachines(machines)
+		o.loadBlocks(machines)
 		o.busy = false
 		o.activate()
 	})
@@ -56,7 +56,7 @@
 		rentals()
 	})
 	done := step(record.CompletionsPrefix, func(entries []state.Entry, _ uint64) {
-		o.loadDone(entries)
+		o.loadShards(entries)
 		listMachines()
 	})
 	asked := c.now
--- a/controller/load_shards.go
+++ b/controller/load_shards.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"maps"
 	"slices"
 	"strings"
 
@@ -10,54 +9,55 @@
 	"tamarindlead/internal/wire"
 )
 
-// loadDone takes the completed tasks from a shard's record.
-func (o *owner) loadDone(entries []state.Entry) {
+// loadShards takes over the shards of completed tasks.
+func (o *owner) loadShards(entries []state.Entry) {
 	for _, e := range entries {
-		team, name, ok := o.splitShardKey(e.Key)
-		if !ok {
-			if o.ownsAllTeams() {
-				o.garbage = append(o.garbage, e.Key)
-			}
-			continue
-		}
-		var rec record.Completions
-		if wire.Decode(e.Value, &rec) != nil {
-			o.c.log.Error("record cannot be read", "key", e.Key)
-			continue
-		}
-		s := &shard{team: team, name: name, version: e.Version, chunks: map[chunkKey]*job{}}
-		o.shards = append(o.shards, s)
-		for _, name := range sortedKeys(rec.Chunks) {
-			id, chunk, ok := record.SplitChunkName(name)
-			j := o.placedJob(id)
-			if !ok || j == nil || chunk*record.ChunkTasks >= j.Tasks {
-				continue // over since
-			}
-			// It is in two shards if it was to change its shard: the one read last keeps it,
-			// and the other stays until that one has been written with what both say.
-			if old := j.shards[chunk]; old != nil {
-				o.moveChunk(old, s, j, chunk)
-			} else {
-				o.keep(s, j, chunk)
-			}
-			o.loadChunk(j, chunk, rec.Chunks[name])
-		}
+		o.loadShard(e)
 	}
-	// Shards from the time of larger values could never be written again: what they hold goes
-	// to others, and they go once those are written.
-	for _, s := range slices.Clone(o.shards) {
-		if s.bytes <= o.shardMost() {
-			continue
-		}
-		o.c.log.Info("shard too large", "shard", s.key(), "bytes", s.bytes, "chunks", len(s.chunks))
-		for _, k := range slices.SortedFunc(maps.Keys(s.chunks), compareChunks) {
-			j := s.chunks[k]
-			o.moveChunk(s, o.shardWithRoom(j, k.chunk, s), j, k.chunk)
+	o.emptyLargeShards()
+}
+
+// loadShard takes over one shard, if it is of a team of this owner.
+func (o *owner) loadShard(e state.Entry) {
+	team, name, ok := o.splitShardKey(e.Key)
+	if !ok {
+		if o.ownsAllTeams() { // so it is of a team that is no more
+			o.garbage = append(o.garbage, e.Key)
 		}
+		return
+	}
+	var rec record.Completions
+	if err := wire.Decode(e.Value, &rec); err != nil {
+		o.c.log.Error("record cannot be read", "key", e.Key, "error", err)
+		return
 	}
+	s := newShard(team, name)
+	s.version = e.Version
+	o.shards = append(o.shards, s)
+	for _, chunkName := range sortedKeys(rec.Chunks) {
+		o.loadChunk(s, chunkName, rec.Chunks[chunkName])
+	}
+}
+
+// loadChunk takes over a chunk, unless its job has ended. It is in two shards if it was to
+// move from one to the other: the shard that is read last gets it, and the other stays until
+// that one has been written with what both say.
+func (o *owner) loadChunk(s *shard, name, bits string) {
+	id, chunk, ok := record.SplitChunkName(name)
+	j := o.placedJob(id)
+	if !ok || j == nil || chunk*record.ChunkTasks >= j.Tasks {
+		return
+	}
+	if other := j.shards[chunk]; other != nil {
+		o.moveChunk(other, s, j, chunk)
+	} else {
+		s.add(j, chunk)
+	}
+	o.loadCompletions(j, chunk, bits)
 }
 
-func (o *owner) loadChunk(j *job, chunk int, bits string) {
+// loadCompletions takes over the completed tasks of a chunk.
+func (o *owner) loadCompletions(j *job, chunk int, bits string) {
 	j.unfold()
 	if err := j.done.MergeChunk(chunk, bits); err != nil {
 		o.c.log.Error("record cannot be read", "job", j.ID, "chunk", chunk, "error", err)
@@ -74,6 +74,22 @@
 	}
 }
 
+// emptyLargeShards moves all chunks out of shards from the time of larger values, which could
+// never be written again. They are deleted once the other shards are written.
+func (o *owner) emptyLargeShards() {
+	for _, s := range slices.Clone(o.shards) {
+		if s.bytes <= o.maxShardBytes() {
+			continue
+		}
+		o.c.log.Info("shard too large", "shard", s.key(), "bytes", s.bytes, "chunks", len(s.chunks))
+		for _, k := range s.sortedChunks() {
+			j := s.chunks[k]
+			o.moveChunk(s, o.shardWithRoom(j, k.chunk, s), j, k.chunk)
+		}
+	}
+}
+
+// splitShardKey splits the key of a shard of this owner's teams.
 func (o *owner) splitShardKey(key string) (team, name string, ok bool) {
 	for team := range o.teams {
 		if name, ok := strings.CutPrefix(key, record.CompletionsKey(team, "")); ok {
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -223,7 +223,7 @@
 		}
 		b := o.newBlock(name)
 		b.version = e.Version
-		o.buildMachine(b, d, &d.Machines[0])
+		o.loadMachine(b, d, &d.Machines[0])
 		m := b.machines[0]
 		delete(o.ownedElsewhere, m.name)
 		m.token, m.dirty, m.takenOver, b.dirty = e.Version, false, true, false
--- a/controller/placement_view.go
+++ b/controller/placement_view.go
@@ -19,7 +19,7 @@
 	for _, v := range view {
 		m := o.machines[v.Name]
 		if _, ok := left[m.block]; ok {
-			v.Slots = min(v.Slots, o.slotsOf(m, left))
+			v.Slots = min(v.Slots, o.freeSlots(m, left))
 		}
 	}
 }
@@ -48,7 +48,7 @@
 		}
 		view = append(view, &sched.Machine{
 			Name: m.name, Type: m.kind, Zone: m.zone, Spot: m.spot,
-			Free: o.machineSize(m).Sub(m.used).Sub(o.held(m.name)), Slots: o.slotsOf(m, left),
+			Free: o.machineSize(m).Sub(m.used).Sub(o.held(m.name)), Slots: o.freeSlots(m, left),
 			Idle: len(m.attempts) == 0, Scarce: o.scarce(m), Price: priceClass(catalog.PricePerCPU(m.kind, m.spot)), Images: m.images,
 		})
 	}
