--- a/controller/core.go
+++ b/controller/core.go
@@ -81,7 +81,7 @@
 	}, len(cfg.Siblings)+1)
 	c.store = store.New(storeHost{c}, c.budget, record.LeaderKey, log)
 	c.users.init()
-	c.graph = jobgraph.New(record.ActivePrefix, jobObserver{c}, log)
+	c.graph = jobgraph.New(jobObserver{c}, log)
 	return c
 }
 
--- /dev/null
+++ b/controller/finalreads_test.go
@@ -0,0 +1,74 @@
+package controller
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"tamarindlead/internal/budget"
+	"tamarindlead/internal/record"
+	"tamarindlead/internal/standin"
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// TestReadFinals guards that final records are found among many others, in no more requests
+// than there are jobs.
+func TestReadFinals(t *testing.T) {
+	for seed := range uint64(40) {
+		rng := rand.New(rand.NewPCG(seed, 10))
+		c, s := testOwner().c, standin.NewState()
+		var ids []string
+		want := map[string]bool{}
+		for i := range 3000 {
+			id := jobName(i)
+			if rng.IntN(3) > 0 {
+				s.Handle("n0", "POST", "/commit", state.Commit(nil, []state.Write{{Put: record.FinalKey(id), Value: record.Final{Status: wire.JobDone}}}).Body, true)
+				want[id] = true
+			}
+			if rng.IntN(1+int(seed)*20) == 0 {
+				ids = append(ids, id)
+			}
+		}
+		requests := 0
+		var found map[string]record.Final
+		c.readFinals(budget.Users, slices.Clone(ids), c.now+micros.Second, func(f map[string]record.Final, ok bool) {
+			if !ok {
+				t.Fatal("not read")
+			}
+			found = f
+		})
+		for found == nil {
+			out := c.out
+			c.out = nil
+			for _, e := range out {
+				call := e.(Call)
+				requests++
+				reply, _ := s.Handle("n0", call.Method, call.Target, call.Body, true)
+				done := c.calls[call.ID]
+				delete(c.calls, call.ID)
+				done(CallDone{ID: call.ID, Status: reply.Status, Body: reply.Body, Sent: true})
+			}
+		}
+		if requests > len(ids) {
+			t.Errorf("%d requests for %d jobs", requests, len(ids))
+		}
+		for _, id := range ids {
+			if _, ok := found[id]; ok != want[id] {
+				t.Fatalf("%s is found: %v", id, ok)
+			}
+		}
+	}
+}
+
+// TestKeyBefore guards the place from which a listing must start to bring a key first.
+func TestKeyBefore(t *testing.T) {
+	for _, id := range []string{"req-000000", "req-000010", "req-000019", "req-0000190"} {
+		from := keyBefore(record.FinalKey(id))
+		if !(from < record.FinalKey(id)) || strings.Compare(from, record.FinalKey(id)[:len(record.FinalKey(id))-1]) < 0 {
+			t.Errorf("%s from %s", id, from)
+		}
+	}
+}
--- a/internal/jobgraph/graph_test.go
+++ b/internal/jobgraph/graph_test.go
@@ -7,16 +7,14 @@
 	"slices"
 	"testing"
 
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 	"tamarindlead/sched"
 )
 
-const (
-	keyPrefix = "a/"
-	wallClock = micros.Hour
-)
+const wallClock = micros.Hour
 
 func jobName(n int) string { return fmt.Sprintf("req-%06d", n) }
 
@@ -27,16 +25,10 @@
 	}
 }
 
-// recordOf is the record of a job as the state service has it.
+// recordOf is the record of a job as the state service has it, with all that the job awaits.
 func recordOf(job *sched.Job, accepted micros.Micros) []byte {
-	submission := wire.FromJob(job)
-	if len(job.Awaits) > 0 {
-		return wire.Encode(record{Accepted: int64(accepted), Waiting: &submission})
-	}
-	return wire.Encode(struct {
-		Job      wire.Submission `cbor:"j"`
-		Accepted int64           `cbor:"at"`
-	}{submission, int64(accepted)})
+	writes, _ := record.JobWrites(job, accepted, 1<<20)
+	return wire.Encode(writes[0].Value)
 }
 
 // recorder is an observer that keeps what it is told.
@@ -49,7 +41,7 @@
 }
 
 func (r *recorder) JobPut(key string, _ []byte, _ uint64) { r.active[key] = true }
-func (r *recorder) JobDeleted(id string)                  { delete(r.active, keyPrefix+id) }
+func (r *recorder) JobDeleted(id string)                  { delete(r.active, record.ActiveKey(id)) }
 func (r *recorder) JobReady(job *WaitingJob)              { r.ready = append(r.ready, job.ID) }
 func (r *recorder) JobCancelled(id string)                { r.cancelled = append(r.cancelled, id) }
 func (r *recorder) InheritanceChanged(string)             { r.inherit++ }
@@ -60,7 +52,7 @@
 func newRecorder() *recorder { return &recorder{active: map[string]bool{}, done: map[string]bool{}} }
 
 func newTestGraph(t testing.TB) *Graph {
-	return New(keyPrefix, newRecorder(), slog.New(slog.NewTextHandler(t.Output(), nil)))
+	return New(newRecorder(), slog.New(slog.NewTextHandler(t.Output(), nil)))
 }
 
 // final is how a job ended.
@@ -95,14 +87,14 @@
 func (r *records) accept(id string, awaits []string) {
 	r.revision++
 	r.jobs[id], r.accepted[id] = awaits, r.revision
-	r.history = append(r.history, state.Change{Put: keyPrefix + id, Value: recordOf(testJob(id, awaits...), 1), Version: r.revision})
+	r.history = append(r.history, state.Change{Put: record.ActiveKey(id), Value: recordOf(testJob(id, awaits...), 1), Version: r.revision})
 }
 
 func (r *records) end(id string, rec final) {
 	r.revision++
 	delete(r.accepted, id)
 	r.finals[id] = rec
-	r.history = append(r.history, state.Change{Delete: keyPrefix + id, Version: r.revision})
+	r.history = append(r.history, state.Change{Delete: record.ActiveKey(id), Version: r.revision})
 }
 
 func (r *records) since(after uint64) *state.Changes {
@@ -118,8 +110,8 @@
 func (r *records) list() []state.Entry {
 	var all []state.Entry
 	for _, id := range sortedKeys(r.accepted) {
-		i := slices.IndexFunc(r.history, func(e state.Change) bool { return e.Put == keyPrefix+id })
-		all = append(all, state.Entry{Key: keyPrefix + id, Value: r.history[i].Value, Version: r.accepted[id]})
+		i := slices.IndexFunc(r.history, func(e state.Change) bool { return e.Put == record.ActiveKey(id) })
+		all = append(all, state.Entry{Key: record.ActiveKey(id), Value: r.history[i].Value, Version: r.accepted[id]})
 	}
 	return all
 }
@@ -184,7 +176,7 @@
 					if rng.IntN(2) == 0 {
 						stale, staleAt = r.list(), r.revision
 					} else { // its later pages were read later
-						from := keyPrefix + jobName(rng.IntN(step+1))
+						from := record.ActiveKey(jobName(rng.IntN(step + 1)))
 						entries := slices.DeleteFunc(slices.Clone(stale), func(e state.Entry) bool { return e.Key >= from })
 						for _, e := range r.list() {
 							if e.Key >= from {
@@ -264,7 +256,7 @@
 // submit applies the record of a job that awaits others.
 func submit(t testing.TB, g *Graph, job *sched.Job, accepted micros.Micros) {
 	t.Helper()
-	put := state.Change{Put: keyPrefix + job.ID, Value: recordOf(job, accepted), Version: g.Revision() + 1}
+	put := state.Change{Put: record.ActiveKey(job.ID), Value: recordOf(job, accepted), Version: g.Revision() + 1}
 	apply(t, g, put)
 }
 
@@ -282,7 +274,7 @@
 // cancelled once, in order.
 func TestObserver(t *testing.T) {
 	seen := newRecorder()
-	g := New(keyPrefix, seen, slog.Default())
+	g := New(seen, slog.Default())
 	if g.Apply(0, &state.Changes{Revision: 1}, wallClock) || g.Synced() {
 		t.Fatal("changes are taken without a listing")
 	}
@@ -296,7 +288,7 @@
 		t.Fatalf("after four submissions: %+v", seen)
 	}
 
-	apply(t, g, state.Change{Delete: keyPrefix + a})
+	apply(t, g, state.Change{Delete: record.ActiveKey(a)})
 	if got := g.Unresolved(); !slices.Equal(got, []string{a}) || len(seen.ready) > 0 {
 		t.Fatalf("one ended in a way not known: unresolved %v, ready %v", got, seen.ready)
 	}
@@ -305,7 +297,7 @@
 		t.Fatalf("the first is done: ready %v", seen.ready)
 	}
 
-	apply(t, g, state.Change{Delete: keyPrefix + b})
+	apply(t, g, state.Change{Delete: record.ActiveKey(b)})
 	g.Cancelled(b, b)
 	g.Cancelled(b, b)
 	if !slices.Equal(seen.cancelled, []string{c, d}) || g.Waiting(d).CancelledRoot != b {
@@ -320,13 +312,13 @@
 // TestKnownDone guards that a job which the user knows to be done holds up nobody.
 func TestKnownDone(t *testing.T) {
 	seen := newRecorder()
-	g := New(keyPrefix, seen, slog.Default())
+	g := New(seen, slog.Default())
 	g.Reset(nil, 0)
 	a, b, c := jobName(1), jobName(2), jobName(3)
 	submit(t, g, testJob(a), 1)
 	submit(t, g, testJob(b, a), 2)
 	seen.done[a] = true
-	apply(t, g, state.Change{Delete: keyPrefix + a})
+	apply(t, g, state.Change{Delete: record.ActiveKey(a)})
 	submit(t, g, testJob(c, a), 3)
 	if !slices.Equal(seen.ready, []string{b, c}) || g.HasUnresolved() || g.Waiting(b).LatestDone != wallClock {
 		t.Fatalf("ready %v, unresolved %v", seen.ready, g.Unresolved())
@@ -336,13 +328,13 @@
 // TestPartialList guards that nothing is concluded about a job whose list was not read.
 func TestPartialList(t *testing.T) {
 	seen := newRecorder()
-	g := New(keyPrefix, seen, slog.Default())
+	g := New(seen, slog.Default())
 	g.Reset(nil, 0)
 	a, b, c := jobName(1), jobName(2), jobName(3)
 	submit(t, g, testJob(a), 1)
-	submission := wire.FromJob(testJob(b))
-	value := wire.Encode(record{Accepted: 2, Waiting: &submission, Parts: 1})
-	apply(t, g, state.Change{Put: keyPrefix + b, Value: value})
+	description := wire.FromJob(testJob(b))
+	value := wire.Encode(record.Job{Accepted: 2, Waiting: &description, Parts: 1})
+	apply(t, g, state.Change{Put: record.ActiveKey(b), Value: value})
 	submit(t, g, testJob(c, b), 3)
 	partial, unresolved := g.MissingFor([]string{c})
 	if partial == nil || partial.ID != b || unresolved || partial.Ready() || g.FirstPartial() != partial {
@@ -352,7 +344,7 @@
 	if partial, unresolved = g.MissingFor([]string{c}); partial != nil || unresolved || g.FirstPartial() != nil {
 		t.Fatalf("with its list: %+v, unresolved %v", partial, unresolved)
 	}
-	apply(t, g, state.Change{Delete: keyPrefix + a})
+	apply(t, g, state.Change{Delete: record.ActiveKey(a)})
 	if _, unresolved = g.MissingFor([]string{c}); !unresolved {
 		t.Fatal("a job ended that c needs through b")
 	}
