--- a/controller/cloud_list.go
+++ b/controller/cloud_list.go
@@ -32,7 +32,7 @@
 		q.Set("after", after)
 	}
 	l := &o.listing
-	o.c.cloud("GET", "/rentals?"+q.Encode(), nil, func(status int, body []byte) {
+	o.c.cloud("GET", wire.PathRentals+"?"+q.Encode(), nil, func(status int, body []byte) {
 		if o.superseded() {
 			return
 		}
--- a/controller/machine_types.go
+++ b/controller/machine_types.go
@@ -62,7 +62,7 @@
 func (c *Core) askTypes() {
 	t := &c.types
 	t.asking = true
-	c.cloud("GET", "/machine_types", nil, func(status int, body []byte) {
+	c.cloud("GET", wire.PathMachineTypes, nil, func(status int, body []byte) {
 		t.asking = false
 		var m wire.MachineTypes
 		if status != 200 || wire.Decode(body, &m) != nil || len(m.Types()) == 0 {
--- a/controller/rentals.go
+++ b/controller/rentals.go
@@ -123,7 +123,7 @@
 	}
 	r.asking = true
 	body := wire.RentalRequest{Hire: r.name, Type: r.offer.Type, Zone: r.offer.Zone, Spot: r.offer.Spot, Number: r.number}
-	o.c.cloud("POST", "/rentals", body, func(status int, body []byte) {
+	o.c.cloud("POST", wire.PathRentals, body, func(status int, body []byte) {
 		if o.superseded() {
 			return
 		}
@@ -174,7 +174,7 @@
 		return
 	}
 	o.releasing = true
-	o.c.cloud("POST", "/rentals/release", wire.MachineNames{Machines: names}, func(status int, _ []byte) {
+	o.c.cloud("POST", wire.PathRelease, wire.MachineNames{Machines: names}, func(status int, _ []byte) {
 		if o.superseded() {
 			return
 		}
--- a/internal/wire/http.go
+++ b/internal/wire/http.go
@@ -1,10 +1,16 @@
 package wire
 
-// Paths of the interfaces between workers and controllers.
+// Paths of the interfaces.
 const (
-	PathReport   = "/hello"   // on a controller: a worker reports
-	PathCommands = "/orders"  // on a worker: commands sent directly
-	PathInspect  = "/inspect" // on a worker: its report, without commands
+	PathJobs         = "/api/jobs" // on a controller: submissions, and below it jobs by id
+	PathCancelSuffix = "/cancel"   // after a job's path
+	PathHealth       = "/up"
+	PathReport       = "/hello"   // on a controller: a worker reports
+	PathCommands     = "/orders"  // on a worker: commands sent directly
+	PathInspect      = "/inspect" // on a worker: its report, without commands
+	PathMachineTypes = "/machine_types"
+	PathRentals      = "/rentals" // on the cloud: requests for machines, and their list
+	PathRelease      = "/rentals/release"
 )
 
 // Status is the status of an HTTP response.
