--- a/controller/pipelines_test.go
+++ b/controller/pipelines_test.go
@@ -107,9 +107,9 @@
 	return slices.ContainsFunc(w.pipelines.awaits[id], func(other string) bool { return w.told[other] != wire.JobDone })
 }
 
-// mayBeWithdrawn tells whether a job may be called cancelled: its user asked for it, or a
+// mayBeCancelled tells whether a job may be called cancelled: its user asked for it, or a
 // job that it needs was cancelled by its user.
-func (w *world) mayBeWithdrawn(id string) bool {
+func (w *world) mayBeCancelled(id string) bool {
 	return w.wantsEnd[id] || slices.ContainsFunc(w.pipelines.ancestors[id], func(a string) bool {
 		return w.wantsEnd[a] && w.recorded(a) == wire.JobCancelled
 	})
--- a/controller/users_test.go
+++ b/controller/users_test.go
@@ -133,7 +133,7 @@
 			}
 		}
 	} else {
-		if !w.mayBeWithdrawn(id) {
+		if !w.mayBeCancelled(id) {
 			w.breakRule("went_back: %s was not cancelled by its user, nor was a job that it needs", id)
 		}
 		if _, ok := w.cancelled[id]; !ok {
