Requests of users are split by job: routes, submissions, acceptance, cancellations, queries

One file held the routing, the acceptance of jobs, cancellations and queries. Reasons of refusals are typed constants, and a refusal says itself whether it is final, where bare statuses and texts were compared. Texts and statuses that users see are unchanged.

--- /dev/null
+++ b/controller/acceptance.go
@@ -0,0 +1,156 @@
+package controller
+
+import (
+	"tamarindlead/internal/budget"
+	"tamarindlead/internal/record"
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
+	"tamarindlead/internal/wire"
+)
+
+// This file records submissions: a user is told that a job is accepted only after the commit
+// of its records.
+
+// acceptBytes bounds the size of the records of one commit that accepts several jobs.
+const acceptBytes = wire.MaxBody / 2
+
+// flush records waiting submissions, as many as one commit takes.
+func (s *submissions) flush() {
+	if s.committing || len(s.waiting) == 0 {
+		return
+	}
+	s.refuseExpired()
+	room := min(s.c.budget.WriteRoom(budget.Users, s.c.now), s.c.cfg.TxnOps)
+	if s.c.now < s.commitAt || room == 0 || len(s.waiting) == 0 {
+		return
+	}
+	if batch := s.takeBatch(room); len(batch) > 0 {
+		s.commit(batch)
+	}
+}
+
+// refuseExpired refuses submissions that have waited for too long.
+func (s *submissions) refuseExpired() {
+	var waiting []*submission
+	for _, sub := range s.waiting {
+		if s.c.now-sub.receivedAt > acceptWithin {
+			s.refuseAll(sub, reasonStoreSilent)
+			continue
+		}
+		waiting = append(waiting, sub)
+	}
+	s.waiting = waiting
+}
+
+// takeBatch takes the submissions whose writes have room, in the order in which they came. One
+// that needs more than there ever is room for is taken when there is as much as can be: its
+// writes beyond that are owed to the budget.
+func (s *submissions) takeBatch(room int) []*submission {
+	if first := s.waiting[0]; first.writes > room && room >= s.c.budget.WriteBurst() {
+		room = first.writes
+	}
+	var batch, rest []*submission
+	for _, sub := range s.waiting {
+		if sub.writes <= room {
+			room -= sub.writes
+			batch = append(batch, sub)
+		} else {
+			rest = append(rest, sub)
+		}
+	}
+	s.waiting = rest
+	return batch
+}
+
+// commit records a batch of submissions. What would make the commit too large waits again.
+func (s *submissions) commit(batch []*submission) {
+	var guards []state.Guard
+	var writes []state.Write
+	size := 0
+	for i, sub := range batch {
+		puts, bytes := record.JobWrites(sub.job, s.c.day, s.c.cfg.ValueBytes)
+		if size += bytes; i > 0 && size > acceptBytes {
+			s.waitAgain(batch[i:])
+			batch = batch[:i]
+			break
+		}
+		id := sub.job.ID
+		guards = append(guards, state.Guard{Key: record.ActiveKey(id)}, state.Guard{Key: record.FinalKey(id)})
+		writes = append(writes, puts...)
+	}
+	s.committing = true
+	s.c.store.Do(budget.Users, state.Commit(guards, writes), func(reply store.Reply) {
+		s.committing = false
+		s.committed(batch, reply)
+	})
+}
+
+// waitAgain puts submissions back before those that came later.
+func (s *submissions) waitAgain(batch []*submission) {
+	s.waiting = append(batch[:len(batch):len(batch)], s.waiting...)
+}
+
+// committed takes the answer to the commit of a batch.
+func (s *submissions) committed(batch []*submission, reply store.Reply) {
+	switch reply.Outcome {
+	case store.OK:
+		for _, sub := range batch {
+			s.c.log.Debug("job accepted", "job", sub.job.ID)
+			s.accepted(sub)
+		}
+	case store.Conflict:
+		s.conflict(batch, reply)
+	case store.Limited:
+		s.waitAgain(batch)
+		s.commitAt = s.c.now + store.LimitedPause
+	case store.Unknown:
+		// It may have been executed: the same commit again tells by its guards.
+		s.waitAgain(batch)
+	default:
+		for _, sub := range batch {
+			s.refuseAll(sub, reasonStoreRefuses)
+		}
+	}
+}
+
+// conflict goes on when some job of a batch is known already: those are looked up, the rest is
+// tried again.
+func (s *submissions) conflict(batch []*submission, reply store.Reply) {
+	var committed state.Committed
+	reply.Decode(&committed)
+	failed := map[string]bool{}
+	for _, key := range committed.Failed {
+		failed[key] = true
+	}
+	for _, sub := range batch {
+		known := failed[record.ActiveKey(sub.job.ID)] || failed[record.FinalKey(sub.job.ID)]
+		if known || len(failed) == 0 {
+			s.answerKnownOr(sub, unavailable(reasonStoreSilent))
+		} else {
+			s.waiting = append(s.waiting, sub)
+		}
+	}
+}
+
+// accepted answers a submission that was recorded just now. One that was cancelled with a job
+// before it is answered once users may be told of that.
+func (s *submissions) accepted(sub *submission) {
+	if sub.status != wire.JobCancelled {
+		s.answerAccepted(sub)
+		return
+	}
+	s.c.announceCancellation(sub.cancelledRoot, s.c.now+acceptWithin, func(mayTell bool) {
+		if !mayTell {
+			s.refuseAll(sub, reasonUnacknowledged)
+			return
+		}
+		s.c.finals.remember(sub.job.ID, wire.JobCancelled)
+		s.answerAccepted(sub)
+	})
+}
+
+func (s *submissions) answerAccepted(sub *submission) {
+	s.finish(sub, func(request uint64) {
+		s.c.respond(request, wire.StatusAccepted, wire.JobState{Ref: sub.job.ID, Status: sub.status})
+	})
+}
--- a/controller/commits.go
+++ b/controller/commits.go
@@ -244,7 +244,7 @@
 
 // doneRecorded ends a job whose final record is written.
 func (o *owner) doneRecorded(j *job) {
-	o.c.users.remember(j.ID, wire.JobDone)
+	o.c.finals.remember(j.ID, wire.JobDone)
 	o.c.log.Info("job done", "job", j.ID, "class", j.Class)
 	o.c.graph.Done(j.ID, o.c.day)
 	for _, a := range j.sorted() {
--- a/controller/core.go
+++ b/controller/core.go
@@ -32,19 +32,20 @@
 	numbers uint64 // of attempts and rentals, see nextNumber
 	calls   map[uint64]func(CallDone)
 
-	budget   *budget.Budget
-	store    *store.Client
-	peers    map[string]*sibling
-	types    typeTable
-	users    users
-	lookups  lookupStage
-	graph    *jobgraph.Graph // the active jobs
-	jobView  jobView
-	node     *cluster.Node
-	cluster  *cluster.View // what the records say, see node
-	spotRisk capacity.SpotRisk
-	count    counters
-	owner    *owner // set while this node owns teams
+	budget      *budget.Budget
+	store       *store.Client
+	peers       map[string]*sibling
+	types       typeTable
+	submissions submissions
+	finals      finalStates
+	lookups     lookupStage
+	graph       *jobgraph.Graph // the active jobs
+	jobView     jobView
+	node        *cluster.Node
+	cluster     *cluster.View // what the records say, see node
+	spotRisk    capacity.SpotRisk
+	count       counters
+	owner       *owner // set while this node owns teams
 
 	// cancellations keeps which cancellations users may be told of, and bounds leases.
 	cancellations *cancelack.Tracker
@@ -80,7 +81,7 @@
 		Requests: cfg.StateRPS, Writes: cfg.WriteRPS, MinWriteBurst: cancelWrites + 1,
 	}, len(cfg.Siblings)+1)
 	c.store = store.New(storeHost{c}, c.budget, record.LeaderKey, log)
-	c.users.init()
+	c.submissions, c.finals = newSubmissions(c), newFinalStates()
 	c.graph = jobgraph.New(jobObserver{c}, log)
 	return c
 }
@@ -119,7 +120,7 @@
 			c.owner.slowTick()
 		}
 	}
-	c.users.flush(c)
+	c.submissions.flush()
 	c.cancellations.Tick(c.now)
 	c.flushLookups()
 	if c.owner != nil {
@@ -145,9 +146,9 @@
 }
 
 // refuse answers at once that a request cannot be taken now.
-func (c *Core) refuse(id uint64, status int, why string) {
+func (c *Core) refuse(id uint64, status wire.Status, reason refusalReason) {
 	c.count.refused++
-	c.out = append(c.out, Respond{ID: id, Status: status, Body: wire.Encode(wire.Problem{Error: why}), RetryAfter: retryAfter})
+	c.out = append(c.out, Respond{ID: id, Status: status, Body: wire.Encode(wire.Problem{Error: string(reason)}), RetryAfter: retryAfter})
 }
 
 // retryAfter is what users are told, in seconds: the least they wait anyway.
--- a/controller/dependencies.go
+++ b/controller/dependencies.go
@@ -139,7 +139,7 @@
 	d.resets = d.c.graph.Resets()
 	var inactive []string
 	for _, id := range d.ids {
-		if !d.c.graph.Active(id) && d.c.users.finals[id] != wire.JobDone {
+		if !d.c.graph.Active(id) && d.c.finals.of(id) != wire.JobDone {
 			inactive = append(inactive, id)
 		}
 	}
--- a/controller/jobview.go
+++ b/controller/jobview.go
@@ -74,7 +74,7 @@
 	return job.Estimate
 }
 
-func (w jobObserver) KnownDone(id string) bool { return w.c.users.finals[id] == wire.JobDone }
+func (w jobObserver) KnownDone(id string) bool { return w.c.finals.of(id) == wire.JobDone }
 
 // tickJobView follows the jobs at a node that does not own; an owner does so itself.
 func (c *Core) tickJobView() {
--- a/controller/lookups.go
+++ b/controller/lookups.go
@@ -73,7 +73,7 @@
 // lookup finds a job's state from the records, which alone are never outdated.
 func (c *Core) lookup(id string, done func(lookupResult)) {
 	c.count.lookups++
-	if status, ok := c.users.finals[id]; ok {
+	if status := c.finals.of(id); status != "" {
 		done(finalResult(status))
 		return
 	}
@@ -295,7 +295,7 @@
 // they know.
 func (c *Core) finishFinal(l *lookup, status, root string) {
 	if status != wire.JobCancelled {
-		c.users.remember(l.id, status)
+		c.finals.remember(l.id, status)
 		c.finishLookup(l, finalResult(status))
 		return
 	}
@@ -304,7 +304,7 @@
 			c.finishLookup(l, lookupResult{})
 			return
 		}
-		c.users.remember(l.id, status)
+		c.finals.remember(l.id, status)
 		c.finishLookup(l, finalResult(status))
 	})
 }
@@ -312,7 +312,7 @@
 // finishLookup hands over the result of a lookup that was sent.
 func (c *Core) finishLookup(l *lookup, result lookupResult) {
 	c.lookups.sent--
-	if final := c.users.finals[l.id]; final != "" { // told meanwhile
+	if final := c.finals.of(l.id); final != "" { // told meanwhile
 		result = finalResult(final)
 	}
 	l.done(result)
--- /dev/null
+++ b/controller/routes.go
@@ -0,0 +1,68 @@
+package controller
+
+import (
+	"net/http"
+	"strings"
+
+	"tamarindlead/internal/wire"
+)
+
+// Paths of the users' interface.
+const (
+	pathJobs     = "/api/jobs"
+	pathUp       = "/up"
+	cancelSuffix = "/cancel" // after the path of a job
+)
+
+// PathReport is where workers report.
+const PathReport = wire.PathReport
+
+// request routes an inbound request to its handler.
+func (c *Core) request(r Request) {
+	if r.Peer {
+		c.peerRequest(r)
+		return
+	}
+	switch r.Path {
+	case pathUp:
+		c.handle(r, http.MethodGet, func() { c.answerUp(r.ID) })
+	case PathReport:
+		c.handle(r, http.MethodPost, func() { c.report(r) })
+	case pathJobs:
+		c.handle(r, http.MethodPost, func() { c.submit(r) })
+	default:
+		c.jobRequest(r)
+	}
+}
+
+// jobRequest routes a request whose path names a job.
+func (c *Core) jobRequest(r Request) {
+	rest, found := strings.CutPrefix(r.Path, pathJobs+"/")
+	job, cancel := strings.CutSuffix(rest, cancelSuffix)
+	switch {
+	case !found || strings.Contains(job, "/"):
+		c.respond(r.ID, wire.StatusNotFound, wire.Problem{Error: "no such path"})
+	case cancel:
+		c.handle(r, http.MethodPost, func() { c.cancel(r.ID, job) })
+	default:
+		c.handle(r, http.MethodGet, func() { c.query(r.ID, job) })
+	}
+}
+
+// handle calls a handler if the request has the method that it demands.
+func (c *Core) handle(r Request, method string, handler func()) {
+	if r.Method != method {
+		c.respond(r.ID, wire.StatusMethodNotAllowed, wire.Problem{Error: "method not allowed"})
+		return
+	}
+	handler()
+}
+
+// answerUp tells whether this node can serve anybody.
+func (c *Core) answerUp(request uint64) {
+	if c.isolated() {
+		c.refuse(request, wire.StatusUnavailable, reasonIsolated)
+		return
+	}
+	c.respond(request, wire.StatusOK, nil)
+}
--- /dev/null
+++ b/controller/submissions.go
@@ -0,0 +1,201 @@
+package controller
+
+import (
+	"slices"
+
+	"tamarindlead/internal/record"
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// Bounds of the stage of submissions. What is beyond them is refused at once, so that the
+// waiting happens with the users.
+const (
+	maxSubmissions = 128           // that wait for their commit
+	acceptWithin   = micros.Second // a submission is given up after this
+)
+
+// submissions is the stage of submissions that wait to be recorded.
+type submissions struct {
+	c          *Core
+	waiting    []*submission
+	byJob      map[string]*submission
+	committing bool
+	checking   int // submissions whose awaited jobs are looked up
+	commitAt   micros.Micros
+}
+
+// submission is a job that waits to be recorded, with the requests that submitted it.
+type submission struct {
+	job        *sched.Job
+	requests   []uint64
+	receivedAt micros.Micros
+	writes     int // that its records take
+	// status is what users are told once it is accepted. It may be cancelled already, with a
+	// job before it, the root.
+	status        string
+	cancelledRoot string
+}
+
+func newSubmissions(c *Core) submissions {
+	return submissions{c: c, byJob: map[string]*submission{}}
+}
+
+// submit handles the submission of a job.
+func (c *Core) submit(r Request) {
+	job, err := wire.DecodeJob(r.Body)
+	if err != nil {
+		c.log.Info("submission refused as malformed", "error", err)
+		c.respond(r.ID, wire.StatusMalformed, wire.Problem{Error: err.Error()})
+		return
+	}
+	if len(c.types.list) == 0 {
+		c.refuse(r.ID, wire.StatusUnavailable, reasonTypesUnknown)
+		return
+	}
+	if c.store.Down() {
+		c.refuse(r.ID, wire.StatusUnavailable, reasonStoreSilent)
+		return
+	}
+	writes, size := record.JobWrites(job, c.day, c.cfg.ValueBytes)
+	refused := c.unplaceable(job)
+	if c.tooLong(writes, size) {
+		refused = &refusal{wire.StatusMalformed, reasonTooLong}
+	}
+	if refused != nil {
+		c.refuseSubmission(r.ID, job.ID, refused)
+		return
+	}
+	c.submissions.add(r.ID, job, len(writes))
+}
+
+// refuseSubmission refuses a submission for good, unless the job is known: the types on offer,
+// and the limits, may have changed since it was accepted.
+func (c *Core) refuseSubmission(request uint64, job string, refused *refusal) {
+	c.lookup(job, func(result lookupResult) {
+		switch result.outcome {
+		case lookupFound:
+			c.respondState(request, wire.StatusOK, job, result.status)
+		case lookupNotFound:
+			c.reject(request, refused.status, refused.reason)
+		default:
+			c.refuse(request, wire.StatusUnavailable, reasonStoreSilent)
+		}
+	})
+}
+
+// tooLong tells that the records of a job exceed the limits of the state service.
+func (c *Core) tooLong(writes []state.Write, size int) bool {
+	return len(writes) > c.cfg.TxnOps || size > commitBytes || state.Size(writes[0].Value) > c.cfg.ValueBytes
+}
+
+// unplaceable tells why a job could never run, or returns nil.
+func (c *Core) unplaceable(job *sched.Job) *refusal {
+	team, ok := c.cfg.Team(job.Team)
+	if !ok {
+		return neverRuns(reasonUnknownTeam)
+	}
+	if !job.FitsAny(c.types.list) {
+		return neverRuns(reasonFitsNoType)
+	}
+	need := job.Need
+	if job.Gang {
+		need = need.Times(job.Tasks)
+	}
+	if !withinLimit(need, team.Limit) {
+		return neverRuns(reasonAboveTeamLimit)
+	}
+	return nil
+}
+
+func withinLimit(used, limit sched.Resources) bool {
+	return (limit.CPU == 0 || used.CPU <= limit.CPU) && (limit.GPU == 0 || used.GPU <= limit.GPU)
+}
+
+// add takes a submission, or adds the request to that of the same job.
+func (s *submissions) add(request uint64, job *sched.Job, writes int) {
+	if known := s.byJob[job.ID]; known != nil {
+		known.requests = append(known.requests, request)
+		return
+	}
+	if len(s.waiting)+s.checking >= maxSubmissions {
+		s.c.refuse(request, wire.StatusTooMany, reasonManySubmissions)
+		return
+	}
+	added := &submission{job: job, requests: []uint64{request}, receivedAt: s.c.now, writes: writes, status: wire.JobQueued}
+	s.byJob[job.ID] = added
+	if len(job.Awaits) > 0 {
+		s.checkAwaited(added)
+		return
+	}
+	s.waiting = append(s.waiting, added)
+}
+
+// checkAwaited checks that all jobs that a submission awaits were accepted, and how they stand.
+// That a job was accepted is final, so a read before the commit suffices.
+func (s *submissions) checkAwaited(sub *submission) {
+	c, id := s.c, sub.job.ID
+	switch {
+	case slices.Contains(sub.job.Awaits, id):
+		s.answerKnownOr(sub, neverRuns(reasonAwaitsItself))
+		return
+	case c.finals.of(id) != "" || c.knownVersion(id) != 0:
+		s.answerKnownOr(sub, unavailable(reasonStoreSilent))
+		return
+	case !c.graph.Synced():
+		s.answerKnownOr(sub, unavailable(reasonJobsUnknown))
+		return
+	}
+	s.checking++
+	c.checkDependencies(sub.job.Awaits, c.now+acceptWithin, func(result dependencyResult) {
+		s.checking--
+		s.awaitedChecked(sub, result)
+	})
+}
+
+// awaitedChecked goes on once it is known how the jobs stand that a submission awaits.
+func (s *submissions) awaitedChecked(sub *submission, result dependencyResult) {
+	switch result.status {
+	case dependenciesUnknown:
+		s.answerKnownOr(sub, unavailable(reasonStoreSilent))
+		return
+	case dependenciesNeverAccepted:
+		s.answerKnownOr(sub, neverRuns(reasonAwaitsUnaccepted))
+		return
+	case dependenciesCancelled:
+		sub.status, sub.cancelledRoot = wire.JobCancelled, result.cancelledRoot
+	}
+	s.waiting = append(s.waiting, sub)
+}
+
+// answerKnownOr answers a submission with the state of the job if it was accepted before,
+// whatever became of those that it awaits, and else with a refusal.
+func (s *submissions) answerKnownOr(sub *submission, refused *refusal) {
+	s.c.lookup(sub.job.ID, func(result lookupResult) {
+		s.finish(sub, func(request uint64) {
+			switch {
+			case result.outcome == lookupFound:
+				s.c.respondState(request, wire.StatusOK, sub.job.ID, result.status)
+			case result.outcome == lookupNotFound && refused.final():
+				s.c.reject(request, refused.status, refused.reason)
+			default:
+				s.c.refuse(request, wire.StatusUnavailable, refused.reason)
+			}
+		})
+	})
+}
+
+// finish ends a submission: all its requests are answered.
+func (s *submissions) finish(sub *submission, answer func(request uint64)) {
+	delete(s.byJob, sub.job.ID)
+	for _, request := range sub.requests {
+		answer(request)
+	}
+}
+
+// refuseAll ends a submission that cannot be recorded now.
+func (s *submissions) refuseAll(sub *submission, reason refusalReason) {
+	s.finish(sub, func(request uint64) { s.c.refuse(request, wire.StatusUnavailable, reason) })
+}
