--- /dev/null
+++ b/sched/place_property_test.go
@@ -0,0 +1,113 @@
+package sched
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of drawn cases, so that the verdict is always the same. Another
+// seed can be given on the command line.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// drawMachines draws machines of two types in three zones with some room left.
+func drawMachines(t *rapid.T) []*Machine {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) *Machine {
+		return &Machine{
+			Name:   fmt.Sprintf("m-%06d", rapid.IntRange(0, 1<<20).Draw(t, "name")),
+			Type:   rapid.SampledFrom([]string{"small", "big"}).Draw(t, "type"),
+			Zone:   rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"),
+			Spot:   rapid.Bool().Draw(t, "spot"),
+			Free:   NewResources(float64(rapid.IntRange(-2, 16).Draw(t, "cpus")), 0, float64(rapid.IntRange(0, 64).Draw(t, "mem"))),
+			Slots:  rapid.IntRange(0, 5).Draw(t, "slots"),
+			Scarce: rapid.Bool().Draw(t, "scarce"),
+			Kept:   rapid.IntRange(0, 3).Draw(t, "kept") == 0,
+			For:    rapid.SampledFrom([]string{"", "", "", "job", "other"}).Draw(t, "for"),
+		}
+	}), 0, 12).Draw(t, "machines")
+}
+
+// drawJob draws a gang or an array with its restrictions.
+func drawJob(t *rapid.T) *Job {
+	j := &Job{
+		ID:    "job",
+		Gang:  rapid.Bool().Draw(t, "gang"),
+		Tasks: rapid.IntRange(1, 9).Draw(t, "tasks"),
+		Need:  NewResources(float64(rapid.IntRange(1, 6).Draw(t, "need")), 0, 1),
+		Spot:  rapid.Bool().Draw(t, "may use spot"),
+	}
+	switch rapid.IntRange(0, 3).Draw(t, "restriction") {
+	case 0:
+		j.OneZone = true
+	case 1:
+		j.Spread = true
+	case 2:
+		j.Types = []string{"big"}
+	}
+	if j.Gang && j.Spot {
+		j.Ordinary = rapid.IntRange(0, j.Tasks).Draw(t, "ordinary")
+	}
+	return j
+}
+
+// TestPlaceKeepsRestrictions draws jobs and machines: whatever is placed fits, is allowed
+// there, keeps the job's rules on zones and spot machines, and a gang is placed whole.
+func TestPlaceKeepsRestrictions(t *testing.T) {
+	placed := 0
+	rapid.Check(t, func(t *rapid.T) {
+		j, machines := drawJob(t), drawMachines(t)
+		want := j.Tasks
+		if !j.Gang {
+			want = rapid.IntRange(0, j.Tasks).Draw(t, "want")
+		}
+		assignments := Place(j, machines, want, nil)
+		total, spots := 0, 0
+		byZone := map[string]int{}
+		for _, a := range assignments {
+			m := a.Machine
+			switch {
+			case a.Count <= 0 || a.Count > m.Slots || !j.Need.Times(a.Count).Fits(m.Free):
+				t.Fatalf("%d tasks do not fit on %+v", a.Count, *m)
+			case !j.Allows(m.Type, m.Zone, m.Spot):
+				t.Fatalf("the job may not run on %+v", *m)
+			case m.Kept && !j.Gang || m.For != "" && m.For != j.ID:
+				t.Fatalf("%+v is reserved for others", *m)
+			}
+			total += a.Count
+			byZone[m.Zone] += a.Count
+			if m.Spot {
+				spots += a.Count
+			}
+		}
+		checkTotals(t, j, want, total, spots, byZone)
+		placed += total
+	})
+	if placed == 0 {
+		t.Fatal("nothing was ever placed: the cases test nothing")
+	}
+}
+
+func checkTotals(t *rapid.T, j *Job, want, total, spots int, byZone map[string]int) {
+	if total > want || j.Gang && total != 0 && total != j.Tasks {
+		t.Fatalf("%d of %d tasks placed", total, want)
+	}
+	if j.Gang && spots > j.Tasks-j.Ordinary {
+		t.Fatalf("%d tasks on spot machines, %d must be on ordinary ones", spots, j.Ordinary)
+	}
+	if j.OneZone && len(byZone) > 1 {
+		t.Fatalf("tasks in several zones: %v", byZone)
+	}
+	for zone, tasks := range byZone {
+		if tasks > j.ZoneCap() {
+			t.Fatalf("%d tasks in zone %s, %d are allowed", tasks, zone, j.ZoneCap())
+		}
+	}
+}
