Holds and the search for work to stop have files of their own, in short steps

hold.go held the state machine of holds and the search for victims. The search is in eviction.go now, with the plan, the filter of victims and the wait limit as named steps.

| old | new | | --- | --- | | reserved(name) | isHeld | | held(name) | heldResources | | soon | bootsSoon | | Planner.canRent | Market.CanRent |

--- /dev/null
+++ b/controller/eviction.go
@@ -0,0 +1,281 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+
+	"tamarindlead/config"
+	"tamarindlead/internal/record"
+	"tamarindlead/internal/state"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// This file looks for work to stop for gangs that find no room.
+
+const (
+	// endingSoon is the remaining time below which a task is not stopped but waited for: a
+	// stop would not be faster.
+	endingSoon = 3 * micros.Second
+	// bootsSoon is the boot time left for which nothing is stopped.
+	bootsSoon = 12 * micros.Second
+	// roomRetry is the pause after no room was found.
+	roomRetry = 4 * micros.Second
+)
+
+// makeRoom looks for work to stop for a gang that does not fit, and holds the machines.
+func (o *owner) makeRoom(j *job) bool {
+	if !j.Gang || o.c.now < j.evictAt || o.rentingSuffices(j) || o.comesSoon(j) {
+		return false
+	}
+	covered := o.guaranteed()
+	plan := o.planRoom(j, covered)
+	if plan == nil {
+		j.evictAt = o.c.now + roomRetry
+		o.want(j.Job, j.Tasks, covered[j])
+		return false
+	}
+	h := newHold(j, plan)
+	if state.Size(record.Hold{Machines: h.machines}) > o.c.cfg.ValueBytes {
+		j.evictAt = o.c.now + roomRetry
+		return false // it could never be recorded
+	}
+	o.holds[j.ID] = h
+	o.logPlan(j, plan)
+	return true
+}
+
+// planRoom looks for work to stop: of the gang's own team, else of teams that use more than
+// their guarantees if the gang is covered by its team's.
+func (o *owner) planRoom(j *job, covered map[*job]bool) *sched.Plan {
+	machines := o.evictView()
+	plan := o.evictPlan(j.Job, machines, sched.Preempt, covered)
+	if plan == nil && covered[j] {
+		plan = o.evictPlan(j.Job, machines, sched.Reclaim, covered)
+	}
+	return plan
+}
+
+// newHold returns a hold for the places of a plan, not recorded yet.
+func newHold(j *job, plan *sched.Plan) *hold {
+	h := &hold{job: j.ID, machines: map[string]int{}, need: j.Need, stop: plan.Stop}
+	for _, a := range plan.Place {
+		h.machines[a.Machine.Name] = a.Count
+	}
+	return h
+}
+
+func (o *owner) logPlan(j *job, plan *sched.Plan) {
+	stops := 0
+	for _, b := range plan.Stop {
+		stops += len(b.Tasks)
+		o.c.log.Info("victim", "job", b.Victim.Job, "team", b.Victim.Team, "safe", b.Safe, "tasks", len(b.Tasks), "for", j.ID)
+	}
+	o.c.log.Info("making room", "job", j.ID, "class", j.Class, "ground", plan.Mode.String(), "domain", plan.Domain,
+		"machines", len(plan.Place), "stops", stops)
+}
+
+// evictPlan looks for victims on a ground and for the cheapest set of them.
+func (o *owner) evictPlan(j *sched.Job, machines []*sched.Machine, mode sched.Mode, covered map[*job]bool) *sched.Plan {
+	victims := o.victims(j, mode, covered)
+	if len(victims) == 0 {
+		return nil
+	}
+	rules := sched.Rules{Mode: mode, Threshold: o.c.cfg.Tuning.ROIThreshold, Teams: map[string]sched.TeamUse{}}
+	for name, t := range o.teams {
+		rules.Teams[name] = o.teamUse(t)
+	}
+	domains := sched.Domains(j, machines, victims, o.c.cfg.Tuning.DomainList)
+	return sched.Evict(j, domains, victims, rules)
+}
+
+// teamUse is what a team uses and will go on using: what is being stopped already must
+// not be counted as surplus once more.
+func (o *owner) teamUse(t *team) sched.TeamUse {
+	return sched.TeamUse{Used: t.used.Sub(t.stopping), Guarantee: t.Guarantee}
+}
+
+// guaranteed finds the jobs that their teams' guarantees cover: each team's earliest
+// unfinished ones, as long as they fit together. By what a team uses at the moment, a gang
+// that was just stopped for another would be covered again and take the room back; two
+// teams would stop each other's gangs in turn (docs/incidents/eyjafold-third-reclaim.md).
+func (o *owner) guaranteed() map[*job]bool {
+	list := slices.Clone(o.queue)
+	slices.SortStableFunc(list, func(a, b *job) int { return cmp.Compare(a.since, b.since) })
+	covered, sums := map[*job]bool{}, map[string]sched.Resources{}
+	for _, j := range list {
+		t := o.teams[j.Team]
+		if t == nil || j.state != jobActive || t.Guarantee.CPU == 0 && t.Guarantee.GPU == 0 {
+			continue
+		}
+		sum := sums[j.Team].Add(j.Need.Times(j.Tasks - j.doneN))
+		sums[j.Team] = sum
+		covered[j] = sum.CPU <= t.Guarantee.CPU && (sum.GPU <= t.Guarantee.GPU || j.Need.GPU == 0)
+	}
+	return covered
+}
+
+// rentingSuffices tells that a machine from the cloud would serve in time (ours): then
+// nothing needs to be stopped.
+func (o *owner) rentingSuffices(j *job) bool {
+	market, left := o.market(), o.startLimit(j)-(o.c.day-j.since)
+	for _, t := range o.c.types.list {
+		if t.Boot > left || !j.Need.Fits(t.Size) {
+			continue
+		}
+		for _, zone := range t.Zones {
+			if market.CanRent(j.Job, t.Name, zone) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// startLimit is how long a gang should wait at the most.
+func (o *owner) startLimit(j *job) micros.Micros {
+	limit := o.c.cfg.Tuning.HoldWait
+	for _, objective := range o.c.cfg.Objectives {
+		if objective.Kind == config.ObjectiveStart && objective.Class == j.Class {
+			limit = objective.Within
+		}
+	}
+	return limit
+}
+
+// comesSoon tells that a machine which boots will serve: one for each gang that waits,
+// in the order of the queue.
+func (o *owner) comesSoon(j *job) bool {
+	slots := o.bootingSlots(j)
+	for _, q := range o.queue {
+		if q.Gang && q.gang == gangNone && q.Class == j.Class && o.holds[q.ID] == nil {
+			if slots -= q.Tasks; q == j {
+				return slots >= 0
+			}
+		}
+	}
+	return false
+}
+
+// bootingSlots counts the tasks of a gang that there is room for on machines that will have
+// booted soon.
+func (o *owner) bootingSlots(j *job) int {
+	slots := 0
+	for _, m := range o.list {
+		t := o.c.types.find(m.kind)
+		if m.state != machineBooting || t == nil || !j.Allows(m.kind, m.zone, m.spot) {
+			continue
+		}
+		if o.c.day-m.rented+bootsSoon > t.Boot {
+			slots += j.Need.Count(t.Size, j.Tasks)
+		}
+	}
+	return slots
+}
+
+// leavingSoon tells that an attempt's room will be free without a stop.
+func (o *owner) leavingSoon(a *attempt) bool {
+	switch a.state {
+	case attemptStopping, attemptFinished, attemptLeaving:
+		return true
+	}
+	return a.running != 0 && !a.job.Gang && a.job.Estimate-(o.c.now-a.running) < endingSoon &&
+		o.c.now-a.running < a.job.Estimate+endingSoon
+}
+
+// evictView is the view in which room is sought: what leaves soon is gone already.
+func (o *owner) evictView() []*sched.Machine {
+	view := o.view()
+	for _, v := range view {
+		for _, a := range o.machines[v.Name].attempts {
+			// What is freed is in the view already: counted twice, it would promise room that
+			// another gang may just have taken, and the hold would wait for it for ever.
+			if !a.freed && o.leavingSoon(a) {
+				v.Free = v.Free.Add(a.job.Need)
+			}
+		}
+	}
+	return view
+}
+
+// victims lists jobs that may be stopped for j.
+func (o *owner) victims(j *sched.Job, mode sched.Mode, covered map[*job]bool) []*sched.Victim {
+	var list []*sched.Victim
+	for _, id := range sortedKeys(o.jobs) {
+		candidate := o.jobs[id]
+		if candidate.Job == j || !mayStopFor(j, candidate, mode, covered) || o.holds[id] != nil {
+			continue
+		}
+		if victim := o.describeVictim(candidate); victim.Ready > 0 {
+			list = append(list, victim)
+		}
+	}
+	return list
+}
+
+// mayStopFor tells whether a job may be stopped for j. What another team's guarantee covers is
+// not reclaimed: the part that it runs beyond is its later work.
+func mayStopFor(j *sched.Job, candidate *job, mode sched.Mode, covered map[*job]bool) bool {
+	if candidate.state != jobActive || candidate.gang == gangStopping || candidate.gang == gangPlacing {
+		return false
+	}
+	sameTeam := candidate.Team == j.Team
+	switch mode {
+	case sched.Preempt:
+		return sameTeam && candidate.Priority < j.Priority
+	case sched.Reclaim:
+		return !sameTeam && !covered[candidate]
+	}
+	return true
+}
+
+// describeVictim lists the tasks of a job that may be stopped.
+func (o *owner) describeVictim(j *job) *sched.Victim {
+	victim := &sched.Victim{Job: j.ID, Team: j.Team, Priority: j.Priority}
+	if j.Gang {
+		victim.Min = j.Tasks
+	}
+	for _, a := range j.sorted() {
+		if o.leavingSoon(a) || a.state == attemptProposed {
+			continue
+		}
+		victim.Ready++
+		victim.Whole = victim.Whole.Add(j.Need)
+		victim.Since = max(victim.Since, a.since)
+		victim.Tasks = append(victim.Tasks, sched.VictimTask{
+			Index: a.index, Machine: a.machine.name, Res: j.Need, Since: a.since, Lost: o.lostWork(a),
+		})
+	}
+	return victim
+}
+
+// lostWork is what a stop of an attempt undoes: all of its progress, or the time for
+// saving.
+func (o *owner) lostWork(a *attempt) float64 {
+	lost := a.job.Save
+	if a.job.Checkpoint == 0 && a.running != 0 {
+		lost = o.c.now - a.running
+	}
+	return a.job.Need.CPUs() * lost.Seconds()
+}
+
+// stopVictims begins the stops of a hold that is recorded.
+func (o *owner) stopVictims(h *hold) {
+	o.stopBundles(h.stop, "room for "+h.job)
+	h.stop = nil
+}
+
+// stopBundles begins the stops of a plan, as far as its tasks are still where they were.
+func (o *owner) stopBundles(bundles []sched.Bundle, why string) {
+	for _, b := range bundles {
+		v := o.jobs[b.Victim.Job]
+		if v == nil || v.state != jobActive {
+			continue
+		}
+		for _, t := range b.Tasks {
+			if a := v.attempts[t.Index]; a != nil && a.machine.name == t.Machine {
+				o.evict(a, why)
+			}
+		}
+	}
+}
--- a/controller/gang_reservations.go
+++ b/controller/gang_reservations.go
@@ -65,7 +65,7 @@
 	byZone := map[string][]gangCandidate{}
 	for _, v := range view {
 		m := o.machines[v.Name]
-		if v.Slack || v.Kept || !v.Scarce && !starves || !j.Allows(v.Type, v.Zone, v.Spot) || o.reserved(v.Name) {
+		if v.Slack || v.Kept || !v.Scarce && !starves || !j.Allows(v.Type, v.Zone, v.Spot) || o.isHeld(v.Name) {
 			continue // what a hold reserves is spoken for
 		}
 		fits := j.Need.Count(m.size, j.Tasks)
--- /dev/null
+++ b/controller/holds.go
@@ -0,0 +1,206 @@
+package controller
+
+import (
+	"strings"
+
+	"tamarindlead/internal/record"
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// This file keeps machines free for gangs for which work is stopped (see eviction.go).
+
+// holdState is the state machine of a hold.
+type holdState int
+
+const (
+	holdPlanned  holdState = iota // must be recorded before anything is stopped
+	holdStopping                  // recorded; what must go is leaving
+	holdWaiting                   // the room is free: the gang may be placed
+	holdOver                      // its record must go
+)
+
+func (s holdState) String() string { return [...]string{"planned", "stopping", "waiting", "over"}[s] }
+
+// hold is kept in one record, so that it survives its owner.
+type hold struct {
+	job      string
+	state    holdState
+	machines map[string]int // tasks of the gang by machine
+	need     sched.Resources
+	stop     []sched.Bundle // what is stopped once the hold is recorded
+	until    micros.Micros  // end of waiting
+	writing  bool
+}
+
+// stopPatience is how many times the wait of a hold its stops may take: what keeps its room
+// for longer was not among them.
+const stopPatience = 2
+
+// setHold is the one place where a hold changes its state.
+func (o *owner) setHold(h *hold, s holdState, why string) {
+	if h.state == s {
+		return
+	}
+	o.c.log.Info("hold", "job", h.job, "from", h.state.String(), "to", s.String(), "machines", len(h.machines), "why", why)
+	h.state = s
+	switch s {
+	case holdStopping:
+		h.until = o.c.now + stopPatience*o.c.cfg.Tuning.HoldWait
+	case holdWaiting:
+		h.until = o.c.now + o.c.cfg.Tuning.HoldWait
+	case holdOver:
+		o.wantSchedule = true
+	}
+}
+
+// heldResources is what is kept on a machine for gangs that are not placed yet.
+func (o *owner) heldResources(name string) sched.Resources {
+	var sum sched.Resources
+	for id, h := range o.holds {
+		if j := o.jobs[id]; h.state != holdOver && j != nil && j.gang == gangNone {
+			sum = sum.Add(h.need.Times(h.machines[name]))
+		}
+	}
+	return sum
+}
+
+// heldView is what the holder of a hold may use: the held machines, with what is kept
+// there.
+func (o *owner) heldView(h *hold, view []*sched.Machine) []*sched.Machine {
+	var out []*sched.Machine
+	for _, v := range view {
+		if n := h.machines[v.Name]; n > 0 {
+			c := *v
+			c.Free = c.Free.Add(h.need.Times(n))
+			c.Kept, c.For = false, "" // the hold comes before what is kept for others
+			out = append(out, &c)
+		}
+	}
+	return out
+}
+
+// tickHolds moves holds on.
+func (o *owner) tickHolds() {
+	for _, id := range sortedKeys(o.holds) {
+		h, j := o.holds[id], o.jobs[id]
+		switch {
+		case h.state == holdOver:
+		case j == nil || j.state != jobActive:
+			o.setHold(h, holdOver, "the gang is over")
+		case o.holdBroken(h):
+			o.setHold(h, holdOver, "a machine is gone")
+		case j.gang == gangStarting && o.allLive(j):
+			j.evictions = 0
+			o.setHold(h, holdOver, "the gang has started")
+		case h.state == holdStopping && o.roomFree(h):
+			o.setHold(h, holdWaiting, "all stops have ended")
+			o.wantSchedule = true
+		case h.state == holdStopping && o.c.now > h.until:
+			o.setHold(h, holdOver, "its room does not come free")
+		case h.state == holdWaiting && j.gang == gangNone && o.c.now > h.until:
+			// Each eviction in vain doubles the pause before the next (ours).
+			j.evictAt = o.c.now + o.c.cfg.Tuning.HoldWait<<min(j.evictions, 4)
+			j.evictions++
+			o.setHold(h, holdOver, "the gang has not started")
+		}
+	}
+}
+
+// holdBroken tells that a machine of a hold can't be used any more.
+func (o *owner) holdBroken(h *hold) bool {
+	for name := range h.machines {
+		if m := o.machines[name]; m == nil || m.state != machineUp {
+			return true
+		}
+	}
+	return false
+}
+
+// roomFree tells whether the held room is free of what had to go.
+func (o *owner) roomFree(h *hold) bool {
+	for name, n := range h.machines {
+		m := o.machines[name]
+		if !h.need.Times(n).Fits(m.size.Sub(m.used)) {
+			return false
+		}
+	}
+	return true
+}
+
+// allLive tells that all tasks of a job that have a place run.
+func (o *owner) allLive(j *job) bool {
+	for _, a := range j.attempts {
+		if a.state != attemptLive || a.phase != wire.PhaseRunning {
+			return false
+		}
+	}
+	return len(j.attempts) > 0
+}
+
+// flushHolds writes the records of holds, and removes those that are over.
+func (o *owner) flushHolds(t *txn, full func() bool) {
+	for _, id := range sortedKeys(o.holds) {
+		h := o.holds[id]
+		if h.state == holdPlanned && o.jobs[id] == nil {
+			o.setHold(h, holdOver, "the gang is over")
+		}
+		if h.writing || h.state != holdPlanned && h.state != holdOver {
+			continue
+		}
+		if full() {
+			return
+		}
+		h.writing = true
+		over := h.state == holdOver
+		if over {
+			t.writes = append(t.writes, state.Write{Delete: record.HoldKey(id)})
+		} else {
+			t.guards[record.ActiveKey(id)] = o.jobs[id].version
+			t.put(record.HoldKey(id), record.Hold{Machines: h.machines})
+		}
+		t.results = append(t.results, func(ok bool, _ uint64) {
+			h.writing = false
+			switch {
+			case !ok:
+			case over:
+				delete(o.holds, id)
+				o.wantSchedule = true
+			case h.state == holdPlanned:
+				o.setHold(h, holdStopping, "recorded")
+				o.stopVictims(h)
+			}
+		})
+	}
+}
+
+// loadHolds takes over the holds of an earlier owner. Its stops may not all have been
+// begun; what was not is found by the gang's next look for room once the wait is over.
+func (o *owner) loadHolds(entries []state.Entry) {
+	for _, e := range entries {
+		var rec record.Hold
+		id := strings.TrimPrefix(e.Key, record.HoldPrefix)
+		j := o.placedJob(id)
+		if j == nil || wire.Decode(e.Value, &rec) != nil {
+			if o.ownsAllTeams() { // else it may be another owner's
+				o.garbage = append(o.garbage, e.Key)
+			}
+			continue
+		}
+		h := &hold{job: id, machines: rec.Machines, need: j.Need, state: holdWaiting}
+		h.until = o.c.now + o.c.cfg.Tuning.HoldWait
+		o.holds[id] = h
+	}
+}
+
+// isHeld tells whether a machine is held for some gang, and so must not be returned.
+func (o *owner) isHeld(name string) bool {
+	for _, h := range o.holds {
+		if h.state != holdOver && h.machines[name] > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -166,7 +166,7 @@
 const idleToGive = 2 * micros.Second
 
 func (o *owner) isIdle(m *machine) bool {
-	return m.state == machineUp && len(m.attempts) == 0 && m.token != 0 && !o.reserved(m.name) &&
+	return m.state == machineUp && len(m.attempts) == 0 && m.token != 0 && !o.isHeld(m.name) &&
 		o.c.now-m.idleSince > idleToGive
 }
 
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -117,7 +117,7 @@
 	d.Size, d.Used = o.machineSize(m), m.used
 	d.Age, d.IdleFor = o.c.day-m.rented, o.c.now-m.idleSince
 	d.Claimed, d.Busy = m.token != 0, len(m.attempts) > 0
-	d.Reserved = o.reserved(m.name)
+	d.Held = o.isHeld(m.name)
 	d.OnlySlack = d.Busy && o.scarce(m) && o.onlySlack(m)
 	if forGangs {
 		d.BusyFor = o.busyFor(m)
--- a/internal/capacity/planner.go
+++ b/internal/capacity/planner.go
@@ -46,15 +46,15 @@
 type Machine struct {
 	Name string
 	Offer
-	State    MachineState
-	Size     sched.Resources
-	Used     sched.Resources
-	Age      micros.Micros // since it was rented
-	IdleFor  micros.Micros // without any task
-	BusyFor  micros.Micros // until all its tasks have ended, where gangs could use it
-	Claimed  bool          // recorded as this node's, so that it may take work
-	Busy     bool          // has tasks
-	Reserved bool          // kept for a gang for which work was stopped
+	State   MachineState
+	Size    sched.Resources
+	Used    sched.Resources
+	Age     micros.Micros // since it was rented
+	IdleFor micros.Micros // without any task
+	BusyFor micros.Micros // until all its tasks have ended, where gangs could use it
+	Claimed bool          // recorded as this node's, so that it may take work
+	Busy    bool          // has tasks
+	Held    bool          // for a gang for which work was stopped
 	// OnlySlack: no job that depends on the machine's type has tasks on it. Only known of busy
 	// machines of a scarce type.
 	OnlySlack bool
--- a/internal/capacity/planner_test.go
+++ b/internal/capacity/planner_test.go
@@ -256,7 +256,7 @@
 		"work waits":    func(_ *Planner, d *Demand) { d.Waiting = 300 },
 		"a gang's":      func(_ *Planner, d *Demand) { d.First = gang("g", 2, 1) },
 		"just rented":   func(p *Planner, _ *Demand) { setAll(p, func(m *Machine) { m.Age = 39 * micros.Second }) },
-		"reserved":      func(p *Planner, _ *Demand) { setAll(p, func(m *Machine) { m.Reserved = true }) },
+		"reserved":      func(p *Planner, _ *Demand) { setAll(p, func(m *Machine) { m.Held = true }) },
 		"spot machines": func(p *Planner, _ *Demand) { setAll(p, func(m *Machine) { m.Spot = true }) },
 	} {
 		p, d := build()
@@ -287,7 +287,7 @@
 		"spot":              func(m *Machine) { m.Spot, m.IdleFor = true, 30*micros.Second },
 		"charged anyway":    func(m *Machine) { m.Age = 55 * micros.Second },
 		"busy":              func(m *Machine) { m.Busy = true },
-		"reserved":          func(m *Machine) { m.Reserved = true },
+		"reserved":          func(m *Machine) { m.Held = true },
 		"not claimed":       func(m *Machine) { m.Claimed = false },
 		"booting":           func(m *Machine) { m.State = MachineBooting },
 	} {
--- a/internal/capacity/scale_down.go
+++ b/internal/capacity/scale_down.go
@@ -117,7 +117,7 @@
 // mayDrain tells whether a machine that a job could use may be drained: spot machines cost
 // little, and one that is charged for in any case may as well stay.
 func (p *Planner) mayDrain(m *Machine, job *sched.Job) bool {
-	return m.State == MachineUp && !m.Spot && !m.Reserved && m.Age >= minCharged-drainBefore &&
+	return m.State == MachineUp && !m.Spot && !m.Held && m.Age >= minCharged-drainBefore &&
 		!p.avoids(job, m.Offer) && p.UsableCPUs(job, m.Offer) > 0
 }
 
@@ -158,7 +158,7 @@
 func (p *Planner) idleMachines() []*Machine {
 	var idle []*Machine
 	for _, m := range p.Machines {
-		if m.State == MachineUp && !m.Busy && m.Claimed && !m.Reserved {
+		if m.State == MachineUp && !m.Busy && m.Claimed && !m.Held {
 			idle = append(idle, m)
 		}
 	}
--- a/internal/capacity/zone.go
+++ b/internal/capacity/zone.go
@@ -28,7 +28,7 @@
 			if option.fits >= tasks {
 				option.complete = 1
 			}
-			if p.canRent(job, t.Name, zone) {
+			if p.CanRent(job, t.Name, zone) {
 				option.more = 1
 			}
 			options = append(options, option)
@@ -40,10 +40,10 @@
 	return slices.MaxFunc(options, compareZones).zone
 }
 
-// canRent tells whether spot or ordinary machines of a type may be had for a job.
-func (p *Planner) canRent(job *sched.Job, typeName, zone string) bool {
+// CanRent tells whether spot or ordinary machines of a type may be had for a job.
+func (m Market) CanRent(job *sched.Job, typeName, zone string) bool {
 	for _, spot := range []bool{false, true} {
-		if job.Allows(typeName, zone, spot) && p.Available(Offer{Type: typeName, Zone: zone, Spot: spot}) {
+		if job.Allows(typeName, zone, spot) && m.Available(Offer{Type: typeName, Zone: zone, Spot: spot}) {
 			return true
 		}
 	}
