--- a/controller/cluster.go
+++ b/controller/cluster.go
@@ -87,11 +87,11 @@
 
 // onlyPeersHeard tells that no worker reaches this node although some reach a peer.
 func (c *Core) onlyPeersHeard() bool {
-	if len(c.heard) > 0 {
+	if len(c.recentReports) > 0 {
 		return false
 	}
 	for _, s := range c.peers {
-		if s.fresh(c.now) && s.heard > 0 {
+		if s.fresh(c.now) && s.recentReports > 0 {
 			return true
 		}
 	}
@@ -113,7 +113,7 @@
 // claimant finds the sibling that says it owns a machine, or "".
 func (c *Core) claimant(machine string) string {
 	for _, cfg := range c.cfg.Siblings {
-		if s := c.peers[cfg.Node]; s.fresh(c.now) && s.machines[machine] {
+		if s := c.peers[cfg.Node]; s.fresh(c.now) && s.ownsMachine[machine] {
 			return s.Node
 		}
 	}
--- a/controller/core.go
+++ b/controller/core.go
@@ -34,7 +34,7 @@
 
 	budget      *budget.Budget
 	store       *store.Client
-	peers       map[string]*sibling
+	peers       map[string]*peerNode
 	types       typeTable
 	submissions submissions
 	finals      finalStates
@@ -53,7 +53,7 @@
 	timers    []timer
 	cloudRate *rate.Limiter
 
-	heard []micros.Micros // arrivals of workers' reports, latest last
+	recentReports []micros.Micros // arrivals of workers' reports, latest last
 	// elsewhereAt is when a worker of another zone reported last.
 	elsewhereAt micros.Micros
 	nextSlow    micros.Micros
@@ -68,13 +68,13 @@
 		cfg: cfg, log: log, now: now, day: day,
 		calls: map[uint64]func(CallDone){},
 		debug: log.Enabled(context.Background(), slog.LevelDebug),
-		peers: map[string]*sibling{},
+		peers: map[string]*peerNode{},
 	}
 	c.cloudRate = rate.NewLimiter(rate.Limit(cfg.CloudRPS), max(1, int(cfg.CloudRPS)))
 	c.node = cluster.New(cfg, clusterStore{c}, clusterHost{c}, rand.New(rand.NewPCG(seed, randomStream)), log)
 	c.cluster = c.node.View()
 	for _, s := range cfg.Siblings {
-		c.peers[s.Node] = &sibling{Sibling: s}
+		c.peers[s.Node] = &peerNode{Sibling: s}
 	}
 	c.cancellations = newCancellations(c)
 	c.budget = budget.New(budget.Limits{
--- a/controller/moves.go
+++ b/controller/moves.go
@@ -93,7 +93,7 @@
 		if node == c.cfg.Node && c.owner != nil {
 			c.owner.tell(beat)
 		} else if s := c.peers[node]; s != nil && s.fresh(c.now) {
-			beat.Idle, beat.Teams = s.idle, s.teams
+			beat.Idle, beat.Teams = s.idleMachines, s.teams
 		}
 		if c.cluster.MemberID(node) == w.Owner {
 			continue
--- a/controller/queries.go
+++ b/controller/queries.go
@@ -49,8 +49,8 @@
 	latest := micros.Micros(0)
 	for _, cfg := range c.cfg.Siblings { // an earlier owner may still say what it knew
 		s := c.peers[cfg.Node]
-		if count := s.jobs[job]; count != nil && s.lastAt > latest {
-			latest, done, running = s.lastAt, int(count.Done), int(count.Running)
+		if count := s.jobCounts[job]; count != nil && s.lastHeard > latest {
+			latest, done, running = s.lastHeard, int(count.Done), int(count.Running)
 		}
 	}
 	return done, running
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -19,8 +19,8 @@
 		c.respond(r.ID, wire.StatusMalformed, wire.Problem{Error: err.Error()})
 		return
 	}
-	if len(c.heard) < maxHeard {
-		c.heard = append(c.heard, c.now)
+	if len(c.recentReports) < maxHeard {
+		c.recentReports = append(c.recentReports, c.now)
 	}
 	switch {
 	case c.owner != nil:
--- a/controller/store.go
+++ b/controller/store.go
@@ -26,7 +26,7 @@
 
 func (h storeHost) ServedPeer() string {
 	for _, cfg := range h.c.cfg.Siblings {
-		if s := h.c.peers[cfg.Node]; s.fresh(h.c.now) && s.storeOK {
+		if s := h.c.peers[cfg.Node]; s.fresh(h.c.now) && s.storeServes {
 			return s.Node
 		}
 	}
@@ -41,7 +41,7 @@
 	h.c.callPeer(s, msg, timeout, store.MaxBody, func(m *peer.Message, sent bool) {
 		reply := m.GetStoreReply()
 		if reply == nil {
-			s.storeOK = false // until its next heartbeat
+			s.storeServes = false // until its next heartbeat
 			done(store.Response{Sent: sent})
 			return
 		}
