--- a/controller/commits.go
+++ b/controller/commits.go
@@ -232,7 +232,7 @@
 		j.writing = true
 		t.guards[record.ActiveKey(j.ID)] = j.version
 		t.writes = append(t.writes, state.Write{Delete: record.ActiveKey(j.ID)})
-		t.put(record.FinalKey(j.ID), record.Final{Status: wire.JobDone, At: o.c.day})
+		t.put(record.FinalKey(j.ID), record.Final{Status: record.StatusDone, At: o.c.day})
 		t.results = append(t.results, func(ok bool, _ uint64) {
 			j.writing = false
 			if ok && j.state != jobEnded {
--- a/controller/dependencies.go
+++ b/controller/dependencies.go
@@ -161,7 +161,7 @@
 			d.done(dependencyResult{status: dependenciesNeverAccepted})
 			return
 		}
-		if rec.Status == wire.JobCancelled && root == "" {
+		if rec.Status == record.StatusCancelled && root == "" {
 			root = rec.CancelledRoot(id)
 		}
 	}
--- a/controller/finalreads.go
+++ b/controller/finalreads.go
@@ -29,13 +29,13 @@
 // takeFinal takes the final record of a job that others await.
 func (c *Core) takeFinal(id string, rec record.Final) {
 	switch rec.Status {
-	case wire.JobDone:
-		at := micros.Micros(rec.At)
+	case record.StatusDone:
+		at := rec.At
 		if at == 0 { // an older version did not record when
 			at = c.day
 		}
 		c.graph.Done(id, min(at, c.day))
-	case wire.JobCancelled:
+	case record.StatusCancelled:
 		c.graph.Cancelled(id, rec.CancelledRoot(id))
 	}
 }
--- a/controller/finalreads_test.go
+++ b/controller/finalreads_test.go
@@ -10,7 +10,6 @@
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/standin"
 	"tamarindlead/internal/state"
-	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
 
@@ -25,7 +24,7 @@
 		for i := range 3000 {
 			id := jobName(i)
 			if rng.IntN(3) > 0 {
-				s.Handle("n0", "POST", "/commit", state.Commit(nil, []state.Write{{Put: record.FinalKey(id), Value: record.Final{Status: wire.JobDone}}}).Body, true)
+				s.Handle("n0", "POST", "/commit", state.Commit(nil, []state.Write{{Put: record.FinalKey(id), Value: record.Final{Status: record.StatusDone}}}).Body, true)
 				want[id] = true
 			}
 			if rng.IntN(1+int(seed)*20) == 0 {
--- a/controller/incompatible_test.go
+++ b/controller/incompatible_test.go
@@ -55,7 +55,7 @@
 	d.Pack(&d.Machines[0], []record.BlockTask{{Job: 0, Index: 4, Number: 7}, {Job: 0, Index: 6, Number: 7}})
 	return map[string][]byte{
 		record.ActiveKey(j.ID):            wire.Encode(map[string]any{"j": wire.FromJob(j), "at": 11}),
-		record.FinalKey(j.ID):             wire.Encode(record.Final{Status: wire.JobCancelled, At: 5}),
+		record.FinalKey(j.ID):             wire.Encode(record.Final{Status: record.StatusCancelled, At: 5}),
 		record.LeaderKey:                  wire.Encode(record.Leader{Node: "n1", Incarnation: 2}),
 		record.MemberKey("n1"):            wire.Encode(record.Member{Incarnation: 2}),
 		record.TeamKey("red"):             wire.Encode(record.Team{Owner: "n1", Incarnation: 2, Term: 3, Predecessors: []string{"n0.1"}}),
--- a/controller/job_queue.go
+++ b/controller/job_queue.go
@@ -32,7 +32,7 @@
 	if o.teams[spec.Team] == nil {
 		return // another owner's
 	}
-	j := newJob(spec, version, micros.Micros(rec.Accepted))
+	j := newJob(spec, version, rec.Accepted)
 	if rec.Waiting != nil {
 		j.parts = rec.Parts
 		o.addWaiting(j)
--- a/controller/jobview_test.go
+++ b/controller/jobview_test.go
@@ -53,8 +53,8 @@
 			{Delete: record.ActiveKey(jobName(5)), Version: revision + 2},
 		}}, o.c.day)
 		finals := map[string]record.Final{
-			jobName(0): {Status: wire.JobDone, At: 3},
-			jobName(5): {Status: wire.JobCancelled},
+			jobName(0): {Status: record.StatusDone, At: 3},
+			jobName(5): {Status: record.StatusCancelled},
 		}
 		for _, id := range g.Unresolved() {
 			o.c.takeFinal(id, finals[id])
--- a/controller/waiting.go
+++ b/controller/waiting.go
@@ -9,7 +9,6 @@
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/store"
-	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
 
@@ -110,7 +109,7 @@
 	j.writing = true
 	t.guards[record.ActiveKey(j.ID)] = j.version
 	t.writes = append(t.writes, state.Write{Delete: record.ActiveKey(j.ID)})
-	t.put(record.FinalKey(j.ID), record.Final{Status: wire.JobCancelled, At: o.c.day, Before: root})
+	t.put(record.FinalKey(j.ID), record.Final{Status: record.StatusCancelled, At: o.c.day, Before: root})
 	t.results = append(t.results, func(ok bool, _ uint64) {
 		j.writing = false
 		switch {
--- a/internal/record/job_test.go
+++ b/internal/record/job_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -84,3 +85,24 @@
 		}
 	}
 }
+
+// TestDescription guards that a job comes back from its record, ready or waiting.
+func TestDescription(t *testing.T) {
+	for _, job := range []*sched.Job{testJob("req-000001"), testJob("req-000001", "req-000002")} {
+		writes, _ := JobWrites(job, 77, 8<<10)
+		var rec Job
+		if err := wire.Decode(wire.Encode(writes[0].Value), &rec); err != nil {
+			t.Fatal(err)
+		}
+		got, err := rec.Description()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !bytes.Equal(wire.Encode(wire.FromJob(got)), wire.Encode(wire.FromJob(job))) || rec.Accepted != 77 {
+			t.Fatalf("%+v came back as %+v", job, got)
+		}
+	}
+	if _, err := new(Job).Description(); !errors.Is(err, ErrNoDescription) {
+		t.Fatalf("error %v", err)
+	}
+}
