--- /dev/null
+++ b/controller/world_workers_test.go
@@ -0,0 +1,188 @@
+package controller
+
+import (
+	"tamarindlead/internal/standin"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// noteGone drops what ran on machines that were deleted.
+func (w *world) noteGone() {
+	for task, name := range w.running {
+		if w.cloud.Machines[name].Gone {
+			delete(w.running, task)
+		}
+	}
+}
+
+func (w *world) workerNames() []string { return sortedKeys(w.workers) }
+
+func (w *world) bootMachines() {
+	for _, name := range w.cloud.Names() {
+		m := w.cloud.Machines[name]
+		if m.Started || m.Gone || m.UpAt == 0 || w.now < m.UpAt {
+			continue
+		}
+		m.Started = true
+		t := w.typeOf(m.Type)
+		w.bootWorker(m, t)
+	}
+}
+
+func (w *world) bootWorker(m *standin.CloudMachine, t wire.MachineType) *standin.Worker {
+	k := &standin.Worker{
+		Machine: m, CPU: t.CPUs, Mem: t.MemGB, Session: 1, Tasks: map[string]*standin.Task{},
+		Lease: w.cfg.Lease, LastSent: w.now, Changed: true,
+		Node: w.rng.IntN(len(w.nodes)), NextAt: w.now,
+		Info:    func(task string) (standin.TaskInfo, bool) { return w.info(task) },
+		OnStart: w.onStart, OnExit: w.onExit, GangReady: w.gangReady, GangWhole: w.gangWhole, GangPeer: w.cfg.GangPeer,
+		GangTold: w.gangTold, GangWait: w.cfg.GangWait, Completed: func(task string) bool { return w.done[task] },
+	}
+	w.workers[m.Name] = k
+	return k
+}
+
+func (w *world) typeOf(name string) wire.MachineType {
+	for _, t := range w.cloud.Types {
+		if t.Name == name {
+			return t
+		}
+	}
+	return wire.MachineType{}
+}
+
+func (w *world) info(task string) (standin.TaskInfo, bool) {
+	id, index, _ := wire.SplitTaskName(task)
+	i, ok := w.infos[id]
+	i.Run += micros.Micros(index) * w.apart[id]
+	return i, ok
+}
+
+func (w *world) onStart(k *standin.Worker, task string, attempt uint64) {
+	w.starts++
+	id, _, _ := wire.SplitTaskName(task)
+	w.noteStart(id)
+	w.checkEarly(task, id)
+	j := w.submitted[id]
+	if other, ok := w.running[task]; ok && other != k.Machine.Name {
+		w.breakRule("ran_twice: %s starts on %s while on %s", task, k.Machine.Name, other)
+	}
+	if at, ok := w.cancelled[id]; ok && w.now > at+w.cfg.CancelIn {
+		w.breakRule("ran_cancelled: %s starts", task)
+	}
+	w.running[task] = k.Machine.Name
+	if _, ok := w.began[id]; !ok && (!j.Gang || w.onMachines(id) == j.Tasks) {
+		w.began[id] = w.now
+	}
+	if !j.Allows(k.Machine.Type, k.Machine.Zone, k.Machine.Spot) {
+		w.breakRule("wrong_place: %s on %s", task, k.Machine.Name)
+	}
+	zones := map[string]int{}
+	for other, name := range w.running {
+		if o, _, _ := wire.SplitTaskName(other); o == id {
+			zones[w.cloud.Machines[name].Zone]++
+		}
+	}
+	if j.OneZone && len(zones) > 1 || zones[k.Machine.Zone] > j.ZoneCap() {
+		w.breakRule("wrong_place: %s in zones %v", task, zones)
+	}
+}
+
+// onMachines counts the tasks of a job that are on machines.
+func (w *world) onMachines(id string) int {
+	n := 0
+	for task := range w.running {
+		if o, _, _ := wire.SplitTaskName(task); o == id {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) onExit(k *standin.Worker, task string, cause wire.Cause) {
+	w.stops[string(cause)]++
+	if w.running[task] == k.Machine.Name {
+		delete(w.running, task)
+	}
+	if cause != wire.CauseDone {
+		return
+	}
+	w.done[task] = true
+	id, _, _ := wire.SplitTaskName(task)
+	w.jobEnded(id)
+	w.noteTaskDone(id)
+	if !w.infos[id].Gang {
+		return
+	}
+	for _, name := range w.workerNames() {
+		mate := w.workers[name]
+		for i := range w.infos[id].Tasks {
+			if t := mate.Tasks[wire.TaskName(id, i)]; t != nil && !mate.Machine.Gone && t.Phase == wire.PhaseRunning && t.Attempt == k.Tasks[task].Attempt {
+				mate.Complete(t)
+			}
+		}
+	}
+}
+
+func (w *world) gangReady(task string, attempt uint64) bool {
+	return w.gangCount(task, attempt, func(k *standin.Worker, t *standin.Task) bool {
+		return t.Phase == wire.PhaseWaiting || t.Phase == wire.PhaseRunning
+	})
+}
+
+func (w *world) gangWhole(task string, attempt uint64) bool {
+	return w.gangCount(task, attempt, func(k *standin.Worker, t *standin.Task) bool {
+		return !k.Hung && (t.Phase == wire.PhaseRunning || t.Phase == wire.PhaseSaving || t.Cause == wire.CauseDone)
+	})
+}
+
+// gangCount tells whether all tasks of a gang's attempt are as asked.
+func (w *world) gangCount(task string, attempt uint64, is func(*standin.Worker, *standin.Task) bool) bool {
+	id, _, _ := wire.SplitTaskName(task)
+	n := 0
+	for _, k := range w.workers {
+		if k.Machine.Gone {
+			continue
+		}
+		for name, t := range k.Tasks {
+			if o, _, _ := wire.SplitTaskName(name); o == id && t.Attempt == attempt && is(k, t) {
+				n++
+			}
+		}
+	}
+	return n == w.infos[id].Tasks
+}
+
+func (w *world) stepWorker(k *standin.Worker) {
+	if k.Machine.Gone {
+		return
+	}
+	k.Advance(w.now)
+	if k.Cut || !k.Due(w.now) {
+		return
+	}
+	k.Sent(w.now, w.cfg.ReportEvery)
+	session := k.Session
+	node := w.nodes[k.Node]
+	body := wire.Encode(k.Report())
+	if w.rng.Float64() < w.copies {
+		copyTo := w.nodes[w.rng.IntN(len(w.nodes))]
+		w.after(micros.Micros(w.rng.Int64N(int64(w.copyBy))), func() {
+			w.ask(copyTo, Request{Method: "POST", Path: "/hello", Body: body}, micros.Second, func(Respond) {})
+		})
+	}
+	if w.keepCopies(k, body) || k.Mute || node.deaf || w.parted(w.nodeZone(k.Node), k.Machine.Zone) || w.rng.Float64() < w.loss {
+		w.after(4*micros.Second, func() { k.Answered(w.now, 0, nil, session, w.nodeOf, len(w.nodes)) })
+		return
+	}
+	w.ask(node, Request{Method: "POST", Path: "/hello", Body: body}, 4*micros.Second, func(r Respond) {
+		if k.Deaf {
+			w.after(4*micros.Second, func() { k.Answered(w.now, 0, nil, session, w.nodeOf, len(w.nodes)) })
+			return
+		}
+		if k.Cut || k.Hung || k.Machine.Gone {
+			r = Respond{}
+		}
+		k.Answered(w.now, r.Status, r.Body, session, w.nodeOf, len(w.nodes))
+	})
+}
