--- a/controller/status.go
+++ b/controller/status.go
@@ -10,6 +10,8 @@
 // statusEvery is how often the counters go to the log.
 const statusEvery = 10 * micros.Second
 
+const secondsPerHour = 3600
+
 // counters are what the node did since they were last logged.
 type counters struct {
 	events, reports, lookups, calls int
@@ -34,53 +36,72 @@
 	}
 }
 
+// logStatus logs what an owner's machines do, and what waits for them.
 func (o *owner) logStatus() {
-	type fleet struct {
-		up, idle, booting, leaving int
-		cpus, used                 float64
+	fleets := o.fleets()
+	for _, kind := range sortedKeys(fleets) {
+		f := fleets[kind]
+		o.c.log.Info("fleet", "kind", kind, "up", f.up, "idle", f.idle, "booting", f.booting, "leaving", f.leaving,
+			"cpus", int(f.cpus), "used", int(f.usedCPUs))
 	}
-	kinds := map[string]*fleet{}
+	o.logWork()
+}
+
+// fleet counts the machines of one kind.
+type fleet struct {
+	up, idle, booting, leaving int
+	cpus, usedCPUs             float64 // of those that are up or leaving
+}
+
+// fleets counts an owner's machines, by type and by whether they are spot machines.
+func (o *owner) fleets() map[string]*fleet {
+	fleets := map[string]*fleet{}
 	for _, m := range o.list {
-		name := m.kind
+		kind := m.kind
 		if m.spot {
-			name += " spot"
-		}
-		f := kinds[name]
-		if f == nil {
-			f = &fleet{}
-			kinds[name] = f
+			kind += " spot"
 		}
-		switch m.state {
-		case machineBooting:
-			f.booting++
-			continue
-		case machineUp:
-			f.up++
-			if len(m.attempts) == 0 {
-				f.idle++
-			}
-		default:
-			f.leaving++
+		if fleets[kind] == nil {
+			fleets[kind] = &fleet{}
 		}
-		f.cpus += m.size.CPUs()
-		f.used += m.used.CPUs()
+		fleets[kind].count(m)
 	}
-	for _, name := range sortedKeys(kinds) {
-		f := kinds[name]
-		o.c.log.Info("fleet", "kind", name, "up", f.up, "idle", f.idle, "booting", f.booting, "leaving", f.leaving,
-			"cpus", int(f.cpus), "used", int(f.used))
+	return fleets
+}
+
+func (f *fleet) count(m *machine) {
+	switch m.state {
+	case machineBooting:
+		f.booting++
+		return
+	case machineUp:
+		f.up++
+		if len(m.attempts) == 0 {
+			f.idle++
+		}
+	default:
+		f.leaving++
 	}
+	f.cpus += m.size.CPUs()
+	f.usedCPUs += m.used.CPUs()
+}
+
+// logWork logs what waits for machines.
+func (o *owner) logWork() {
 	jobs, gangs, tasks := 0, 0, 0
 	for _, j := range o.queue {
-		if n := min(j.pending, o.withinTeam(j, sched.Resources{})); n > 0 && j.state == jobActive {
-			jobs++
-			tasks += n
-			if j.Gang {
-				gangs++
-			}
+		waiting := min(j.pending, o.withinTeam(j, sched.Resources{}))
+		if waiting <= 0 || j.state != jobActive {
+			continue
+		}
+		jobs++
+		tasks += waiting
+		if j.Gang {
+			gangs++
 		}
 	}
+	lossesPerHour := o.c.spotRisk.PerSecond(o.c.cfg.Tuning.SpotLoss) * secondsPerHour
 	o.c.log.Info("work", "jobs", len(o.queue), "waiting_jobs", jobs, "waiting_gangs", gangs, "waiting_tasks", tasks,
-		"awaiting_others", len(o.waiting), "proposed", o.proposed, "blocks", len(o.blocks), "shards", len(o.shards), "holds", len(o.holds), "spot_losses_per_h",
-		math.Round(o.c.spotRisk.PerSecond(o.c.cfg.Tuning.SpotLoss)*36000)/10)
+		"awaiting_others", len(o.waiting), "proposed", o.proposed, "blocks", len(o.blocks), "shards", len(o.shards),
+		"holds", len(o.holds), "spot_losses_per_h", math.Round(lossesPerHour*10)/10)
 }
