Machine types: one file, with a function for each step

| old | new | | --- | --- | | typeTable | machineTypeTable | | tickTypes, askTypes, recordTypes | tickMachineTypes, readMachineTypes, fetchMachineTypes, recordMachineTypes | | asking, fromAPI, raw | reading, fromCloud, answer | | typesEvery | machineTypesRefresh, machineTypesRetry |

--- a/controller/core.go
+++ b/controller/core.go
@@ -35,7 +35,7 @@
 	budget      *budget.Budget
 	store       *store.Client
 	peers       map[string]*peerNode
-	types       typeTable
+	types       machineTypeTable
 	submissions submissions
 	finals      finalStates
 	lookups     lookupStage
@@ -111,7 +111,7 @@
 		c.nextSlow = c.now + slowTick
 		c.store.Tick()
 		c.tickPeers()
-		c.tickTypes()
+		c.tickMachineTypes()
 		c.node.Tick(c.now)
 		c.tickJobView()
 		c.tickStatus()
--- a/controller/load.go
+++ b/controller/load.go
@@ -80,5 +80,5 @@
 	o.wantSchedule = true
 	o.setState(ownerActive)
 	o.watchJobs(o.watchRev)
-	o.c.types.next = o.c.now
+	o.c.types.nextAt = o.c.now
 }
--- a/controller/machine_types.go
+++ b/controller/machine_types.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"net/http"
+
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
@@ -10,17 +12,28 @@
 	"tamarindlead/sched"
 )
 
-// typeTable is what the node knows of machine types.
-type typeTable struct {
-	list     []sched.MachineType
-	asking   bool
-	next     micros.Micros
-	fromAPI  bool
-	raw      wire.MachineTypes
-	recorded bool // in the state service, by this life of the node
+// Times of reading the machine types.
+const (
+	// machineTypesRetry is the pause after a read that did not succeed.
+	machineTypesRetry = 2 * micros.Second
+	// machineTypesRefresh is how often an owner reads them again: prices may change.
+	machineTypesRefresh = 30 * micros.Second
+)
+
+// machineTypeTable is what the node knows of machine types. The table is kept in the state
+// service too: a node that starts while the cloud does not answer must still be able to accept
+// jobs.
+type machineTypeTable struct {
+	list      []sched.MachineType
+	reading   bool // from the state service or the cloud
+	nextAt    micros.Micros
+	fromCloud bool
+	answer    wire.MachineTypes // of the cloud
+	recorded  bool              // in the state service, by this incarnation of the node
 }
 
-func (t *typeTable) find(name string) *sched.MachineType {
+// find returns the type of a name, or nil.
+func (t *machineTypeTable) find(name string) *sched.MachineType {
 	for i := range t.list {
 		if t.list[i].Name == name {
 			return &t.list[i]
@@ -29,59 +42,62 @@
 	return nil
 }
 
-// tickTypes keeps the table of machine types. It is kept in the state service too: a
-// node that starts while the cloud does not answer must still be able to accept.
-func (c *Core) tickTypes() {
+// tickMachineTypes keeps the table up to date: an empty one is filled from the state service,
+// or else from the cloud; an owner reads the cloud's answer again and again, others once.
+func (c *Core) tickMachineTypes() {
 	t := &c.types
-	if t.asking || c.now < t.next {
+	if t.reading || c.now < t.nextAt {
 		return
 	}
-	t.asking, t.next = true, c.now+2*micros.Second
-	if len(t.list) == 0 {
-		c.store.Get(budget.Leadership, record.TypesKey, func(out store.Outcome, e state.Entry) {
-			t.asking = false
-			var m wire.MachineTypes
-			if out == store.OK && wire.Decode(e.Value, &m) == nil && len(t.list) == 0 {
-				t.list = m.Types()
-			}
-			if len(t.list) == 0 {
-				c.askTypes()
-			}
-		})
-		return
-	}
-	if c.owner == nil && t.fromAPI || c.owner != nil && c.owner.state != ownerActive {
-		t.asking = false
-		return
+	t.nextAt = c.now + machineTypesRetry
+	switch {
+	case len(t.list) == 0:
+		c.readMachineTypes()
+	case c.owner == nil && !t.fromCloud, c.owner != nil && c.owner.state == ownerActive:
+		c.fetchMachineTypes()
 	}
-	c.askTypes()
 }
 
-const typesEvery = 30 * micros.Second
+// readMachineTypes fills the empty table from the state service, or else from the cloud.
+func (c *Core) readMachineTypes() {
+	t := &c.types
+	t.reading = true
+	c.store.Get(budget.Leadership, record.TypesKey, func(out store.Outcome, e state.Entry) {
+		t.reading = false
+		var recorded wire.MachineTypes
+		if out == store.OK && wire.Decode(e.Value, &recorded) == nil && len(t.list) == 0 {
+			t.list = recorded.Types()
+		}
+		if len(t.list) == 0 {
+			c.fetchMachineTypes()
+		}
+	})
+}
 
-func (c *Core) askTypes() {
+// fetchMachineTypes reads the types from the cloud.
+func (c *Core) fetchMachineTypes() {
 	t := &c.types
-	t.asking = true
-	c.cloud("GET", wire.PathMachineTypes, nil, func(status int, body []byte) {
-		t.asking = false
-		var m wire.MachineTypes
-		if status != 200 || wire.Decode(body, &m) != nil || len(m.Types()) == 0 {
+	t.reading = true
+	c.cloud(http.MethodGet, wire.PathMachineTypes, nil, func(status int, body []byte) {
+		t.reading = false
+		var answer wire.MachineTypes
+		if status != wire.StatusOK || wire.Decode(body, &answer) != nil || len(answer.Types()) == 0 {
 			return
 		}
-		t.list, t.raw, t.fromAPI = m.Types(), m, true
-		t.next = c.now + typesEvery
-		c.recordTypes()
+		t.list, t.answer, t.fromCloud = answer.Types(), answer, true
+		t.nextAt = c.now + machineTypesRefresh
+		c.recordMachineTypes()
 	})
 }
 
-// recordTypes keeps the types in the state service, once in a life.
-func (c *Core) recordTypes() {
+// recordMachineTypes keeps the types in the state service, once in an owner's incarnation.
+func (c *Core) recordMachineTypes() {
 	t := &c.types
-	if c.owner == nil || t.recorded || state.Size(t.raw) > c.cfg.ValueBytes {
+	if c.owner == nil || t.recorded || state.Size(t.answer) > c.cfg.ValueBytes {
 		return
 	}
-	write := []state.Write{{Put: record.TypesKey, Value: t.raw}}
-	c.store.Do(budget.Work, state.Commit(c.owner.guards(nil), write), func(r store.Reply) {
-		t.recorded = t.recorded || r.Outcome == store.OK
+	write := []state.Write{{Put: record.TypesKey, Value: t.answer}}
+	c.store.Do(budget.Work, state.Commit(c.owner.guards(nil), write), func(reply store.Reply) {
+		t.recorded = t.recorded || reply.Outcome == store.OK
 	})
 }
