--- a/controller/acceptance.go
+++ b/controller/acceptance.go
@@ -68,7 +68,7 @@
 	var writes []state.Write
 	size := 0
 	for i, sub := range batch {
-		puts, bytes := record.JobWrites(sub.job, s.c.day, s.c.cfg.ValueBytes)
+		puts, bytes := record.JobWrites(sub.job, s.c.wallClock, s.c.cfg.ValueBytes)
 		if size += bytes; i > 0 && size > acceptBytes {
 			s.waitAgain(batch[i:])
 			batch = batch[:i]
--- a/controller/attempt.go
+++ b/controller/attempt.go
@@ -144,7 +144,7 @@
 	if t := o.teams[a.job.Team]; t != nil {
 		t.used = t.used.Sub(a.job.Need)
 	}
-	o.wantSchedule = true
+	o.scheduleWanted = true
 }
 
 // closed frees what an attempt took. Its task may be placed again from now on.
@@ -170,7 +170,7 @@
 			delete(o.jobs, j.ID)
 		}
 	}
-	o.wantSchedule = true
+	o.scheduleWanted = true
 }
 
 // attach gives an attempt its place.
--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -108,7 +108,7 @@
 	for _, m := range o.list {
 		bodies = append(bodies, benchReport(m, 1<<40))
 	}
-	o.wantSchedule, o.flushing = false, true // a commit is under way
+	o.scheduleWanted, o.flushing = false, true // a commit is under way
 	for i := 0; b.Loop(); i++ {
 		m := o.list[i%benchMachines]
 		m.seq = 0
@@ -124,7 +124,7 @@
 func BenchmarkPlace(b *testing.B) {
 	o := benchOwner()
 	for b.Loop() {
-		o.wantSchedule, o.nextPass = true, 0
+		o.scheduleWanted, o.nextPass = true, 0
 		o.schedule()
 		b.StopTimer()
 		n := 0
@@ -146,7 +146,7 @@
 // BenchmarkTick passes the time to an owner with nothing else to do.
 func BenchmarkTick(b *testing.B) {
 	o := benchOwner()
-	o.wantSchedule, o.flushing = false, true
+	o.scheduleWanted, o.flushing = false, true
 	for b.Loop() {
 		o.c.nextSlow = 0
 		o.c.Handle(o.c.now, o.c.now, Tick{})
@@ -184,7 +184,7 @@
 func BenchmarkLookup(b *testing.B) {
 	o := benchOwner()
 	c := o.c
-	o.wantSchedule, o.flushing = false, true
+	o.scheduleWanted, o.flushing = false, true
 	var id uint64
 	for b.Loop() {
 		answered := 0
--- a/controller/block_write.go
+++ b/controller/block_write.go
@@ -62,7 +62,7 @@
 func (o *owner) newBlockWrite(b *block, room int) *blockWrite {
 	w := &blockWrite{
 		owner: o, block: b, maxTransfers: room - 1,
-		data:   &record.BlockData{Since: int64(o.c.day), Base: math.MaxUint64},
+		data:   &record.BlockData{Since: int64(o.c.wallClock), Base: math.MaxUint64},
 		guards: map[string]uint64{record.BlockKey(b.name): b.version},
 		kinds:  map[capacity.Offer]int{}, jobs: map[string]int{},
 	}
--- a/controller/cancellations.go
+++ b/controller/cancellations.go
@@ -76,7 +76,7 @@
 func (x *cancellation) commit(version uint64) {
 	guards := []state.Guard{{Key: record.ActiveKey(x.job), Version: version}}
 	writes := []state.Write{
-		{Put: record.FinalKey(x.job), Value: record.Final{Status: record.StatusCancelled, At: x.c.day}},
+		{Put: record.FinalKey(x.job), Value: record.Final{Status: record.StatusCancelled, At: x.c.wallClock}},
 		{Delete: record.ActiveKey(x.job)},
 	}
 	x.c.store.Do(budget.Users, state.Commit(guards, writes), func(reply store.Reply) { x.committed(reply.Outcome) })
--- a/controller/claims.go
+++ b/controller/claims.go
@@ -54,7 +54,7 @@
 			return
 		}
 		if block, found := o.otherBlockWith(m, entries); found {
-			o.garbage = append(o.garbage, record.BlockKey(m.block.name))
+			o.obsoleteKeys = append(o.obsoleteKeys, record.BlockKey(m.block.name))
 			o.notOurs(m, block)
 			return
 		}
--- a/controller/cloud_list.go
+++ b/controller/cloud_list.go
@@ -76,7 +76,7 @@
 				continue
 			}
 			m = o.adopt(e.Name, e.Type, e.Zone, e.Spot, e.Endpoint)
-			m.rented = o.c.day - micros.FromSeconds(e.AgeS)
+			m.rented = o.c.wallClock - micros.FromSeconds(e.AgeS)
 		}
 		m.listed, m.unlisted = true, 0
 		m.failed = e.Status == wire.ListFailed
--- a/controller/commits.go
+++ b/controller/commits.go
@@ -93,7 +93,7 @@
 		}
 		o.settle(t, true, res.Revision)
 		o.flushAt = o.c.now + o.pauseAfterCommit()
-		o.wantSchedule = true
+		o.scheduleWanted = true
 	case store.Conflict:
 		if again {
 			o.resync("a commit without answer was executed, or somebody else wrote")
@@ -200,7 +200,7 @@
 			o.jobGone(j.ID, o.cancellationsKnownUntil)
 		case out == store.OK:
 			j.version, j.unsure = e.Version, false
-			o.wantSchedule = true
+			o.scheduleWanted = true
 		default:
 			j.unsure = false // the next commit will tell
 			o.flushAt = o.c.now + flushRetry
@@ -232,7 +232,7 @@
 		j.writing = true
 		t.guards[record.ActiveKey(j.ID)] = j.version
 		t.writes = append(t.writes, state.Write{Delete: record.ActiveKey(j.ID)})
-		t.put(record.FinalKey(j.ID), record.Final{Status: record.StatusDone, At: o.c.day})
+		t.put(record.FinalKey(j.ID), record.Final{Status: record.StatusDone, At: o.c.wallClock})
 		t.results = append(t.results, func(ok bool, _ uint64) {
 			j.writing = false
 			if ok && j.state != jobEnded {
@@ -246,7 +246,7 @@
 func (o *owner) doneRecorded(j *job) {
 	o.c.finals.remember(j.ID, wire.JobDone)
 	o.c.log.Info("job done", "job", j.ID, "class", j.Class)
-	o.c.graph.Done(j.ID, o.c.day)
+	o.c.graph.Done(j.ID, o.c.wallClock)
 	for _, a := range j.sorted() {
 		if a.state == attemptFinished {
 			o.finishedRecorded(a)
@@ -271,12 +271,12 @@
 // tidy deletes what nobody reads any more, when writes are plentiful.
 func (o *owner) tidy() {
 	o.dropShards()
-	room := min(o.c.budget.WriteRoom(budget.Cleanup, o.c.now), o.c.cfg.TxnOps, len(o.garbage))
+	room := min(o.c.budget.WriteRoom(budget.Cleanup, o.c.now), o.c.cfg.TxnOps, len(o.obsoleteKeys))
 	if room < 1 {
 		return
 	}
 	var writes []state.Write
-	for _, k := range o.garbage[:room] {
+	for _, k := range o.obsoleteKeys[:room] {
 		writes = append(writes, state.Write{Delete: k})
 	}
 	o.flushing = true
@@ -287,7 +287,7 @@
 		o.flushing = false
 		o.flushAt = o.c.now + flushGap
 		if r.Outcome == store.OK {
-			o.garbage = o.garbage[room:]
+			o.obsoleteKeys = o.obsoleteKeys[room:]
 		}
 	})
 }
--- a/controller/core.go
+++ b/controller/core.go
@@ -21,11 +21,11 @@
 
 // Core is the state of a controller node.
 type Core struct {
-	cfg   *config.Settings
-	log   *slog.Logger
-	debug bool          // the log takes details
-	now   micros.Micros // steady
-	day   micros.Micros // time of day
+	cfg       *config.Settings
+	log       *slog.Logger
+	debug     bool          // the log takes details
+	now       micros.Micros // steady
+	wallClock micros.Micros
 
 	out     []Effect
 	nextID  uint64
@@ -63,9 +63,9 @@
 const randomStream = 0x7461_6d61
 
 // New returns the core of a node that has just started.
-func New(cfg *config.Settings, seed uint64, log *slog.Logger, now, day micros.Micros) *Core {
+func New(cfg *config.Settings, seed uint64, log *slog.Logger, now, wallClock micros.Micros) *Core {
 	c := &Core{
-		cfg: cfg, log: log, now: now, day: day,
+		cfg: cfg, log: log, now: now, wallClock: wallClock,
 		calls: map[uint64]func(CallDone){},
 		debug: log.Enabled(context.Background(), slog.LevelDebug),
 		peers: map[string]*peerNode{},
@@ -87,8 +87,8 @@
 }
 
 // Handle takes one event and returns what must be done.
-func (c *Core) Handle(now, day micros.Micros, ev Event) []Effect {
-	c.now, c.day = max(now, c.now), day
+func (c *Core) Handle(now, wallClock micros.Micros, ev Event) []Effect {
+	c.now, c.wallClock = max(now, c.now), wallClock
 	c.count.events++
 	c.out = nil
 	switch e := ev.(type) {
--- a/controller/eviction.go
+++ b/controller/eviction.go
@@ -118,7 +118,7 @@
 // rentingSuffices tells that a machine from the cloud would serve in time (ours): then
 // nothing needs to be stopped.
 func (o *owner) rentingSuffices(j *job) bool {
-	market, left := o.market(), o.startLimit(j)-(o.c.day-j.since)
+	market, left := o.market(), o.startLimit(j)-(o.c.wallClock-j.since)
 	for _, t := range o.c.types.list {
 		if t.Boot > left || !j.Need.Fits(t.Size) {
 			continue
@@ -166,7 +166,7 @@
 		if m.state != machineBooting || t == nil || !j.Allows(m.kind, m.zone, m.spot) {
 			continue
 		}
-		if o.c.day-m.rented+bootsSoon > t.Boot {
+		if o.c.wallClock-m.rented+bootsSoon > t.Boot {
 			slots += j.Need.Count(t.Size, j.Tasks)
 		}
 	}
--- a/controller/finalreads.go
+++ b/controller/finalreads.go
@@ -32,9 +32,9 @@
 	case record.StatusDone:
 		at := rec.At
 		if at == 0 { // an older version did not record when
-			at = c.day
+			at = c.wallClock
 		}
-		c.graph.Done(id, min(at, c.day))
+		c.graph.Done(id, min(at, c.wallClock))
 	case record.StatusCancelled:
 		c.graph.Cancelled(id, rec.CancelledRoot(id))
 	}
--- a/controller/gangs.go
+++ b/controller/gangs.go
@@ -14,7 +14,7 @@
 const gangPatience = 40 * micros.Second
 
 // waitsLong tells that a job has waited for longer than gangs let later ones pass.
-func (o *owner) waitsLong(j *job) bool { return o.c.day-j.since > gangPatience }
+func (o *owner) waitsLong(j *job) bool { return o.c.wallClock-j.since > gangPatience }
 
 // noteSpotTime counts the time that spot machines are up.
 func (o *owner) noteSpotTime() {
--- a/controller/holds.go
+++ b/controller/holds.go
@@ -52,7 +52,7 @@
 	case holdWaiting:
 		h.until = o.c.now + o.c.cfg.Tuning.HoldWait
 	case holdOver:
-		o.wantSchedule = true
+		o.scheduleWanted = true
 	}
 }
 
@@ -97,7 +97,7 @@
 			o.setHold(h, holdOver, "the gang has started")
 		case h.state == holdStopping && o.roomFree(h):
 			o.setHold(h, holdWaiting, "all stops have ended")
-			o.wantSchedule = true
+			o.scheduleWanted = true
 		case h.state == holdStopping && o.c.now > h.until:
 			o.setHold(h, holdOver, "its room does not come free")
 		case h.state == holdWaiting && j.gang == gangNone && o.c.now > h.until:
@@ -167,7 +167,7 @@
 			case !ok:
 			case over:
 				delete(o.holds, id)
-				o.wantSchedule = true
+				o.scheduleWanted = true
 			case h.state == holdPlanned:
 				o.setHold(h, holdStopping, "recorded")
 				o.stopVictims(h)
@@ -185,7 +185,7 @@
 		j := o.placedJob(id)
 		if j == nil || wire.Decode(e.Value, &rec) != nil {
 			if o.ownsAllTeams() { // else it may be another owner's
-				o.garbage = append(o.garbage, e.Key)
+				o.obsoleteKeys = append(o.obsoleteKeys, e.Key)
 			}
 			continue
 		}
--- a/controller/inherit.go
+++ b/controller/inherit.go
@@ -22,7 +22,7 @@
 		return
 	}
 	j.mustEnd = mustEnd
-	o.wantSchedule = true
+	o.scheduleWanted = true
 	if priority == j.Priority {
 		return
 	}
@@ -45,7 +45,7 @@
 const minWaitLimit = micros.Second
 
 // slack is how much later than now a job may begin and still end in time.
-func (o *owner) slack(j *job) micros.Micros { return j.mustEnd - o.c.day - o.estimate(j) }
+func (o *owner) slack(j *job) micros.Micros { return j.mustEnd - o.c.wallClock - o.estimate(j) }
 
 // urgent tells that a job must begin soon for it, or for some job that needs it, to end in
 // time.
--- a/controller/inherit_test.go
+++ b/controller/inherit_test.go
@@ -48,7 +48,7 @@
 	w.Helper()
 	after := w.c.graph.Revision()
 	change.Version = after + 1
-	if !w.c.graph.Apply(after, &state.Changes{Revision: after + 1, Events: []state.Change{change}}, w.c.day) {
+	if !w.c.graph.Apply(after, &state.Changes{Revision: after + 1, Events: []state.Change{change}}, w.c.wallClock) {
 		w.Fatal("a change is refused")
 	}
 }
@@ -225,8 +225,8 @@
 func TestDeadlineDemand(t *testing.T) {
 	for _, due := range []float64{0, 400, 50} {
 		w := newTree(t)
-		w.submit(stage(1, 0, 10, 0), w.c.day)
-		w.submit(stage(2, 0, 25, due), w.c.day, jobName(1))
+		w.submit(stage(1, 0, 10, 0), w.c.wallClock)
+		w.submit(stage(2, 0, 25, due), w.c.wallClock, jobName(1))
 		g := w.o.demands()[0]
 		want := w.o.maxWait(w.o.jobs[g.First.ID])
 		if due == 50 {
--- a/controller/job_queue.go
+++ b/controller/job_queue.go
@@ -48,7 +48,7 @@
 	o.inherit(j)
 	o.queueJob(j)
 	o.classes.NoteJob(o.c.now, j.Job, o.c.catalog())
-	o.wantSchedule = true
+	o.scheduleWanted = true
 }
 
 func (o *owner) queueJob(j *job) {
@@ -127,7 +127,7 @@
 			o.setAttempt(a, attemptClosed)
 		}
 	}
-	o.wantSchedule = true
+	o.scheduleWanted = true
 }
 
 // counts tells siblings what to show their users.
--- a/controller/jobview.go
+++ b/controller/jobview.go
@@ -132,7 +132,7 @@
 		c.graph.Desync()
 	}
 	var changes state.Changes
-	return r.Outcome == store.OK && r.Decode(&changes) && c.graph.Apply(after, &changes, c.day)
+	return r.Outcome == store.OK && r.Decode(&changes) && c.graph.Apply(after, &changes, c.wallClock)
 }
 
 // refreshQueue is the questions that need a view of the present state. One read serves all
--- a/controller/jobview_test.go
+++ b/controller/jobview_test.go
@@ -51,7 +51,7 @@
 		g.Apply(revision, &state.Changes{Revision: revision + 2, Events: []state.Change{
 			{Delete: record.ActiveKey(jobName(0)), Version: revision + 1},
 			{Delete: record.ActiveKey(jobName(5)), Version: revision + 2},
-		}}, o.c.day)
+		}}, o.c.wallClock)
 		finals := map[string]record.Final{
 			jobName(0): {Status: record.StatusDone, At: 3},
 			jobName(5): {Status: record.StatusCancelled},
@@ -78,7 +78,7 @@
 			for b.Loop() {
 				rev := g.Revision()
 				put := state.Change{Put: record.ActiveKey(id), Value: wire.Encode(record.NewJob(waitingJob(id), 1)), Version: rev + 1}
-				g.Apply(rev, &state.Changes{Revision: rev + 2, Events: []state.Change{put, {Delete: record.ActiveKey(id), Version: rev + 2}}}, o.c.day)
+				g.Apply(rev, &state.Changes{Revision: rev + 2, Events: []state.Change{put, {Delete: record.ActiveKey(id), Version: rev + 2}}}, o.c.wallClock)
 				o.c.nextSlow = 0
 				o.c.Handle(o.c.now, o.c.now, Tick{})
 			}
--- a/controller/limits_test.go
+++ b/controller/limits_test.go
@@ -102,7 +102,7 @@
 	}
 	placed := 0
 	for range 20 {
-		o.wantSchedule, o.nextPass = true, 0
+		o.scheduleWanted, o.nextPass = true, 0
 		o.schedule()
 		for _, b := range o.blocks {
 			tx := &txn{guards: map[string]uint64{}}
@@ -178,7 +178,7 @@
 	if j := o.jobs[jobName(3)]; !j.done.Has(5) || !j.done.Has(700) || j.doneN != 2 {
 		t.Fatalf("%d completions are known", j.doneN)
 	}
-	dropped := func() bool { return slices.Contains(o.garbage, record.CompletionsKey("red", "1")) }
+	dropped := func() bool { return slices.Contains(o.obsoleteKeys, record.CompletionsKey("red", "1")) }
 	for range 20 {
 		if o.dropShards(); dropped() && slices.ContainsFunc(o.shards, func(s *shard) bool { return s.version == 0 }) {
 			t.Fatal("the old record goes before the new ones are written")
--- a/controller/load.go
+++ b/controller/load.go
@@ -77,7 +77,7 @@
 		m.tokenShownAt = m.heard
 	}
 	o.since = o.c.now
-	o.wantSchedule = true
+	o.scheduleWanted = true
 	o.setState(ownerActive)
 	o.watchJobs(o.watchRev)
 	o.c.types.nextAt = o.c.now
--- a/controller/load_machines.go
+++ b/controller/load_machines.go
@@ -34,7 +34,7 @@
 	if err := wire.Decode(e.Value, &rec); err != nil {
 		return err
 	}
-	if !o.mine(rec.Owner) {
+	if !o.ownsRecordsOf(rec.Owner) {
 		return nil
 	}
 	data, err := rec.Decode()
@@ -157,7 +157,7 @@
 		}
 		return
 	}
-	sinceEnd := o.c.day - final.At
+	sinceEnd := o.c.wallClock - final.At
 	if final.At == 0 { // an older version did not record it: as early as need be assumed
 		sinceEnd = o.c.cfg.CancelIn
 	}
--- a/controller/load_shards.go
+++ b/controller/load_shards.go
@@ -22,7 +22,7 @@
 	team, name, ok := o.splitShardKey(e.Key)
 	if !ok {
 		if o.ownsAllTeams() { // so it is of a team that is no more
-			o.garbage = append(o.garbage, e.Key)
+			o.obsoleteKeys = append(o.obsoleteKeys, e.Key)
 		}
 		return
 	}
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -139,9 +139,9 @@
 	switch s {
 	case machineUp:
 		m.idleSince, m.tokenShownAt = o.c.now, max(m.tokenShownAt, o.c.now)
-		o.wantSchedule = true
+		o.scheduleWanted = true
 	case machineReleasing:
-		o.wantRelease = true
+		o.releaseWanted = true
 	case machineMoving, machineCondemned, machineDeleted:
 		o.markDirty(m)
 	}
@@ -194,5 +194,5 @@
 			o.stopJob(j, 0, "gang lost a machine")
 		}
 	}
-	o.wantSchedule = true
+	o.scheduleWanted = true
 }
--- a/controller/machine_health.go
+++ b/controller/machine_health.go
@@ -124,7 +124,7 @@
 		}
 		switch {
 		case m.state == machineCondemned:
-			o.wantRelease = o.wantRelease || o.overdue(m, overdueReleaseShare)
+			o.releaseWanted = o.releaseWanted || o.overdue(m, overdueReleaseShare)
 		case hasBooted(m):
 			o.condemn(m, o.checkRunning(m, fleet))
 		case m.state == machineBooting:
@@ -174,7 +174,7 @@
 		boot = t.Boot
 	}
 	patience := micros.Micros(o.c.cfg.Tuning.BootPatience*float64(boot)) + o.c.cfg.SilentAfter()
-	if m.failed || o.c.day-m.rented > patience && o.silentFor(m) > o.c.cfg.SilentAfter() {
+	if m.failed || o.c.wallClock-m.rented > patience && o.silentFor(m) > o.c.cfg.SilentAfter() {
 		return condemnedNeverUp
 	}
 	return notCondemned
--- a/controller/machine_list.go
+++ b/controller/machine_list.go
@@ -48,6 +48,6 @@
 		b = o.newBlock(adoptedPrefix + name)
 	}
 	m := o.newMachineIn(b, name, kind, zone, spot, endpoint)
-	m.rented = o.c.day
+	m.rented = o.c.wallClock
 	return m
 }
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -44,32 +44,32 @@
 	recentlyReturned map[string]micros.Micros // machines that were returned
 	ownedElsewhere   map[string]micros.Micros // machines that another owns, though no peer says so yet
 	unclaimed        map[string]micros.Micros // listed machines that nobody claims, since when
-	garbage          []string                 // keys that nobody reads any more
+	obsoleteKeys     []string                 // keys that nobody reads any more
 	cancelled        []string                 // waiting jobs that are cancelled with one before them, to be recorded
 	endings          []*job                   // that records name, and of which it is not known how they ended
 	watchRev         uint64
 	watchDown        bool
 
-	lastHeard     micros.Micros
-	wantAt        micros.Micros // machines may be asked for again
-	arrayWantAt   micros.Micros // and for arrays
-	dispatchQueue []*machine
-	openCommands  int // direct commands and questions to machines under way
-	proposed      int // attempts that are not recorded yet
-	proposedJobs  int // jobs with such
-	nextPass      micros.Micros
-	wantSchedule  bool
-	wantRelease   bool
-	flushing      bool
-	flushAt       micros.Micros
-	nextScale     micros.Micros
-	nextScaleDown micros.Micros
-	listing       cloudList
-	noCapacity    map[capacity.Offer]micros.Micros
-	partitioned   map[string]micros.Micros // zones that are cut off, since when
-	classes       *capacity.Classes
-	releasing     bool
-	releaseAt     micros.Micros
+	lastHeard      micros.Micros
+	wantAt         micros.Micros // machines may be asked for again
+	arrayWantAt    micros.Micros // and for arrays
+	dispatchQueue  []*machine
+	openCommands   int // direct commands and questions to machines under way
+	proposed       int // attempts that are not recorded yet
+	proposedJobs   int // jobs with such
+	nextPass       micros.Micros
+	scheduleWanted bool
+	releaseWanted  bool
+	flushing       bool
+	flushAt        micros.Micros
+	nextScale      micros.Micros
+	nextScaleDown  micros.Micros
+	listing        cloudList
+	noCapacity     map[capacity.Offer]micros.Micros
+	partitioned    map[string]micros.Micros // zones that are cut off, since when
+	classes        *capacity.Classes
+	releasing      bool
+	releaseAt      micros.Micros
 
 	// cancellationsKnownUntil is when the last answered watch of the jobs began.
 	cancellationsKnownUntil micros.Micros
@@ -233,9 +233,9 @@
 	return state.SortedGuards(all)
 }
 
-// mine tells whether what an owner had is this node's to take: its own, that of owners
+// ownsRecordsOf tells whether what an owner had is this node's to take: its own, that of owners
 // whose heir it is, and what nobody else takes.
-func (o *owner) mine(id string) bool {
+func (o *owner) ownsRecordsOf(id string) bool {
 	if id == o.c.node.ID() || o.ownsAllTeams() {
 		return true
 	}
--- a/controller/rentals.go
+++ b/controller/rentals.go
@@ -54,7 +54,7 @@
 			o.c.log.Error("record cannot be read", "key", e.Key)
 			continue
 		}
-		if !o.mine(rec.Owner) {
+		if !o.ownsRecordsOf(rec.Owner) {
 			continue
 		}
 		name := strings.TrimPrefix(e.Key, record.RentalPrefix)
@@ -136,7 +136,7 @@
 			for _, n := range names.Machines {
 				if o.machines[n] == nil {
 					m := o.newMachine(n, r.offer.Type, r.offer.Zone, r.offer.Spot, "")
-					m.rented = o.c.day
+					m.rented = o.c.wallClock
 				}
 			}
 			if len(names.Machines) < r.number {
@@ -156,7 +156,7 @@
 
 // release asks the cloud to delete machines that are to go.
 func (o *owner) release() {
-	if !o.wantRelease || o.releasing || o.c.now < o.releaseAt {
+	if !o.releaseWanted || o.releasing || o.c.now < o.releaseAt {
 		return
 	}
 	var names []string
@@ -167,7 +167,7 @@
 		}
 	}
 	if len(names) == 0 {
-		o.wantRelease = false
+		o.releaseWanted = false
 		return
 	}
 	if !o.c.cloudRate.AllowN(o.c.now.Time(), 1) {
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -67,7 +67,7 @@
 		return
 	}
 	o.nextScale = o.c.now + scaleEvery
-	o.wantSchedule = true // pauses of jobs end without an event
+	o.scheduleWanted = true // pauses of jobs end without an event
 	o.noteSpotTime()
 	o.forgetClasses()
 	demands := o.demands()
@@ -115,7 +115,7 @@
 		return d
 	}
 	d.Size, d.Used = o.machineSize(m), m.used
-	d.Age, d.IdleFor = o.c.day-m.rented, o.c.now-m.idleSince
+	d.Age, d.IdleFor = o.c.wallClock-m.rented, o.c.now-m.idleSince
 	d.Claimed, d.Busy = m.token != 0, len(m.attempts) > 0
 	d.Held = o.isHeld(m.name)
 	d.OnlySlack = d.Busy && o.scarce(m) && o.onlySlack(m)
--- a/controller/schedule.go
+++ b/controller/schedule.go
@@ -27,10 +27,10 @@
 // schedule proposes places for waiting tasks. A proposal takes effect only when the
 // machine's record has been written with it.
 func (o *owner) schedule() {
-	if !o.wantSchedule || o.flushing || o.c.now < o.nextPass || o.proposed >= maxProposed {
+	if !o.scheduleWanted || o.flushing || o.c.now < o.nextPass || o.proposed >= maxProposed {
 		return
 	}
-	o.wantSchedule, o.nextPass = false, o.c.now+passGap
+	o.scheduleWanted, o.nextPass = false, o.c.now+passGap
 	pass := &schedulingPass{o: o, view: o.placeView(), kept: keptLimits{}, nowhere: map[shape]bool{}}
 	for _, j := range o.inTurn() {
 		if pass.full() {
@@ -209,7 +209,7 @@
 
 // starves tells that a job has waited for long and not begun.
 func (o *owner) starves(j *job) bool {
-	return !j.began && j.state == jobActive && o.c.day-j.since > o.c.cfg.Tuning.StarveAfter
+	return !j.began && j.state == jobActive && o.c.wallClock-j.since > o.c.cfg.Tuning.StarveAfter
 }
 
 // inTurn lists the jobs in the order in which they are placed. Those that starve come first,
--- a/controller/shards.go
+++ b/controller/shards.go
@@ -149,7 +149,7 @@
 		if len(s.chunks) > 0 || s.writing || s.version == 0 || s.unwrittenTargets > 0 || len(s.sources) > 0 {
 			return false
 		}
-		o.garbage = append(o.garbage, s.key())
+		o.obsoleteKeys = append(o.obsoleteKeys, s.key())
 		return true
 	})
 }
--- a/controller/submissions.go
+++ b/controller/submissions.go
@@ -59,7 +59,7 @@
 		c.refuse(r.ID, wire.StatusUnavailable, reasonStoreSilent)
 		return
 	}
-	writes, size := record.JobWrites(job, c.day, c.cfg.ValueBytes)
+	writes, size := record.JobWrites(job, c.wallClock, c.cfg.ValueBytes)
 	refused := c.unplaceable(job)
 	if c.tooLong(writes, size) {
 		refused = &refusal{wire.StatusMalformed, reasonTooLong}
--- a/controller/waiting.go
+++ b/controller/waiting.go
@@ -39,7 +39,7 @@
 	delete(o.waiting, j.ID)
 	j.since = max(j.accepted, waiting.LatestDone)
 	o.setJob(j, jobActive)
-	o.c.log.Info("job is ready", "job", j.ID, "class", j.Class, "waited_s", (o.c.day - j.accepted).Seconds())
+	o.c.log.Info("job is ready", "job", j.ID, "class", j.Class, "waited_s", (o.c.wallClock - j.accepted).Seconds())
 	o.enqueue(j)
 }
 
@@ -109,7 +109,7 @@
 	j.writing = true
 	t.guards[record.ActiveKey(j.ID)] = j.version
 	t.writes = append(t.writes, state.Write{Delete: record.ActiveKey(j.ID)})
-	t.put(record.FinalKey(j.ID), record.Final{Status: record.StatusCancelled, At: o.c.day, Before: root})
+	t.put(record.FinalKey(j.ID), record.Final{Status: record.StatusCancelled, At: o.c.wallClock, Before: root})
 	t.results = append(t.results, func(ok bool, _ uint64) {
 		j.writing = false
 		switch {
@@ -133,7 +133,7 @@
 // dropParts has the further keys of a job's list deleted: they serve while its record exists.
 func (o *owner) dropParts(j *job) {
 	for i := range j.parts {
-		o.garbage = append(o.garbage, record.PartKey(j.ID, i))
+		o.obsoleteKeys = append(o.obsoleteKeys, record.PartKey(j.ID, i))
 	}
 	j.parts = 0
 }
@@ -197,8 +197,8 @@
 func (o *owner) dropLeftoverParts(entries []state.Entry) {
 	for _, e := range entries {
 		id, _, _ := strings.Cut(strings.TrimPrefix(e.Key, record.PartPrefix), "/")
-		if !o.c.graph.Active(id) && !slices.Contains(o.garbage, e.Key) {
-			o.garbage = append(o.garbage, e.Key)
+		if !o.c.graph.Active(id) && !slices.Contains(o.obsoleteKeys, e.Key) {
+			o.obsoleteKeys = append(o.obsoleteKeys, e.Key)
 		}
 	}
 }
