--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -83,7 +83,7 @@
 func (o *owner) maxMachines(kind string) int {
 	tasks := assumedTasks
 	if t := o.c.types.find(kind); t != nil {
-		if n := o.classes.MostUsualTasks(t.Size, recordSlots); n > 0 {
+		if n := o.classes.MostUsualTasks(t.Size, maxEntryTasks); n > 0 {
 			tasks = n
 		}
 	}
@@ -106,7 +106,7 @@
 		return 0
 	}
 	slots := int(free / max(b.bytesPerTask, newTaskBytes))
-	return min(slots/min(slotShares, len(b.machines)), recordSlots-len(m.attempts))
+	return min(slots/min(slotShares, len(b.machines)), maxEntryTasks-len(m.attempts))
 }
 
 // freeBytes is how much more of a value the tasks of a block may take.
--- a/controller/gangs.go
+++ b/controller/gangs.go
@@ -58,7 +58,7 @@
 
 // slack is what is left of a machine once it is full of tasks of that size.
 func (m *machine) slack(need sched.Resources) sched.Resources {
-	return m.size.Sub(need.Times(need.Count(m.size, recordSlots)))
+	return m.size.Sub(need.Times(need.Count(m.size, maxEntryTasks)))
 }
 
 // onlySlack tells that no job which depends on the machine's type has tasks on it.
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -24,7 +24,7 @@
 
 // catalog is what the cloud rents, as far as this node knows.
 func (c *Core) catalog() capacity.Catalog {
-	return capacity.Catalog{Types: c.types.list, MaxTasks: recordSlots}
+	return capacity.Catalog{Types: c.types.list, MaxTasks: maxEntryTasks}
 }
 
 // market is what may be rented now.
