Dealings with the cloud in short steps, with named paths, pauses and bounds

| old | new | | --- | --- | | noCapacity | refusedOffers | | unexpected (listed machine) | isUnclaimed | | takeList's loop | takeListed | | answers of rentals, pages, releases in callbacks | answered, granted, refused, takePage, releasable, released |

--- a/controller/cloud_list.go
+++ b/controller/cloud_list.go
@@ -10,6 +10,16 @@
 	"tamarindlead/micros"
 )
 
+const (
+	// listPageSize is how many machines a page of the cloud's list may have.
+	listPageSize = 500
+	// minListPause is the least time between two readings of the list.
+	minListPause = 2 * micros.Second
+	// unclaimedLags is how many times the list's usual lag a machine must be listed without
+	// an owner to be taken for nobody's: the list may be twice its lag late.
+	unclaimedLags = 3
+)
+
 // cloudList is a reading of the cloud's list, page by page.
 type cloudList struct {
 	asking bool
@@ -17,6 +27,7 @@
 	found  map[string]wire.ListedMachine
 }
 
+// tickList begins a reading of the cloud's list when it is time.
 func (o *owner) tickList() {
 	l := &o.listing
 	if l.asking || o.c.now < l.next || !o.c.cloudRate.AllowN(o.c.now.Time(), 1) {
@@ -26,69 +37,80 @@
 	o.listPage("")
 }
 
+// listPage asks for the machines after one of that name.
 func (o *owner) listPage(after string) {
-	q := url.Values{"limit": {strconv.Itoa(500)}}
+	query := url.Values{"limit": {strconv.Itoa(listPageSize)}}
 	if after != "" {
-		q.Set("after", after)
+		query.Set("after", after)
 	}
-	l := &o.listing
-	o.c.cloud("GET", wire.PathRentals+"?"+q.Encode(), nil, func(status int, body []byte) {
-		if o.superseded() {
-			return
-		}
-		var page wire.MachineList
-		l.next = o.c.now + max(o.c.cfg.ListLag, 2*micros.Second)
-		if status != 200 || wire.Decode(body, &page) != nil {
-			l.asking = false
-			return
-		}
-		for _, m := range page.Machines {
-			l.found[m.Name] = m
+	o.c.cloud("GET", pathRentals+"?"+query.Encode(), nil, func(status int, body []byte) {
+		if !o.superseded() {
+			o.takePage(status, body)
 		}
-		if page.More && len(page.Machines) > 0 {
-			o.listPage(page.Machines[len(page.Machines)-1].Name)
-			return
-		}
-		l.asking = false
-		o.takeList(l.found)
 	})
 }
 
-// unexpected tells whether a listed machine belongs to nobody. The list may be twice its
+// takePage takes one page of the list. A reading that fails is dropped.
+func (o *owner) takePage(status wire.Status, body []byte) {
+	l := &o.listing
+	l.next = o.c.now + max(o.c.cfg.ListLag, minListPause)
+	var page wire.MachineList
+	if status != wire.StatusOK || wire.Decode(body, &page) != nil {
+		l.asking = false
+		return
+	}
+	for _, m := range page.Machines {
+		l.found[m.Name] = m
+	}
+	if page.More && len(page.Machines) > 0 {
+		o.listPage(page.Machines[len(page.Machines)-1].Name)
+		return
+	}
+	l.asking = false
+	o.takeList(l.found)
+}
+
+// isUnclaimed tells whether a listed machine belongs to nobody. The list may be twice its
 // usual lag late, so it still shows machines that another owner has returned: a machine
 // must stay listed for longer than that.
-func (o *owner) unexpected(name string) bool {
-	if o.recentlyReturned[name] != 0 || o.ownedElsewhere[name] != 0 || o.c.claimant(name) != "" || o.c.cluster.FirstOwner() != o.c.cfg.Node {
+func (o *owner) isUnclaimed(name string) bool {
+	if o.recentlyReturned[name] != 0 || o.ownedElsewhere[name] != 0 || o.c.claimant(name) != "" ||
+		o.c.cluster.FirstOwner() != o.c.cfg.Node {
 		return false
 	}
 	if o.unclaimed[name] == 0 {
 		o.unclaimed[name] = o.c.now
 	}
-	return o.c.now-o.unclaimed[name] > 3*o.c.cfg.ListLag
+	return o.c.now-o.unclaimed[name] > unclaimedLags*o.c.cfg.ListLag
 }
 
+// takeList takes what the cloud lists, and adopts machines that nobody owns.
 func (o *owner) takeList(found map[string]wire.ListedMachine) {
 	for _, name := range sortedKeys(found) {
-		e := found[name]
-		m := o.machines[name]
-		if m == nil {
-			if !o.unexpected(name) {
-				continue
-			}
-			m = o.adopt(e.Name, e.Type, e.Zone, e.Spot, e.Endpoint)
-			m.rented = o.c.wallClock - micros.FromSeconds(e.AgeS)
-		}
-		m.listed, m.unlisted = true, 0
-		m.failed = e.Status == wire.ListFailed
-		m.endpoint = cmp.Or(m.endpoint, e.Endpoint)
+		o.takeListed(found[name])
 	}
 	maps.DeleteFunc(o.unclaimed, func(name string, _ micros.Micros) bool {
-		_, ok := found[name]
-		return !ok
+		_, listed := found[name]
+		return !listed
 	})
 	for name, m := range o.machines {
-		if _, ok := found[name]; !ok && m.listed {
+		if _, listed := found[name]; !listed && m.listed {
 			m.unlisted++
 		}
 	}
 }
+
+// takeListed takes what the cloud lists of one machine.
+func (o *owner) takeListed(entry wire.ListedMachine) {
+	m := o.machines[entry.Name]
+	if m == nil {
+		if !o.isUnclaimed(entry.Name) {
+			return
+		}
+		m = o.adopt(entry.Name, entry.Type, entry.Zone, entry.Spot, entry.Endpoint)
+		m.rented = o.c.wallClock - micros.FromSeconds(entry.AgeS)
+	}
+	m.listed, m.unlisted = true, 0
+	m.failed = entry.Status == wire.ListFailed
+	m.endpoint = cmp.Or(m.endpoint, entry.Endpoint)
+}
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -65,8 +65,8 @@
 	nextScale      micros.Micros
 	nextScaleDown  micros.Micros
 	listing        cloudList
-	noCapacity     map[capacity.Offer]micros.Micros
-	partitioned    map[string]micros.Micros // zones that are cut off, since when
+	refusedOffers  map[capacity.Offer]micros.Micros // not asked for until then
+	partitioned    map[string]micros.Micros         // zones that are cut off, since when
 	classes        *capacity.Classes
 	releasing      bool
 	releaseAt      micros.Micros
@@ -93,7 +93,7 @@
 		rentals:          map[string]*rental{},
 		holds:            map[string]*hold{},
 		recentlyReturned: map[string]micros.Micros{},
-		noCapacity:       map[capacity.Offer]micros.Micros{},
+		refusedOffers:    map[capacity.Offer]micros.Micros{},
 		partitioned:      map[string]micros.Micros{},
 		classes:          capacity.NewClasses(),
 		ownedElsewhere:   map[string]micros.Micros{},
--- a/controller/rentals.go
+++ b/controller/rentals.go
@@ -26,27 +26,38 @@
 type rental struct {
 	name     string
 	offer    capacity.Offer
-	number   int
+	number   int // of machines
 	state    rentalState
-	writing  bool
-	asking   bool
-	next     micros.Micros
-	machines []string
+	writing  bool          // its record is being written
+	asking   bool          // the cloud is being asked
+	next     micros.Micros // when the cloud may be asked again
+	machines []string      // that the cloud gave
 }
 
-// Bounds and pauses in dealings with the cloud.
+// Paths of the cloud, and the problem that it names when it has no machines of an offer.
 const (
-	cloudRetry     = micros.Second
-	maxReleased    = 100
+	pathRentals       = "/rentals"
+	pathRelease       = "/rentals/release"
+	problemNoCapacity = "no capacity"
+)
+
+const (
+	// cloudRetry is the pause after an answer of the cloud before it is asked the same again.
+	cloudRetry = micros.Second
+	// maxReleased is how many machines one request may release.
+	maxReleased = 100
+	// returnedMemory is how long the cloud's list may still show a machine that was returned.
 	returnedMemory = 120 * micros.Second
 )
 
+// setRental is the one place where a rental changes its state.
 func (o *owner) setRental(r *rental, s rentalState) {
 	o.c.log.Info("rental", "name", r.name, "type", r.offer.Type, "zone", r.offer.Zone, "spot", r.offer.Spot,
 		"number", r.number, "from", r.state.String(), "to", s.String(), "machines", len(r.machines))
 	r.state = s
 }
 
+// loadRentals takes over the rentals of an earlier owner: the cloud is asked again.
 func (o *owner) loadRentals(entries []state.Entry) {
 	for _, e := range entries {
 		var rec record.Rental
@@ -108,6 +119,7 @@
 		"spot", r.offer.Spot, "number", r.number, "class", request.Job.Class, "short_cpus", request.ShortCPUs)
 }
 
+// allClaimed tells that all machines of a rental are recorded.
 func (o *owner) allClaimed(r *rental) bool {
 	for _, name := range r.machines {
 		if m := o.machines[name]; m != nil && m.token == 0 {
@@ -117,55 +129,70 @@
 	return true
 }
 
+// ask asks the cloud for the machines of a rental; asked again, it gives the same answer.
 func (o *owner) ask(r *rental) {
 	if r.asking || o.c.now < r.next || !o.c.cloudRate.AllowN(o.c.now.Time(), 1) {
 		return
 	}
 	r.asking = true
 	body := wire.RentalRequest{Hire: r.name, Type: r.offer.Type, Zone: r.offer.Zone, Spot: r.offer.Spot, Number: r.number}
-	o.c.cloud("POST", wire.PathRentals, body, func(status int, body []byte) {
+	o.c.cloud("POST", pathRentals, body, func(status int, body []byte) {
 		if o.superseded() {
 			return
 		}
 		r.asking, r.next = false, o.c.now+cloudRetry
-		var names wire.MachineNames
-		var problem wire.Problem
-		switch {
-		case status == 200 && wire.Decode(body, &names) == nil:
-			r.machines = names.Machines
-			for _, n := range names.Machines {
-				if o.machines[n] == nil {
-					m := o.newMachine(n, r.offer.Type, r.offer.Zone, r.offer.Spot, "")
-					m.rented = o.c.wallClock
-				}
-			}
-			if len(names.Machines) < r.number {
-				o.noCapacity[r.offer] = o.c.now + o.c.cfg.Tuning.RentalRetry
-			}
-			o.setRental(r, rentalGranted)
-		case status == 503 && wire.Decode(body, &problem) == nil && problem.Error == "no capacity":
-			o.noCapacity[r.offer] = o.c.now + o.c.cfg.Tuning.RentalRetry
-			o.setRental(r, rentalOver)
-		case status == 400:
-			o.c.log.Error("rental refused as malformed", "name", r.name)
-			o.noCapacity[r.offer] = o.c.now + o.c.cfg.Tuning.RentalRetry
-			o.setRental(r, rentalOver)
-		}
+		o.answered(r, status, body)
 	})
 }
 
+// answered takes the cloud's answer to a rental. After any other answer it is asked again.
+func (o *owner) answered(r *rental, status wire.Status, body []byte) {
+	var names wire.MachineNames
+	var problem wire.Problem
+	switch {
+	case status == wire.StatusOK && wire.Decode(body, &names) == nil:
+		o.granted(r, names.Machines)
+	case status == wire.StatusUnavailable && wire.Decode(body, &problem) == nil && problem.Error == problemNoCapacity:
+		o.refused(r)
+	case status == wire.StatusMalformed:
+		o.c.log.Error("rental refused as malformed", "name", r.name)
+		o.refused(r)
+	}
+}
+
+// granted takes the machines that the cloud rented. If they are fewer than were asked for,
+// there are no more.
+func (o *owner) granted(r *rental, names []string) {
+	r.machines = names
+	for _, name := range names {
+		if o.machines[name] == nil {
+			m := o.newMachine(name, r.offer.Type, r.offer.Zone, r.offer.Spot, "")
+			m.rented = o.c.wallClock
+		}
+	}
+	if len(names) < r.number {
+		o.pauseOffer(r.offer)
+	}
+	o.setRental(r, rentalGranted)
+}
+
+// refused ends a rental that the cloud cannot grant.
+func (o *owner) refused(r *rental) {
+	o.pauseOffer(r.offer)
+	o.setRental(r, rentalOver)
+}
+
+// pauseOffer has an offer not be asked for until there may be machines again.
+func (o *owner) pauseOffer(offer capacity.Offer) {
+	o.refusedOffers[offer] = o.c.now + o.c.cfg.Tuning.RentalRetry
+}
+
 // release asks the cloud to delete machines that are to go.
 func (o *owner) release() {
 	if !o.releaseWanted || o.releasing || o.c.now < o.releaseAt {
 		return
 	}
-	var names []string
-	for _, name := range sortedKeys(o.machines) {
-		m := o.machines[name]
-		if (m.state == machineReleasing || m.state == machineCondemned && o.overdue(m, overdueReleaseShare)) && len(names) < maxReleased {
-			names = append(names, name)
-		}
-	}
+	names := o.releasable()
 	if len(names) == 0 {
 		o.releaseWanted = false
 		return
@@ -174,20 +201,40 @@
 		return
 	}
 	o.releasing = true
-	o.c.cloud("POST", wire.PathRelease, wire.MachineNames{Machines: names}, func(status int, _ []byte) {
+	o.c.cloud("POST", pathRelease, wire.MachineNames{Machines: names}, func(status int, _ []byte) {
 		if o.superseded() {
 			return
 		}
 		o.releasing, o.releaseAt = false, o.c.now+cloudRetry
-		if status != 200 {
-			return
-		}
-		o.releaseAt = o.c.now
-		for _, n := range names {
-			if m := o.machines[n]; m != nil && (m.state == machineReleasing || m.state == machineCondemned) {
-				o.recentlyReturned[n] = o.c.now + returnedMemory
-				o.setMachine(m, machineDeleted, "deleted by the cloud")
-			}
+		if status == wire.StatusOK {
+			o.releaseAt = o.c.now
+			o.released(names)
 		}
 	})
 }
+
+// releasable lists machines that the cloud may be asked to delete: those whose deletion is
+// recorded, and those for which there is no time for that.
+func (o *owner) releasable() []string {
+	var names []string
+	for _, name := range sortedKeys(o.machines) {
+		m := o.machines[name]
+		due := m.state == machineReleasing || m.state == machineCondemned && o.overdue(m, overdueReleaseShare)
+		if due && len(names) < maxReleased {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// released notes that the cloud has deleted machines.
+func (o *owner) released(names []string) {
+	for _, name := range names {
+		m := o.machines[name]
+		if m == nil || m.state != machineReleasing && m.state != machineCondemned {
+			continue
+		}
+		o.recentlyReturned[name] = o.c.now + returnedMemory
+		o.setMachine(m, machineDeleted, "deleted by the cloud")
+	}
+}
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -29,7 +29,7 @@
 
 // market is what may be rented now.
 func (o *owner) market() capacity.Market {
-	return capacity.Market{Catalog: o.c.catalog(), Now: o.c.now, Refused: o.noCapacity, Partitioned: o.partitioned}
+	return capacity.Market{Catalog: o.c.catalog(), Now: o.c.now, Refused: o.refusedOffers, Partitioned: o.partitioned}
 }
 
 // offer is what the cloud rented a machine as.
