Machine requests and transfers between owners: two files, steps with names

moves.go mixed the choice of a giver with emptying, recording and receiving machines.

| old | new | | --- | --- | | want, wanted, give | requestMachines, handleMachineRequest, transferMachines | | giver | chooseGiver | | move, canMove, writeMove, moved | startTransfer, canTransfer, writeTransfer, transferred | | givenBlock, takeGiven | transferBlockName, receiveTransfer | | clear | stopLongTasks | | tell | describeShare | | machineMoving, moveTo | machineTransferring, transferTo | | wantEvery, arrayWantEvery | machineRequestPause, arrayRequestPause | | wantAt, arrayWantAt | nextMachineRequest, nextArrayRequest |

--- a/controller/attempt.go
+++ b/controller/attempt.go
@@ -153,7 +153,7 @@
 	delete(m.attempts, a.key())
 	if len(m.attempts) == 0 {
 		m.idleSince = o.c.now
-		if m.state == machineMoving {
+		if m.state == machineTransferring {
 			o.markDirty(m)
 		}
 	}
--- a/controller/block_write.go
+++ b/controller/block_write.go
@@ -121,10 +121,10 @@
 // transfer leaves out an empty machine that goes to another owner, if that owner lives and
 // the commit has room for its record.
 func (w *blockWrite) transfer(m *machine) bool {
-	if m.state != machineMoving || len(m.attempts) > 0 || len(w.transferred) >= w.maxTransfers || !w.owner.canMove(m) {
+	if m.state != machineTransferring || len(m.attempts) > 0 || len(w.transferred) >= w.maxTransfers || !w.owner.canTransfer(m) {
 		return false
 	}
-	successor := w.owner.c.cluster.MemberGuard(cluster.NodeOf(m.moveTo))
+	successor := w.owner.c.cluster.MemberGuard(cluster.NodeOf(m.transferTo))
 	if !w.mayGuard(successor.Key) {
 		return false
 	}
@@ -239,7 +239,7 @@
 		m.dirty = false
 	}
 	for _, m := range w.transferred {
-		w.owner.writeMove(t, m)
+		w.owner.writeTransfer(t, m)
 	}
 	t.results = append(t.results, w.finish)
 }
@@ -299,7 +299,7 @@
 		o.forget(m)
 	}
 	for _, m := range w.transferred {
-		o.moved(m)
+		o.transferred(m)
 	}
 }
 
@@ -323,7 +323,7 @@
 	switch m.state {
 	case machineCondemned, machineDeleted:
 		return true
-	case machineMoving:
+	case machineTransferring:
 		if len(m.attempts) == 0 {
 			return true
 		}
--- a/controller/commands.go
+++ b/controller/commands.go
@@ -128,7 +128,7 @@
 
 // dispatch sends a machine its commands, if it can take them now.
 func (o *owner) dispatch(m *machine) {
-	takesWork := m.state >= machineUp && m.state <= machineMoving
+	takesWork := m.state >= machineUp && m.state <= machineTransferring
 	if m.sending || !m.synced || m.fence != fenceNone || m.endpoint == "" || !takesWork {
 		return
 	}
--- a/controller/commits.go
+++ b/controller/commits.go
@@ -217,7 +217,7 @@
 func (o *owner) notOurs(m *machine, block string) {
 	o.ownedElsewhere[m.name] = o.c.now + elsewhereMemory
 	o.forget(m)
-	o.takeGiven(block)
+	o.receiveTransfer(block)
 }
 
 // flushFinals records jobs that are done.
--- a/controller/eviction.go
+++ b/controller/eviction.go
@@ -32,7 +32,7 @@
 	plan := o.planRoom(j, covered)
 	if plan == nil {
 		j.evictAt = o.c.now + roomRetry
-		o.want(j.Job, j.Tasks, covered[j])
+		o.requestMachines(j.Job, j.Tasks, covered[j])
 		return false
 	}
 	h := newHold(j, plan)
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -14,13 +14,13 @@
 type machineState int
 
 const (
-	machineBooting   machineState = iota
-	machineUp                     // reports
-	machineDraining               // takes nothing new and is returned once empty
-	machineMoving                 // goes to another owner once it is empty
-	machineCondemned              // it is to be deleted, which must be recorded first
-	machineReleasing              // recorded; the cloud is asked to delete it
-	machineDeleted                // the cloud has deleted it; its record must go
+	machineBooting      machineState = iota
+	machineUp                        // reports
+	machineDraining                  // takes nothing new and is returned once empty
+	machineTransferring              // goes to another owner once it is empty
+	machineCondemned                 // it is to be deleted, which must be recorded first
+	machineReleasing                 // recorded; the cloud is asked to delete it
+	machineDeleted                   // the cloud has deleted it; its record must go
 )
 
 func (s machineState) String() string {
@@ -107,8 +107,8 @@
 	// errors counts failures in a row; nothing is placed on it until pausedTo.
 	errors   int
 	pausedTo micros.Micros
-	// moveTo is the owner that gets it, while it moves.
-	moveTo string
+	// transferTo is the owner that gets it, while it moves.
+	transferTo string
 }
 
 // maxImages is how many images a machine is believed to keep.
@@ -142,7 +142,7 @@
 		o.scheduleWanted = true
 	case machineReleasing:
 		o.releaseWanted = true
-	case machineMoving, machineCondemned, machineDeleted:
+	case machineTransferring, machineCondemned, machineDeleted:
 		o.markDirty(m)
 	}
 }
--- a/controller/machine_health.go
+++ b/controller/machine_health.go
@@ -83,7 +83,7 @@
 // our token for long. What runs there goes on until its lease ends; then it is idle and
 // paid for.
 func (o *owner) isUnreachable(m *machine) bool {
-	return m.token != 0 && m.state >= machineUp && m.state <= machineMoving && !m.synced &&
+	return m.token != 0 && m.state >= machineUp && m.state <= machineTransferring && !m.synced &&
 		o.c.now-m.tokenShownAt > o.c.cfg.SilentAfter()+silentReports*o.c.cfg.ReportEvery
 }
 
@@ -147,7 +147,7 @@
 // hasBooted tells whether a machine takes part, so that it should report. What had work before
 // this node took over was up.
 func hasBooted(m *machine) bool {
-	return m.state >= machineUp && m.state <= machineMoving ||
+	return m.state >= machineUp && m.state <= machineTransferring ||
 		m.state == machineBooting && m.takenOver && len(m.attempts) > 0
 }
 
--- /dev/null
+++ b/controller/machine_requests.go
@@ -0,0 +1,156 @@
+package controller
+
+import (
+	"tamarindlead/internal/peer"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// This file asks for machines of other owners' shares. An owner whose share cannot hold a job
+// sends a machine request to the leader. The leader chooses the giver, which is an owner with a
+// suitable idle machine, or else, if the job's team is below its guarantee, the owner of the team
+// that is most above its own. machine_transfers.go tells how the giver transfers machines.
+
+// Least times between two requests of an owner.
+const (
+	machineRequestPause = 2 * micros.Second
+	// arrayRequestPause is the one for arrays, which need machines less urgently than gangs.
+	arrayRequestPause = 8 * micros.Second
+)
+
+// requestMachines asks the leader for machines for some tasks of a job. With reclaim, owners
+// whose teams are above their guarantees may stop tasks for it.
+func (o *owner) requestMachines(job *sched.Job, tasks int, reclaim bool) {
+	if o.c.cluster.Owners() < 2 || o.c.now < o.nextMachineRequest {
+		return
+	}
+	o.nextMachineRequest = o.c.now + machineRequestPause
+	request := &peer.Want{
+		Job: job.ID, Team: job.Team, Owner: o.c.node.ID(), Tasks: int32(tasks), Priority: int32(job.Priority),
+		Cpu: job.Need.CPU, Gpu: job.Need.GPU, Mem: job.Need.Mem,
+		OneZone: job.OneZone && job.Gang, Spread: job.Spread && job.Gang, Spot: job.Spot, Zone: job.Zone,
+		AnyType: job.Types == nil, Types: job.Types, Reclaim: reclaim,
+	}
+	if o.c.node.IsLeading() {
+		o.c.handleMachineRequest(request)
+		return
+	}
+	leader, _ := o.c.node.Leader()
+	if p := o.c.peers[leader]; p != nil {
+		o.c.send(p, &peer.Message{Body: &peer.Message_Want{Want: request}})
+	}
+}
+
+// requestedJob is the job of a machine request, as far as a giver must know it.
+func requestedJob(request *peer.Want) *sched.Job {
+	job := &sched.Job{
+		ID: request.Job, Team: request.Team, Gang: true,
+		Priority: sched.Priority(request.Priority), Tasks: max(1, int(request.Tasks)),
+		Need:    sched.Resources{CPU: request.Cpu, GPU: request.Gpu, Mem: request.Mem},
+		OneZone: request.OneZone, Spread: request.Spread, Spot: request.Spot, Zone: request.Zone,
+	}
+	if !request.AnyType {
+		job.Types = append([]string{}, request.Types...) // not nil: an empty list allows none
+	}
+	return job
+}
+
+// handleMachineRequest takes a machine request: as the leader, from an owner, to choose the
+// giver; as the giver, from the leader, to transfer machines.
+func (c *Core) handleMachineRequest(request *peer.Want) {
+	switch {
+	case request.Give:
+		if c.owner != nil && c.owner.state == ownerActive && request.Owner != c.node.ID() {
+			c.owner.transferMachines(request)
+		}
+	case c.node.IsLeading() && c.cluster.IsLive(request.Owner):
+		c.assignMachineRequest(request)
+	}
+}
+
+// assignMachineRequest passes a request on to the owner that shall transfer machines.
+func (c *Core) assignMachineRequest(request *peer.Want) {
+	giver := c.chooseGiver(request)
+	if giver == "" {
+		return
+	}
+	c.log.Info("machines wanted", "job", request.Job, "owner", request.Owner, "from", giver, "reclaim", request.Reclaim)
+	request.Give = true
+	if giver == c.cfg.Node {
+		c.handleMachineRequest(request)
+		return
+	}
+	c.send(c.peers[giver], &peer.Message{Body: &peer.Message_Want{Want: request}})
+}
+
+// chooseGiver chooses the node that transfers machines, or "".
+func (c *Core) chooseGiver(request *peer.Want) string {
+	job := requestedJob(request)
+	chosen, mostOver := "", 0.0
+	for _, node := range c.cluster.Members() {
+		if c.cluster.MemberID(node) == request.Owner {
+			continue
+		}
+		share := c.ownerShare(node)
+		if c.hasIdleMachineFor(share.Idle, job) {
+			return node
+		}
+		if over := c.mostOverGuarantee(share.Teams, request.Team); request.Reclaim && over > mostOver {
+			chosen, mostOver = node, over
+		}
+	}
+	return chosen
+}
+
+// ownerShare tells of a node's idle machines and teams, as far as is known.
+func (c *Core) ownerShare(node string) *peer.Beat {
+	share := &peer.Beat{}
+	if node == c.cfg.Node && c.owner != nil {
+		c.owner.describeShare(share)
+	} else if p := c.peers[node]; p != nil && p.fresh(c.now) {
+		share.Idle, share.Teams = p.idleMachines, p.teams
+	}
+	return share
+}
+
+func (c *Core) hasIdleMachineFor(idle []*peer.IdleMachine, job *sched.Job) bool {
+	for _, m := range idle {
+		t := c.types.find(m.Type)
+		if t != nil && job.Allows(m.Type, m.Zone, m.Spot) && job.Need.Fits(t.Size) {
+			return true
+		}
+	}
+	return false
+}
+
+// mostOverGuarantee tells by how much any team but the asking one is above its guarantee.
+func (c *Core) mostOverGuarantee(teams []*peer.TeamUse, asking string) float64 {
+	most := 0.0
+	for _, team := range teams {
+		settings, ok := c.cfg.Team(team.Team)
+		if !ok || team.Team == asking {
+			continue
+		}
+		use := sched.TeamUse{Used: sched.Resources{CPU: team.Cpu, GPU: team.Gpu}, Guarantee: settings.Guarantee}
+		most = max(most, use.Over())
+	}
+	return most
+}
+
+// describeShare adds to a heartbeat what peers must know of this owner.
+func (o *owner) describeShare(heartbeat *peer.Beat) {
+	heartbeat.Jobs = o.counts()
+	if o.ownsAllTeams() {
+		return // there is no owner to share machines with
+	}
+	for _, m := range o.list {
+		heartbeat.Machines = append(heartbeat.Machines, m.name)
+		if o.isIdle(m) {
+			heartbeat.Idle = append(heartbeat.Idle, &peer.IdleMachine{Type: m.kind, Zone: m.zone, Spot: m.spot})
+		}
+	}
+	for _, name := range sortedKeys(o.teams) {
+		used := o.teamUse(o.teams[name]).Used
+		heartbeat.Teams = append(heartbeat.Teams, &peer.TeamUse{Team: name, Cpu: used.CPU, Gpu: used.GPU})
+	}
+}
--- /dev/null
+++ b/controller/machine_transfers.go
@@ -0,0 +1,167 @@
+package controller
+
+import (
+	"tamarindlead/internal/budget"
+	"tamarindlead/internal/cluster"
+	"tamarindlead/internal/peer"
+	"tamarindlead/internal/record"
+	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// This file transfers machines from this owner's share to another's: the giver chooses machines
+// and empties them; it writes a block that names the new owner, whose revision is the machine's
+// token from then on; it tells the new owner, which reads the block and takes the machine.
+
+// idleBeforeTransfer is how long a machine has had nothing to do before it counts as idle: less
+// would give away machines between two tasks.
+const idleBeforeTransfer = 2 * micros.Second
+
+// transferMachines gives machines for another owner's job: idle ones, or else, if the request
+// allows it, some on which tasks are stopped.
+func (o *owner) transferMachines(request *peer.Want) {
+	job := requestedJob(request)
+	if o.transferIdle(job, request.Owner) == 0 && request.Reclaim {
+		o.reclaimFor(job, request.Owner)
+	}
+}
+
+// transferIdle transfers idle machines for a job, and returns how many of its tasks they hold.
+func (o *owner) transferIdle(job *sched.Job, newOwner string) int {
+	slots := 0
+	for _, m := range o.list {
+		if slots >= job.Tasks {
+			break
+		}
+		if !o.isIdle(m) || !job.Allows(m.kind, m.zone, m.spot) {
+			continue
+		}
+		if n := job.Need.Count(o.machineSize(m), job.Tasks); n > 0 {
+			slots += n
+			o.startTransfer(m, newOwner)
+		}
+	}
+	return slots
+}
+
+// reclaimFor transfers machines on which tasks of teams above their guarantees are stopped.
+func (o *owner) reclaimFor(job *sched.Job, newOwner string) {
+	plan := o.evictPlan(job, o.evictView(), sched.Reclaim, o.guaranteed())
+	if plan == nil {
+		return
+	}
+	o.c.log.Info("making room", "job", job.ID, "ground", plan.Mode.String(), "domain", plan.Domain,
+		"machines", len(plan.Place), "owner", newOwner)
+	for _, a := range plan.Place {
+		o.startTransfer(o.machines[a.Machine.Name], newOwner)
+	}
+	why := "room for " + job.ID
+	o.stopBundles(plan.Stop, why)
+	for _, a := range plan.Place {
+		o.stopLongTasks(o.machines[a.Machine.Name], why)
+	}
+}
+
+// stopLongTasks stops what is left on a machine that is transferred, which goes only when it is
+// empty: arrays' tasks that would keep it for long, as far as their teams' guarantees allow.
+func (o *owner) stopLongTasks(m *machine, why string) {
+	for _, a := range m.sorted() {
+		if a.job.Gang || a.state != attemptLive || o.remaining(a) < endingSoon {
+			continue
+		}
+		use := o.teamUse(o.teams[a.job.Team])
+		if use.Used = use.Used.Sub(a.job.Need); use.Covers() {
+			o.evict(a, why)
+		}
+	}
+}
+
+// isIdle tells that a machine can be transferred at once.
+func (o *owner) isIdle(m *machine) bool {
+	return m.state == machineUp && len(m.attempts) == 0 && m.token != 0 && !o.isHeld(m.name) &&
+		o.c.now-m.idleSince > idleBeforeTransfer
+}
+
+func (o *owner) startTransfer(m *machine, newOwner string) {
+	m.transferTo = newOwner
+	o.setMachine(m, machineTransferring, "for "+newOwner)
+}
+
+// canTransfer tells whether the new owner of a machine is live. If not, the machine stays.
+func (o *owner) canTransfer(m *machine) bool {
+	if o.c.cluster.IsLive(m.transferTo) {
+		return true
+	}
+	o.setMachine(m, machineUp, "its new owner is gone")
+	return false
+}
+
+// transferBlockName names the block in which a machine is transferred.
+func transferBlockName(m *machine) string {
+	return transferPrefix + m.name + "-" + record.NumberName(m.token)
+}
+
+// writeTransfer writes the new owner of an empty machine, in a block of its own.
+func (o *owner) writeTransfer(t *txn, m *machine) {
+	newOwner := o.c.cluster.MemberGuard(cluster.NodeOf(m.transferTo))
+	t.guards[newOwner.Key] = newOwner.Version
+	data := &record.BlockData{
+		Kinds:    []record.BlockKind{{Type: m.kind, Zone: m.zone, Spot: m.spot}},
+		Machines: []record.BlockMachine{{Name: m.name, Endpoint: m.endpoint, Rented: int64(m.rented)}},
+	}
+	t.put(record.BlockKey(transferBlockName(m)), data.Block(m.transferTo))
+}
+
+// transferred drops a machine whose new owner is recorded, and tells that owner.
+func (o *owner) transferred(m *machine) {
+	o.ownedElsewhere[m.name] = o.c.now + elsewhereMemory
+	o.forget(m)
+	if p := o.c.peers[cluster.NodeOf(m.transferTo)]; p != nil {
+		given := &peer.Given{Block: transferBlockName(m)}
+		o.c.send(p, &peer.Message{Body: &peer.Message_Given{Given: given}})
+	}
+}
+
+// receiveTransfer reads a block that may name this node as the new owner of a machine.
+func (o *owner) receiveTransfer(blockName string) {
+	if o.state != ownerActive {
+		return
+	}
+	o.c.store.Get(budget.Ownership, record.BlockKey(blockName), func(out store.Outcome, entry state.Entry) {
+		if o.superseded() || out != store.OK {
+			return
+		}
+		if data := o.transferredData(entry); data != nil {
+			o.takeTransferred(blockName, entry.Version, data)
+		}
+	})
+}
+
+// transferredData is the content of a block by which a machine is transferred to this node, or
+// nil if it is something else or was taken before.
+func (o *owner) transferredData(entry state.Entry) *record.BlockData {
+	var block record.Block
+	if wire.Decode(entry.Value, &block) != nil || block.Owner != o.c.node.ID() {
+		return nil
+	}
+	data, err := block.Decode()
+	if err != nil || len(data.Machines) != 1 || data.Machines[0].Token != 0 || o.machines[data.Machines[0].Name] != nil {
+		return nil
+	}
+	return data
+}
+
+// takeTransferred takes a machine, whose token is the version of its new block.
+func (o *owner) takeTransferred(blockName string, version uint64, data *record.BlockData) {
+	block := o.newBlock(blockName)
+	block.version = version
+	o.loadMachine(block, data, &data.Machines[0])
+	m := block.machines[0]
+	delete(o.ownedElsewhere, m.name)
+	m.token, m.dirty, m.takenOver, block.dirty = version, false, true, false
+	m.tokenShownAt = o.c.now
+	o.c.log.Info("machine received", "machine", m.name, "type", m.kind, "zone", m.zone)
+}
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -50,26 +50,26 @@
 	watchRev         uint64
 	watchDown        bool
 
-	lastHeard      micros.Micros
-	wantAt         micros.Micros // machines may be asked for again
-	arrayWantAt    micros.Micros // and for arrays
-	dispatchQueue  []*machine
-	openCommands   int // direct commands and questions to machines under way
-	proposed       int // attempts that are not recorded yet
-	proposedJobs   int // jobs with such
-	nextPass       micros.Micros
-	scheduleWanted bool
-	releaseWanted  bool
-	flushing       bool
-	flushAt        micros.Micros
-	nextScale      micros.Micros
-	nextScaleDown  micros.Micros
-	listing        cloudList
-	refusedOffers  map[capacity.Offer]micros.Micros // not asked for until then
-	partitioned    map[string]micros.Micros         // zones that are cut off, since when
-	classes        *capacity.Classes
-	releasing      bool
-	releaseAt      micros.Micros
+	lastHeard          micros.Micros
+	nextMachineRequest micros.Micros // machines may be asked for again
+	nextArrayRequest   micros.Micros // and for arrays
+	dispatchQueue      []*machine
+	openCommands       int // direct commands and questions to machines under way
+	proposed           int // attempts that are not recorded yet
+	proposedJobs       int // jobs with such
+	nextPass           micros.Micros
+	scheduleWanted     bool
+	releaseWanted      bool
+	flushing           bool
+	flushAt            micros.Micros
+	nextScale          micros.Micros
+	nextScaleDown      micros.Micros
+	listing            cloudList
+	refusedOffers      map[capacity.Offer]micros.Micros // not asked for until then
+	partitioned        map[string]micros.Micros         // zones that are cut off, since when
+	classes            *capacity.Classes
+	releasing          bool
+	releaseAt          micros.Micros
 
 	// cancellationsKnownUntil is when the last answered watch of the jobs began.
 	cancellationsKnownUntil micros.Micros
--- a/controller/peercalls.go
+++ b/controller/peercalls.go
@@ -69,10 +69,10 @@
 	case *peer.Message_JobEnded:
 		c.cancellations.MarkEnded(body.JobEnded.Id, c.now)
 	case *peer.Message_Want:
-		c.wanted(body.Want)
+		c.handleMachineRequest(body.Want)
 	case *peer.Message_Given:
 		if c.owner != nil {
-			c.owner.takeGiven(body.Given.Block)
+			c.owner.receiveTransfer(body.Given.Block)
 		}
 	default:
 		c.respond(request, wire.StatusMalformed, nil)
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -86,7 +86,7 @@
 		Ended: c.cancellations.Unacknowledged(p.Node), KnowsEnded: c.cancellations.ToAcknowledge(p.Node),
 	}
 	if c.owner != nil {
-		c.owner.tell(beat)
+		c.owner.describeShare(beat)
 	}
 	return beat
 }
--- a/controller/scale.go
+++ b/controller/scale.go
@@ -156,11 +156,11 @@
 // requestForArray asks other owners for machines: nothing can be rented for an array, but
 // what they have idle may serve.
 func (o *owner) requestForArray(shortage capacity.Shortage) {
-	if o.c.now < o.arrayWantAt {
+	if o.c.now < o.nextArrayRequest {
 		return
 	}
-	o.arrayWantAt = o.c.now + arrayWantEvery
-	o.want(shortage.Job, shortage.Tasks, false)
+	o.nextArrayRequest = o.c.now + arrayRequestPause
+	o.requestMachines(shortage.Job, shortage.Tasks, false)
 }
 
 // consolidate moves what can save away from a machine that is drained, if it would keep
--- a/controller/task_exits.go
+++ b/controller/task_exits.go
@@ -113,7 +113,7 @@
 func (o *owner) noticed(m *machine, left micros.Micros) {
 	first := m.notice == 0
 	m.notice = o.c.now + left
-	if m.state == machineUp || m.state == machineMoving {
+	if m.state == machineUp || m.state == machineTransferring {
 		o.setMachine(m, machineDraining, "taken back by the cloud")
 	}
 	if !first {
