--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -13,6 +13,8 @@
 const (
 	// maxBlockMachines bounds the machines of a block. Few can be that many in most values.
 	maxBlockMachines = 64
+	// maxEntryTasks bounds the tasks in one machine's entry, so that its block fits a value.
+	maxEntryTasks = 128
 	// machineEntryBytes is what a machine's entry takes without tasks.
 	machineEntryBytes = 32
 	// taskEntryBytes is the least that a task takes in an entry.
--- a/controller/load.go
+++ b/controller/load.go
@@ -7,14 +7,29 @@
 	"tamarindlead/sched"
 )
 
+// loadRetry is the pause before records are read again, after a request that failed.
 const loadRetry = 250 * micros.Millisecond
 
-// load reads all records. They do not change meanwhile, but for the jobs, which the
-// watch follows from the revision at which they were listed.
+// loader reads the records of an owner, one kind after the other: later ones name earlier
+// ones. They do not change meanwhile, but for the jobs, which the watch follows from the
+// revision at which they were listed.
+type loader struct {
+	owner *owner
+	begun micros.Micros
+	// blocks are kept until all else has been read.
+	blocks []state.Entry
+}
+
+// load reads all records after a takeover.
 func (o *owner) load() {
 	o.busy = true
-	c := o.c
-	fail := func() { o.busy, o.retryAt = false, c.now+loadRetry }
+	o.reset()
+	l := &loader{owner: o, begun: o.c.now}
+	l.list(record.ActivePrefix, l.jobsRead)
+}
+
+// reset forgets what was read or decided before.
+func (o *owner) reset() {
 	clear(o.jobs)
 	clear(o.waiting)
 	o.listed, o.cancelled = false, nil
@@ -27,50 +42,62 @@
 		t.used, t.stopping = sched.Resources{}, sched.Resources{}
 	}
 	o.queue = nil
-	step := func(prefix string, next func([]state.Entry, uint64)) func() {
-		return func() {
-			c.store.ListAll(prefix, func(ok bool, entries []state.Entry, rev uint64) {
-				switch {
-				case o.superseded():
-				case !ok:
-					fail()
-				default:
-					next(entries, rev)
-				}
-			})
+}
+
+// list reads the records with a prefix.
+func (l *loader) list(prefix string, next func(entries []state.Entry, revision uint64)) {
+	o := l.owner
+	o.c.store.ListAll(prefix, func(ok bool, entries []state.Entry, revision uint64) {
+		switch {
+		case o.superseded():
+		case !ok:
+			o.busy, o.retryAt = false, o.c.now+loadRetry
+		default:
+			next(entries, revision)
 		}
-	}
-	var machines []state.Entry
-	holds := step(record.HoldPrefix, func(entries []state.Entry, _ uint64) {
-		o.loadHolds(entries)
-		o.loadBlocks(machines)
-		o.busy = false
-		o.activate()
-	})
-	rentals := step(record.RentalPrefix, func(entries []state.Entry, _ uint64) {
-		o.loadRentals(entries)
-		holds()
-	})
-	listMachines := step(record.BlockPrefix, func(entries []state.Entry, _ uint64) {
-		machines = entries
-		rentals()
 	})
-	done := step(record.CompletionsPrefix, func(entries []state.Entry, _ uint64) {
-		o.loadShards(entries)
-		listMachines()
-	})
-	asked := c.now
-	step(record.ActivePrefix, func(entries []state.Entry, rev uint64) {
-		o.watchRev, o.cancellationsKnownUntil = rev, asked
-		c.graph.Reset(entries, rev)
-		o.listed = true
-		for _, e := range entries {
-			o.jobRecord(e.Key, e.Value, e.Version)
-		}
-		done()
-	})()
 }
 
+// jobsRead takes the active jobs.
+func (l *loader) jobsRead(entries []state.Entry, revision uint64) {
+	o := l.owner
+	o.watchRev, o.cancellationsKnownUntil = revision, l.begun
+	o.c.graph.Reset(entries, revision)
+	o.listed = true
+	for _, e := range entries {
+		o.jobRecord(e.Key, e.Value, e.Version)
+	}
+	l.list(record.CompletionsPrefix, l.shardsRead)
+}
+
+// shardsRead takes the completed tasks of the jobs.
+func (l *loader) shardsRead(entries []state.Entry, _ uint64) {
+	l.owner.loadShards(entries)
+	l.list(record.BlockPrefix, l.blocksRead)
+}
+
+// blocksRead keeps the blocks for the end: rentals and holds come first.
+func (l *loader) blocksRead(entries []state.Entry, _ uint64) {
+	l.blocks = entries
+	l.list(record.RentalPrefix, l.rentalsRead)
+}
+
+// rentalsRead takes the rentals.
+func (l *loader) rentalsRead(entries []state.Entry, _ uint64) {
+	l.owner.loadRentals(entries)
+	l.list(record.HoldPrefix, l.holdsRead)
+}
+
+// holdsRead takes the holds, and ends the loading.
+func (l *loader) holdsRead(entries []state.Entry, _ uint64) {
+	o := l.owner
+	o.loadHolds(entries)
+	o.loadBlocks(l.blocks)
+	o.busy = false
+	o.activate()
+}
+
+// activate begins the work of an owner that has read its records.
 func (o *owner) activate() {
 	for _, m := range o.list {
 		m.heard, m.takenOver = o.c.now+o.c.cfg.TakeoverGrace(), true
--- a/controller/schedule.go
+++ b/controller/schedule.go
@@ -20,8 +20,6 @@
 	// minProposedJobs is the number of jobs that may have such attempts, however few guards
 	// a commit takes.
 	minProposedJobs = 24
-	// maxEntryTasks bounds the tasks in one machine's entry, so that its block fits a value.
-	maxEntryTasks = 128
 )
 
 // schedule proposes places for waiting tasks. A proposal takes effect only when the
