Obsolete records are deleted also while other writes take all of them

Need: they were deleted only in moments without other writes and with budget to spare.

Now one obsolete key goes with other writes after 5 s, and one each 5 s from then on.

--- a/controller/commits.go
+++ b/controller/commits.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"strings"
 
 	"tamarindlead/internal/budget"
@@ -52,6 +53,7 @@
 		o.flushCancelled(t, func() bool { return room() < 2+half || full() })
 		o.flushRentals(t, func() bool { return room() < 2 || full() })
 		o.flushHolds(t, full)
+		o.flushObsolete(t, full)
 		o.flushRecords(t, room)
 		o.flushCancelled(t, func() bool { return room() < 2 || full() })
 	}
@@ -268,6 +270,30 @@
 	o.setAttempt(a, attemptClosed)
 }
 
+// obsoletePatience is how long obsolete keys wait for a moment without other writes. After
+// that, one of them is deleted in each such time.
+const obsoletePatience = 5 * micros.Second
+
+// flushObsolete deletes an obsolete key if other writes have kept it for long.
+func (o *owner) flushObsolete(t *txn, full func() bool) {
+	o.dropShards()
+	if len(o.obsoleteKeys) == 0 {
+		o.obsoleteDeletedAt = o.c.now
+		return
+	}
+	if o.c.now-o.obsoleteDeletedAt < obsoletePatience || full() {
+		return
+	}
+	o.obsoleteDeletedAt = o.c.now
+	key := o.obsoleteKeys[0]
+	t.writes = append(t.writes, state.Write{Delete: key})
+	t.results = append(t.results, func(ok bool, _ uint64) {
+		if ok {
+			o.obsoleteKeys = slices.DeleteFunc(o.obsoleteKeys, func(k string) bool { return k == key })
+		}
+	})
+}
+
 // tidy deletes what nobody reads any more, when writes are plentiful.
 func (o *owner) tidy() {
 	o.dropShards()
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -24,31 +24,32 @@
 
 // owner is the part of a node that places jobs and gives commands.
 type owner struct {
-	c                *Core
-	state            ownerState
-	since            micros.Micros
-	retryAt          micros.Micros
-	busy             bool
-	teams            map[string]*team
-	machines         map[string]*machine
-	list             []*machine // the same in the order of their names
-	blocks           []*block
-	shards           []*shard
-	jobs             map[string]*job
-	waiting          map[string]*job // those that wait for others, which are not among the jobs
-	listed           bool            // the jobs were listed; changes since are taken
-	swept            bool            // leftovers of long lists were looked for
-	queue            []*job          // active jobs in the order in which they are placed
-	rentals          map[string]*rental
-	holds            map[string]*hold         // by job
-	recentlyReturned map[string]micros.Micros // machines that were returned
-	ownedElsewhere   map[string]micros.Micros // machines that another owns, though no peer says so yet
-	unclaimed        map[string]micros.Micros // listed machines that nobody claims, since when
-	obsoleteKeys     []string                 // keys that nobody reads any more
-	cancelled        []string                 // waiting jobs that are cancelled with one before them, to be recorded
-	endings          []*job                   // that records name, and of which it is not known how they ended
-	watchRev         uint64
-	watchDown        bool
+	c                 *Core
+	state             ownerState
+	since             micros.Micros
+	retryAt           micros.Micros
+	busy              bool
+	teams             map[string]*team
+	machines          map[string]*machine
+	list              []*machine // the same in the order of their names
+	blocks            []*block
+	shards            []*shard
+	jobs              map[string]*job
+	waiting           map[string]*job // those that wait for others, which are not among the jobs
+	listed            bool            // the jobs were listed; changes since are taken
+	swept             bool            // leftovers of long lists were looked for
+	queue             []*job          // active jobs in the order in which they are placed
+	rentals           map[string]*rental
+	holds             map[string]*hold         // by job
+	recentlyReturned  map[string]micros.Micros // machines that were returned
+	ownedElsewhere    map[string]micros.Micros // machines that another owns, though no peer says so yet
+	unclaimed         map[string]micros.Micros // listed machines that nobody claims, since when
+	obsoleteKeys      []string                 // keys that nobody reads any more
+	obsoleteDeletedAt micros.Micros            // when some of them were deleted last, or there were none
+	cancelled         []string                 // waiting jobs that are cancelled with one before them, to be recorded
+	endings           []*job                   // that records name, and of which it is not known how they ended
+	watchRev          uint64
+	watchDown         bool
 
 	lastHeard          micros.Micros
 	nextMachineRequest micros.Micros // machines may be asked for again
