Tasks that share a job fill a block's machines in one write again

Cause: since each task that is not recorded yet counted 40 bytes of its block's value, for its job's name, and since a pass is held to that. A block of 30 machines for 14 tasks each took some 60 to 100 tasks a write instead of 420, though a job's name is written once and a further task takes 1 to 9 bytes. With few writes, idle machines filled over several seconds after an outage, while new jobs waited and machines were paid for.

Now only the first task of each job in a block is taken to bring the name.

Ruled out as the cause: the team limits that are kept for gangs which wait for machines.

TestFillsIdleMachines: 100 of 420 tasks were placed in a pass before, all with this.

--- a/controller/block_write.go
+++ b/controller/block_write.go
@@ -220,7 +220,7 @@
 		return
 	}
 	taskBytes := float64(size - len(w.stored)*machineEntryBytes)
-	w.block.bytesPerTask = min(taskBytes/float64(w.tasks), newTaskBytes)
+	w.block.bytesPerTask = min(taskBytes/float64(w.tasks), newJobBytes)
 }
 
 // addTo puts the write into a commit.
--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -19,9 +19,9 @@
 	machineEntryBytes = 32
 	// taskEntryBytes is the least that a task takes in an entry.
 	taskEntryBytes = 4
-	// newTaskBytes is the most that a task takes which is not recorded yet: it may bring the
-	// description of its job.
-	newTaskBytes = 40
+	// newJobBytes is what a job's first task in a block takes, at most as a rule: it brings the
+	// description of the job.
+	newJobBytes = 40
 	// assumedTasks is how many tasks a machine gets while no job is known.
 	assumedTasks = 16
 	// machineFill is the part of a value that a block may take when machines are added to it.
@@ -94,9 +94,9 @@
 	return min(max(1, fitting), maxBlockMachines)
 }
 
-// freeSlots is how many more tasks a machine's entry can hold: a part of what is left in
-// its block, by what a task took there when it was written last. A task that is not recorded
-// yet is taken for the first of its job. The free bytes of blocks are kept in freeBytes.
+// freeSlots is how many more tasks of one job a machine's entry can hold: a part of what is
+// left in its block, by what a task took there when it was written last. The first is taken to
+// bring the job's description. The free bytes of blocks are kept in freeBytes.
 func (o *owner) freeSlots(m *machine, freeBytes map[*block]float64) int {
 	b := m.block
 	free, ok := freeBytes[b]
@@ -104,31 +104,34 @@
 		free = o.freeBytes(b)
 		freeBytes[b] = free
 	}
-	if b.oversized {
+	if b.oversized || free < newJobBytes {
 		return 0
 	}
-	slots := int(free / max(b.bytesPerTask, newTaskBytes))
+	slots := 1 + int((free-newJobBytes)/b.taskBytes())
 	return min(slots/min(slotShares, len(b.machines)), maxEntryTasks-len(m.attempts))
 }
 
-// freeBytes is how much more of a value the tasks of a block may take.
+// freeBytes is how much more of a value the tasks of a block may take. Of the tasks that are
+// not recorded yet, one of each job is taken to bring the job's description: were all taken for
+// that, a block would get few tasks with each write.
 func (o *owner) freeBytes(b *block) float64 {
-	recorded := max(b.bytesPerTask, taskEntryBytes)
-	proposed := max(recorded, newTaskBytes)
 	free := float64(o.c.cfg.ValueBytes) * taskFill
+	newJobs := map[*job]bool{}
 	for _, m := range b.machines {
-		free -= machineEntryBytes
+		free -= machineEntryBytes + b.taskBytes()*float64(len(m.attempts))
 		for _, a := range m.attempts {
-			if a.state == attemptProposed {
-				free -= proposed
-			} else {
-				free -= recorded
+			if a.state == attemptProposed && !newJobs[a.job] {
+				newJobs[a.job] = true
+				free -= max(0, newJobBytes-b.taskBytes())
 			}
 		}
 	}
 	return free
 }
 
+// taskBytes is what a task takes, as a rule, of a job that the block describes already.
+func (b *block) taskBytes() float64 { return max(b.bytesPerTask, taskEntryBytes) }
+
 // isAdopted tells that the block was made for a machine that had no entry in any record.
 func (b *block) isAdopted() bool { return strings.HasPrefix(b.name, adoptedPrefix) }
 
--- a/controller/limits_test.go
+++ b/controller/limits_test.go
@@ -224,3 +224,38 @@
 		}
 	}
 }
+
+// TestFillsIdleMachines guards against machines that fill up only some tasks with each write:
+// tasks that are not recorded yet share the description of their job, and take little else.
+func TestFillsIdleMachines(t *testing.T) {
+	o := testOwner()
+	o.c.cfg.ValueBytes, o.c.cfg.TxnOps = 4<<10, 12
+	for i := range 5 {
+		id := jobName(i)
+		o.jobRecord(record.ActiveKey(id), wire.Encode(record.NewJob(&sched.Job{
+			ID: id, Class: "work", Team: "red", Tasks: 100, Need: sched.NewResources(2, 0, 2), Image: "img", Estimate: micros.Second,
+		}, o.c.wallClock)), uint64(i+1))
+	}
+	const machines, tasksEach = 30, 14
+	for i := range machines {
+		m := o.newMachine(fmt.Sprintf("m-%06d", i*7919), "mid", "a", false, fmt.Sprintf("10.1.%d.%d:9000", i*37%256, i*91%256))
+		m.token, m.session, m.synced, m.heard, m.state = uint64(1000+i*4711), 1, true, o.c.now, machineUp
+	}
+	o.scheduleWanted = true
+	o.schedule()
+	if o.proposed != machines*tasksEach {
+		t.Errorf("%d of %d tasks were placed", o.proposed, machines*tasksEach)
+	}
+	tx := &txn{guards: map[string]uint64{}}
+	o.flushRecords(tx, func() int { return o.c.cfg.TxnOps - len(tx.writes) })
+	for _, b := range o.blocks {
+		if b.oversized || !b.writing {
+			t.Errorf("block %s of %d machines was not written", b.name, len(b.machines))
+		}
+	}
+	for _, w := range tx.writes {
+		if n := w.Value.(record.Block).Size(); n > o.c.cfg.ValueBytes {
+			t.Errorf("%s has %d bytes", w.Put, n)
+		}
+	}
+}
