--- a/controller/blocks_test.go
+++ b/controller/blocks_test.go
@@ -116,3 +116,36 @@
 	}
 	b.ReportMetric(float64(len(o.blocks)), "blocks")
 }
+
+// TestGuardsOfBlock guards against a block that needs more guards than a commit takes: it is
+// written in several steps, and every attempt is recorded in the end.
+func TestGuardsOfBlock(t *testing.T) {
+	o := benchOwner()
+	o.c.cfg.TxnOps = 3
+	b := o.blocks[0]
+	var proposed []*attempt
+	for range 20 {
+		j := o.queue[len(o.queue)-1]
+		o.queue = o.queue[:len(o.queue)-1]
+		proposed = append(proposed, o.attach(j, j.lowest, 9, b.machines[0], attemptProposed))
+	}
+	o.markDirty(b.machines[0])
+	waiting := len(proposed)
+	for commits := 0; waiting > 0; commits++ {
+		if commits == len(proposed) {
+			t.Fatalf("%d attempts are not recorded after %d commits", waiting, commits)
+		}
+		tx := &txn{guards: map[string]uint64{}}
+		o.writeBlock(tx, b, o.c.cfg.TxnOps)
+		if most := maxGuardsPerOp * o.c.cfg.TxnOps; len(tx.writes) != 1 || len(tx.guards) > most {
+			t.Fatalf("%d writes under %d guards", len(tx.writes), len(tx.guards))
+		}
+		o.settle(tx, true, 10)
+		waiting = 0
+		for _, a := range proposed {
+			if a.state == attemptProposed {
+				waiting++
+			}
+		}
+	}
+}
