--- a/controller/cancellations.go
+++ b/controller/cancellations.go
@@ -102,7 +102,7 @@
 	x.respond(wire.JobCancelled)
 }
 
-func (x *cancellation) respond(status string) {
+func (x *cancellation) respond(status wire.JobPhase) {
 	x.c.respond(x.request, wire.StatusOK, wire.JobState{Ref: x.job, Status: status})
 }
 
--- a/controller/dump_test.go
+++ b/controller/dump_test.go
@@ -58,7 +58,7 @@
 	Info      standin.TaskInfo
 	Accepted  bool
 	WantsEnd  bool
-	Told      string
+	Told      wire.JobPhase
 	Cancelled micros.Micros
 }
 
@@ -341,7 +341,7 @@
 				if wire.Decode(a.Body, &st) != nil {
 					st.Status = "unreadable"
 				}
-				statuses[strings.Join([]string{r.Method, st.Status}, " ")]++
+				statuses[strings.Join([]string{r.Method, string(st.Status)}, " ")]++
 			})
 		}
 	}
--- a/controller/inherit_test.go
+++ b/controller/inherit_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-func (w *tree) over(id, status string) {
+func (w *tree) over(id string, status wire.JobPhase) {
 	delete(w.jobs, id)
 	w.apply(state.Change{Delete: record.ActiveKey(id)})
 	w.c.takeFinal(id, record.Final{Status: record.Status(status), At: 1})
--- a/controller/lookups.go
+++ b/controller/lookups.go
@@ -41,7 +41,7 @@
 // lookupResult is what was found out about a job.
 type lookupResult struct {
 	outcome lookupOutcome
-	status  string // as on the wire
+	status  wire.JobPhase
 	version uint64 // of the record of a job that is not over, else 0
 }
 
@@ -51,7 +51,7 @@
 }
 
 // finalResult is the result for a job that is over.
-func finalResult(status string) lookupResult { return lookupResult{lookupFound, status, 0} }
+func finalResult(status wire.JobPhase) lookupResult { return lookupResult{lookupFound, status, 0} }
 
 // lookup is a question for a job's state.
 type lookup struct {
@@ -283,7 +283,7 @@
 		case out == store.Missing:
 			c.finishLookup(l, lookupResult{outcome: lookupNotFound})
 		case out == store.OK && wire.Decode(e.Value, &rec) == nil:
-			c.finishFinal(l, string(rec.Status), rec.CancelledRoot(l.id))
+			c.finishFinal(l, wire.JobPhase(rec.Status), rec.CancelledRoot(l.id))
 		default:
 			c.finishLookup(l, lookupResult{})
 		}
@@ -293,7 +293,7 @@
 // finishFinal answers with a state that stays. That a job is cancelled is told only once the
 // peers know: see announceCancellation. If it was cancelled with one before it, the root, that is what
 // they know.
-func (c *Core) finishFinal(l *lookup, status, root string) {
+func (c *Core) finishFinal(l *lookup, status wire.JobPhase, root string) {
 	if status != wire.JobCancelled {
 		c.finals.remember(l.id, status)
 		c.finishLookup(l, finalResult(status))
--- a/controller/pipelines_test.go
+++ b/controller/pipelines_test.go
@@ -80,18 +80,18 @@
 }
 
 // recorded is the final state that the state service keeps of a job, or "".
-func (w *world) recorded(id string) string {
+func (w *world) recorded(id string) wire.JobPhase {
 	value, ok := w.state.Get(record.FinalPrefix + id)
 	if !ok {
 		return ""
 	}
 	var f struct {
-		Status string `cbor:"s"`
+		Status wire.JobPhase `cbor:"s"`
 	}
 	if err := wire.Decode(value, &f); err != nil {
 		w.breakRule("record: the final state of %s cannot be read: %v", id, err)
 	}
-	return string(f.Status)
+	return f.Status
 }
 
 // waitsForOthers tells whether users were not told yet of all jobs that a job awaits that
@@ -160,7 +160,7 @@
 }
 
 // checkAwaited holds what a user is told of a job against the jobs that it needs.
-func (w *world) checkAwaited(id, status string) {
+func (w *world) checkAwaited(id string, status wire.JobPhase) {
 	p := &w.pipelines
 	if len(p.awaits[id]) == 0 {
 		return
--- a/controller/pipelines_verbs_test.go
+++ b/controller/pipelines_verbs_test.go
@@ -51,7 +51,7 @@
 func answerState(r Respond) string {
 	var st wire.JobState
 	if (r.Status == 200 || r.Status == 201) && wire.Decode(r.Body, &st) == nil {
-		return st.Status
+		return string(st.Status)
 	}
 	return fmt.Sprint(r.Status)
 }
@@ -165,7 +165,7 @@
 		for end := w.now + argSeconds(t, d, "s", 240); w.now < end && w.recorded(id) == ""; {
 			w.run(worldStep)
 		}
-		return w.recorded(id), true
+		return string(w.recorded(id)), true
 	case "until-told":
 		for end := w.now + argSeconds(t, d, "s", 240); w.now < end && w.told[id] == ""; {
 			w.run(worldStep)
@@ -173,7 +173,7 @@
 		if w.told[id] == "" {
 			return "open", true
 		}
-		return w.told[id], true
+		return string(w.told[id]), true
 	case "state":
 		return answerState(w.answerOf(node().index, "GET", path, id, nil)), true
 	case "ask-all":
@@ -194,7 +194,7 @@
 	case "told":
 		n := map[string]int{}
 		for _, id := range row(t, d) {
-			s := w.told[id]
+			s := string(w.told[id])
 			if s == "" {
 				s = "open"
 			}
--- a/controller/queries.go
+++ b/controller/queries.go
@@ -24,13 +24,13 @@
 }
 
 // respondState answers with a job's state in short.
-func (c *Core) respondState(request uint64, httpStatus wire.Status, job, status string) {
+func (c *Core) respondState(request uint64, httpStatus wire.Status, job string, status wire.JobPhase) {
 	c.respond(request, httpStatus, wire.JobState{Ref: job, Status: c.statusForUsers(job, status).Status})
 }
 
 // statusForUsers is a job's state as users see it: one that is not over may be running, and
 // shows how many tasks are done and run.
-func (c *Core) statusForUsers(job, status string) wire.JobStatus {
+func (c *Core) statusForUsers(job string, status wire.JobPhase) wire.JobStatus {
 	shown := wire.JobStatus{Ref: job, Status: status}
 	if status == wire.JobQueued {
 		shown.Done, shown.Running = c.countsOf(job)
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -229,7 +229,7 @@
 		machineCommand(t, w, d, during)
 	case "status":
 		if s, ok := w.told[id]; ok {
-			return s
+			return string(s)
 		}
 		return "open"
 	case "count":
--- a/controller/submissions.go
+++ b/controller/submissions.go
@@ -35,7 +35,7 @@
 	writes     int // that its records take
 	// status is what users are told once it is accepted. It may be cancelled already, with a
 	// job before it, the root.
-	status        string
+	status        wire.JobPhase
 	cancelledRoot string
 }
 
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -41,7 +41,7 @@
 	submitted map[string]*sched.Job
 	asked     map[string]micros.Micros // when they were
 	bodies    map[string][]byte
-	told      map[string]string // final state that a user was told
+	told      map[string]wire.JobPhase // final state that a user was told
 	accepted  map[string]bool
 	cancelled map[string]micros.Micros
 	wantsEnd  map[string]bool
@@ -92,7 +92,7 @@
 		now: micros.Hour, rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg,
 		state: standin.NewState(), cloud: standin.NewCloud(), workers: map[string]*standin.Worker{},
 		infos: map[string]standin.TaskInfo{}, submitted: map[string]*sched.Job{}, asked: map[string]micros.Micros{}, bodies: map[string][]byte{},
-		told: map[string]string{}, accepted: map[string]bool{}, cancelled: map[string]micros.Micros{},
+		told: map[string]wire.JobPhase{}, accepted: map[string]bool{}, cancelled: map[string]micros.Micros{},
 		wantsEnd: map[string]bool{}, done: map[string]bool{}, running: map[string]string{},
 		faults: newStateFaults(seed), crowd: newCrowd(seed), pipelines: newPipelines(seed),
 		stops: map[string]int{}, answered: map[string]micros.Micros{}, began: map[string]micros.Micros{},
--- a/internal/jobgraph/graph_test.go
+++ b/internal/jobgraph/graph_test.go
@@ -57,7 +57,7 @@
 
 // final is how a job ended.
 type final struct {
-	status string
+	status wire.JobPhase
 	at     micros.Micros
 	root   string // of one that is cancelled: the job that its user cancelled
 }
@@ -117,11 +117,11 @@
 }
 
 // is is a job's state as a function of records alone.
-func (r *records) is(id string) string {
+func (r *records) is(id string) wire.JobPhase {
 	if f, ok := r.finals[id]; ok {
 		return f.status
 	}
-	state := "ready"
+	state := wire.JobPhase("ready")
 	for _, x := range r.jobs[id] {
 		switch r.is(x) {
 		case wire.JobCancelled:
@@ -223,7 +223,7 @@
 					if w == nil {
 						continue
 					}
-					got := "waits"
+					got := wire.JobPhase("waits")
 					if w.Cancelled() {
 						got = wire.JobCancelled
 						if f := r.finals[w.CancelledRoot]; f.status != wire.JobCancelled {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -34,8 +34,8 @@
 
 // The final states of jobs.
 const (
-	StatusDone      Status = wire.JobDone
-	StatusCancelled Status = wire.JobCancelled
+	StatusDone      = Status(wire.JobDone)
+	StatusCancelled = Status(wire.JobCancelled)
 )
 
 // Final is the final state of a job. It is kept forever.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -53,26 +53,29 @@
 // Error names the field and the problem.
 func (e *FieldError) Error() string { return e.Field + ": " + e.Problem }
 
-// Job states as users see them.
+// JobPhase is a job's state as users see it.
+type JobPhase string
+
+// The phases of a job.
 const (
-	JobQueued    = "queued"
-	JobRunning   = "running"
-	JobDone      = "done"
-	JobCancelled = "withdrawn"
+	JobQueued    JobPhase = "queued"
+	JobRunning   JobPhase = "running"
+	JobDone      JobPhase = "done"
+	JobCancelled JobPhase = "withdrawn"
 )
 
 // JobStatus answers a user.
 type JobStatus struct {
-	Ref     string `cbor:"ref"`
-	Status  string `cbor:"status"`
-	Done    int    `cbor:"done"`
-	Running int    `cbor:"running"`
+	Ref     string   `cbor:"ref"`
+	Status  JobPhase `cbor:"status"`
+	Done    int      `cbor:"done"`
+	Running int      `cbor:"running"`
 }
 
 // JobState is the short answer to a submission or cancellation.
 type JobState struct {
-	Ref    string `cbor:"ref"`
-	Status string `cbor:"status"`
+	Ref    string   `cbor:"ref"`
+	Status JobPhase `cbor:"status"`
 }
 
 // Problem explains a refusal.
