--- a/controller/events.go
+++ b/controller/events.go
@@ -8,10 +8,10 @@
 // Event is something that reached the node: Request, CallDone or Tick.
 type Event interface{ event() }
 
-// Request is an HTTP request from a user, a worker or a sibling.
+// Request is an HTTP request from a user, a worker or another controller.
 type Request struct {
 	ID     uint64
-	Peer   bool // came in on the listener for siblings
+	Peer   bool // came in on the listener for other controllers
 	Method string
 	Path   string
 	Body   []byte
