--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -12,6 +12,7 @@
 	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 	"tamarindlead/sched"
@@ -70,13 +71,13 @@
 // answers nothing more.
 type ownerStore struct{ incarnation uint64 }
 
-func (s *ownerStore) Call(request state.Request, done func(micros.Micros, cluster.Reply)) {
+func (s *ownerStore) Call(request state.Request, done func(micros.Micros, store.Reply)) {
 	reply := func(body any) {
-		done(micros.Hour, cluster.Reply{Status: cluster.ReplyOK, Body: wire.Encode(body)})
+		done(micros.Hour, store.Reply{Outcome: store.OK, Body: wire.Encode(body)})
 	}
 	switch {
 	case strings.HasPrefix(request.Target, "/kv/"):
-		done(micros.Hour, cluster.Reply{Status: cluster.ReplyMissing})
+		done(micros.Hour, store.Reply{Outcome: store.Missing})
 	case request.Target == "/leases":
 		reply(state.Granted{Lease: 1})
 	case request.Target == "/commit":
@@ -91,7 +92,7 @@
 	}
 }
 
-func (s *ownerStore) Watch(string, uint64, func(micros.Micros, cluster.Reply)) {}
+func (s *ownerStore) Watch(string, uint64, func(micros.Micros, store.Reply)) {}
 
 func benchReport(m *machine, seq uint64) []byte {
 	r := wire.Report{Machine: m.name, Endpoint: m.endpoint, Type: m.kind, Zone: m.zone, Spot: m.spot, Session: 1, Seq: seq, Token: 1}
--- a/controller/cluster.go
+++ b/controller/cluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"tamarindlead/internal/budget"
-	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/store"
 	"tamarindlead/micros"
@@ -13,26 +12,17 @@
 type clusterStore struct{ core *Core }
 
 // Call sends a request.
-func (s clusterStore) Call(request state.Request, done func(micros.Micros, cluster.Reply)) {
-	s.core.store.Do(budget.Leadership, request, s.answer(done))
+func (s clusterStore) Call(request state.Request, done func(micros.Micros, store.Reply)) {
+	s.core.store.Do(budget.Leadership, request, s.withTime(done))
 }
 
 // Watch waits for changes of keys with a prefix after a revision.
-func (s clusterStore) Watch(prefix string, after uint64, done func(micros.Micros, cluster.Reply)) {
-	s.core.store.Watch(budget.Leadership, prefix, after, store.WatchWait, s.answer(done))
+func (s clusterStore) Watch(prefix string, after uint64, done func(micros.Micros, store.Reply)) {
+	s.core.store.Watch(budget.Leadership, prefix, after, store.WatchWait, s.withTime(done))
 }
 
-func (s clusterStore) answer(done func(micros.Micros, cluster.Reply)) func(store.Reply) {
-	return func(reply store.Reply) {
-		status := cluster.ReplyFailed
-		switch reply.Outcome {
-		case store.OK:
-			status = cluster.ReplyOK
-		case store.Missing:
-			status = cluster.ReplyMissing
-		}
-		done(s.core.now, cluster.Reply{Status: status, Body: reply.Body})
-	}
+func (s clusterStore) withTime(done func(micros.Micros, store.Reply)) func(store.Reply) {
+	return func(reply store.Reply) { done(s.core.now, reply) }
 }
 
 // clusterHost takes the notifications of this node's part in the cluster.
--- a/internal/cluster/assign.go
+++ b/internal/cluster/assign.go
@@ -6,6 +6,7 @@
 
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/micros"
 )
 
@@ -46,7 +47,7 @@
 	}
 	guards[record.LeaderKey] = n.leadership.term
 	n.assignment.committing = true
-	n.store.Call(state.Commit(state.SortedGuards(guards), writes), func(now micros.Micros, _ Reply) {
+	n.store.Call(state.Commit(state.SortedGuards(guards), writes), func(now micros.Micros, _ store.Reply) {
 		// Whatever the outcome, the watch tells what holds.
 		n.assignment.committing = false
 		n.assignment.nextAt = now + assignRetry
--- a/internal/cluster/assign_test.go
+++ b/internal/cluster/assign_test.go
@@ -7,6 +7,7 @@
 
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 )
 
 // assignments are the owners of the teams that a commit writes.
@@ -45,7 +46,7 @@
 	}
 	f.tick(assignRetry)
 	f.expectNoCall() // one commit at a time
-	f.fail(call, ReplyFailed)
+	f.fail(call, store.Unknown)
 	f.tick(assignRetry - 1)
 	f.expectNoCall()
 	f.tick(1)
--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -3,22 +3,22 @@
 import (
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
-	"tamarindlead/internal/wire"
+	"tamarindlead/internal/store"
 	"tamarindlead/micros"
 )
 
 // decode reads the body of a call that was executed, and tells whether it could.
-func (r Reply) decode(into any) bool {
-	return r.Status == ReplyOK && wire.Decode(r.Body, into) == nil
+func decode(reply store.Reply, into any) bool {
+	return reply.Outcome == store.OK && reply.Decode(into)
 }
 
 // follow reads the cluster's records and then watches them. After a failure the next tick
 // starts over.
 func (n *Node) follow() {
 	n.following = true
-	n.store.Call(state.List(record.ClusterPrefix, ""), func(now micros.Micros, reply Reply) {
+	n.store.Call(state.List(record.ClusterPrefix, ""), func(now micros.Micros, reply store.Reply) {
 		var page state.Page
-		if !reply.decode(&page) {
+		if !decode(reply, &page) {
 			n.following = false
 			return
 		}
@@ -42,9 +42,9 @@
 }
 
 func (n *Node) watch(after uint64) {
-	n.store.Watch(record.ClusterPrefix, after, func(now micros.Micros, reply Reply) {
+	n.store.Watch(record.ClusterPrefix, after, func(now micros.Micros, reply store.Reply) {
 		var changes state.Changes
-		if !reply.decode(&changes) {
+		if !decode(reply, &changes) {
 			n.following = false
 			return
 		}
--- a/internal/cluster/leadership.go
+++ b/internal/cluster/leadership.go
@@ -3,6 +3,7 @@
 import (
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
@@ -132,9 +133,9 @@
 	guards := []state.Guard{{Key: record.LeaderKey, Version: l.term}, n.OwnGuard()}
 	leader := record.Leader{Node: n.config.Node, Incarnation: n.incarnation}
 	writes := []state.Write{{Put: record.LeaderKey, Lease: n.membership.lease, Value: leader}}
-	n.store.Call(state.Commit(guards, writes), func(now micros.Micros, reply Reply) {
+	n.store.Call(state.Commit(guards, writes), func(now micros.Micros, reply store.Reply) {
 		var committed state.Committed
-		if !reply.decode(&committed) || l.state != leadCampaigning {
+		if !decode(reply, &committed) || l.state != leadCampaigning {
 			n.campaignFailed(now)
 			return
 		}
@@ -152,12 +153,12 @@
 	}
 	l.pausedUntil = max(l.pausedUntil, now+2*campaignJitter)
 	n.setLead(now, leadVacant)
-	n.store.Call(state.Get(record.LeaderKey), func(now micros.Micros, reply Reply) {
+	n.store.Call(state.Get(record.LeaderKey), func(now micros.Micros, reply store.Reply) {
 		var entry state.Entry
 		switch {
-		case reply.decode(&entry):
+		case decode(reply, &entry):
 			n.leaderChanged(now, entry.Value, entry.Version)
-		case reply.Status == ReplyMissing && l.state == leadVacant:
+		case reply.Outcome == store.Missing && l.state == leadVacant:
 			l.term = 0
 		}
 	})
--- a/internal/cluster/leadership_test.go
+++ b/internal/cluster/leadership_test.go
@@ -6,6 +6,7 @@
 
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 )
 
 func (f *fixture) expectLead(want leadState, leader string, term uint64) {
@@ -64,7 +65,7 @@
 func TestCampaignLost(t *testing.T) {
 	f := newFixture(t, testSettings("red"))
 	commit, _ := f.campaigning()
-	f.fail(commit, ReplyFailed)
+	f.fail(commit, store.Conflict)
 	f.expectLead(leadVacant, "", 0)
 	f.answer(f.expect("GET", leaderTarget), leaderEntry("n1", 1, 15))
 	f.expectLead(leadFollower, "n1", 15)
@@ -73,8 +74,8 @@
 func TestCampaignFailsWithoutRival(t *testing.T) {
 	f := newFixture(t, testSettings("red"))
 	commit, _ := f.campaigning(leaderEntry("n0", 1, 3))
-	f.fail(commit, ReplyFailed)
-	f.fail(f.expect("GET", leaderTarget), ReplyMissing)
+	f.fail(commit, store.Conflict)
+	f.fail(f.expect("GET", leaderTarget), store.Missing)
 	f.expectLead(leadVacant, "", 0)
 	f.tick(2*campaignJitter - 1)
 	f.expectNoCall()
@@ -92,7 +93,7 @@
 	commit, _ := f.campaigning()
 	f.changed(leaderEntry("n2", 4, 15))
 	f.expectLead(leadFollower, "n2", 15)
-	f.fail(commit, ReplyFailed)
+	f.fail(commit, store.Conflict)
 	f.expectLead(leadFollower, "n2", 15)
 	f.expectNoCall()
 }
@@ -111,7 +112,7 @@
 func TestCommitExecutedAfterItFailed(t *testing.T) {
 	f := newFixture(t, testSettings("red"))
 	commit, _ := f.campaigning()
-	f.fail(commit, ReplyFailed)
+	f.fail(commit, store.Unknown)
 	f.expect("GET", leaderTarget)
 	f.changed(leaderEntry("n0", f.node.Incarnation(), leaderRevision))
 	if f.node.IsLeading() {
@@ -156,7 +157,7 @@
 func TestRecordsAreReadAgainAfterAFailure(t *testing.T) {
 	f := newFixture(t, testSettings("red"))
 	f.joined(leaderEntry("n1", 1, 3), memberEntry("n1", 1, 2))
-	f.fail(f.store.watches[0], ReplyFailed)
+	f.fail(f.store.watches[0], store.Unknown)
 	f.store.watches = nil
 	f.tick(0)
 	f.answer(f.expect("GET", listTarget), state.Page{Revision: 40, Entries: []state.Entry{f.ownEntry()}})
--- a/internal/cluster/membership.go
+++ b/internal/cluster/membership.go
@@ -3,6 +3,7 @@
 import (
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/micros"
 )
 
@@ -80,9 +81,9 @@
 // join reads the version of this node's record, gets a lease, and puts the record on it.
 func (n *Node) join(now micros.Micros) {
 	n.setMember(now, memberJoining, "starts")
-	n.store.Call(state.Get(record.MemberKey(n.config.Node)), func(now micros.Micros, reply Reply) {
+	n.store.Call(state.Get(record.MemberKey(n.config.Node)), func(now micros.Micros, reply store.Reply) {
 		var earlier state.Entry
-		if reply.Status != ReplyMissing && !reply.decode(&earlier) {
+		if reply.Outcome != store.Missing && !decode(reply, &earlier) {
 			n.joinFailed(now)
 			return
 		}
@@ -91,9 +92,9 @@
 }
 
 func (n *Node) grantLease(earlierVersion uint64) {
-	n.store.Call(state.Grant(n.config.Tuning.LeaderTTL), func(now micros.Micros, reply Reply) {
+	n.store.Call(state.Grant(n.config.Tuning.LeaderTTL), func(now micros.Micros, reply store.Reply) {
 		var granted state.Granted
-		if !reply.decode(&granted) {
+		if !decode(reply, &granted) {
 			n.joinFailed(now)
 			return
 		}
@@ -107,9 +108,9 @@
 	key := record.MemberKey(n.config.Node)
 	guards := []state.Guard{{Key: key, Version: earlierVersion}}
 	writes := []state.Write{{Put: key, Lease: lease, Value: record.Member{Incarnation: n.incarnation}}}
-	n.store.Call(state.Commit(guards, writes), func(now micros.Micros, reply Reply) {
+	n.store.Call(state.Commit(guards, writes), func(now micros.Micros, reply store.Reply) {
 		var committed state.Committed
-		if !reply.decode(&committed) {
+		if !decode(reply, &committed) {
 			n.joinFailed(now)
 			return
 		}
@@ -134,17 +135,17 @@
 	}
 	m.renewing = true
 	lease := m.lease
-	n.store.Call(state.Renew(lease), func(now micros.Micros, reply Reply) {
+	n.store.Call(state.Renew(lease), func(now micros.Micros, reply store.Reply) {
 		m.renewing = false
 		if m.state != memberIn || m.lease != lease {
 			return
 		}
-		switch reply.Status {
-		case ReplyOK:
+		switch reply.Outcome {
+		case store.OK:
 			m.renewAt = now + n.renewEvery()
-		case ReplyMissing:
+		case store.Missing:
 			n.setMember(now, memberOut, "its lease has ended")
-		case ReplyFailed:
+		default:
 			// In an outage, or if this node alone is refused, it cannot tell whether the
 			// lease has ended. It goes on: if others have taken over, the machines'
 			// tokens and the guards of commits are theirs.
@@ -158,7 +159,7 @@
 func (n *Node) leave(now micros.Micros) {
 	n.log.Warn("leaving: workers reach a sibling but not this node")
 	n.membership.pausedUntil = now + leavePause
-	n.store.Call(state.Revoke(n.membership.lease), func(micros.Micros, Reply) {})
+	n.store.Call(state.Revoke(n.membership.lease), func(micros.Micros, store.Reply) {})
 	n.setMember(now, memberOut, "workers do not reach it")
 }
 
--- a/internal/cluster/membership_test.go
+++ b/internal/cluster/membership_test.go
@@ -6,13 +6,14 @@
 
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/micros"
 )
 
 func TestJoin(t *testing.T) {
 	f := newFixture(t, testSettings("red"))
 	f.tick(0)
-	f.fail(f.expect("GET", memberTarget), ReplyMissing)
+	f.fail(f.expect("GET", memberTarget), store.Missing)
 	f.expect("GET", listTarget)
 	f.answer(f.expect("POST", "/leases"), state.Granted{Lease: testLease})
 	commit, body := f.expectCommit()
@@ -47,7 +48,7 @@
 	if body.Guards[0].Version != 7 {
 		t.Errorf("guarded on version %d; want 7", body.Guards[0].Version)
 	}
-	f.fail(commit, ReplyFailed)
+	f.fail(commit, store.Conflict)
 	if f.node.membership.state != memberOut || f.node.RecordVersion() != 0 {
 		t.Errorf("state %s, version %d", f.node.membership.state, f.node.RecordVersion())
 	}
@@ -64,14 +65,14 @@
 		call := f.expect("GET", memberTarget)
 		f.expect("GET", listTarget)
 		if step > 0 {
-			f.fail(call, ReplyMissing)
+			f.fail(call, store.Missing)
 			call = f.expect("POST", "/leases")
 		}
 		if step > 1 {
 			f.answer(call, state.Granted{Lease: testLease})
 			call, _ = f.expectCommit()
 		}
-		f.fail(call, ReplyFailed)
+		f.fail(call, store.Unknown)
 		if f.node.membership.state != memberOut {
 			t.Errorf("step %d: state %s; want out", step, f.node.membership.state)
 		}
@@ -90,7 +91,7 @@
 	call := f.expect("POST", renewal)
 	f.tick(micros.Second)
 	f.expectNoCall() // one at a time
-	f.fail(call, ReplyFailed)
+	f.fail(call, store.Unknown)
 	if f.node.membership.state != memberIn {
 		t.Fatal("a renewal that fails does not end the lease")
 	}
@@ -110,7 +111,7 @@
 	f.store.calls = nil
 	f.tick(testTTL / 3)
 	notified := f.host.ownershipChanges
-	f.fail(f.expect("POST", fmt.Sprintf("/leases/%d/extend", testLease)), ReplyMissing)
+	f.fail(f.expect("POST", fmt.Sprintf("/leases/%d/extend", testLease)), store.Missing)
 	if f.node.membership.state != memberOut || f.node.IsLeading() || len(f.node.OwnTeams()) != 0 {
 		t.Errorf("state %s, leading %t, teams %v", f.node.membership.state, f.node.IsLeading(), f.node.OwnTeams())
 	}
@@ -129,11 +130,11 @@
 	late := f.expect("POST", fmt.Sprintf("/leases/%d/extend", testLease))
 	f.node.RecordLost(f.now)
 	f.tick(joinRetry)
-	f.fail(f.expect("GET", memberTarget), ReplyMissing)
+	f.fail(f.expect("GET", memberTarget), store.Missing)
 	f.answer(f.expect("POST", "/leases"), state.Granted{Lease: testLease + 1})
 	commit, _ := f.expectCommit()
 	f.answer(commit, state.Committed{Revision: 30})
-	f.fail(late, ReplyMissing)
+	f.fail(late, store.Missing)
 	if f.node.membership.state != memberIn || f.node.RecordVersion() != 30 {
 		t.Errorf("state %s, version %d", f.node.membership.state, f.node.RecordVersion())
 	}
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -13,6 +13,7 @@
 
 	"tamarindlead/config"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/micros"
 )
 
@@ -20,9 +21,9 @@
 type Store interface {
 	// Call sends a request. Once the call has ended, done gets the time and the reply; that
 	// is at once if the request cannot be sent now.
-	Call(request state.Request, done func(now micros.Micros, reply Reply))
+	Call(request state.Request, done func(now micros.Micros, reply store.Reply))
 	// Watch waits for changes of keys with a prefix after a revision.
-	Watch(prefix string, after uint64, done func(now micros.Micros, reply Reply))
+	Watch(prefix string, after uint64, done func(now micros.Micros, reply store.Reply))
 }
 
 // Host is the user of a Node, which is told of changes.
@@ -37,22 +38,6 @@
 	Unreachable() bool
 }
 
-// ReplyStatus is how a call to the state service ended, as far as a Node must know.
-type ReplyStatus int
-
-// The ends of a call.
-const (
-	ReplyOK      ReplyStatus = iota // executed
-	ReplyMissing                    // the key or lease does not exist
-	ReplyFailed                     // refused, or perhaps executed, or executed later
-)
-
-// Reply is the answer of the state service to one call.
-type Reply struct {
-	Status ReplyStatus
-	Body   []byte
-}
-
 // Node is a controller node as a member of the cluster, and perhaps its leader.
 type Node struct {
 	config      *config.Settings
--- a/internal/cluster/stub_test.go
+++ b/internal/cluster/stub_test.go
@@ -9,6 +9,7 @@
 	"tamarindlead/config"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/store"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
@@ -18,7 +19,7 @@
 // stubCall is a call that waits for its answer.
 type stubCall struct {
 	request state.Request
-	done    func(micros.Micros, Reply)
+	done    func(micros.Micros, store.Reply)
 }
 
 // stubStore keeps calls until a test answers them.
@@ -27,11 +28,11 @@
 	watches []stubCall
 }
 
-func (s *stubStore) Call(request state.Request, done func(micros.Micros, Reply)) {
+func (s *stubStore) Call(request state.Request, done func(micros.Micros, store.Reply)) {
 	s.calls = append(s.calls, stubCall{request, done})
 }
 
-func (s *stubStore) Watch(prefix string, after uint64, done func(micros.Micros, Reply)) {
+func (s *stubStore) Watch(prefix string, after uint64, done func(micros.Micros, store.Reply)) {
 	s.watches = append(s.watches, stubCall{state.Watch(prefix, after, 0), done})
 }
 
@@ -100,10 +101,12 @@
 }
 
 func (f *fixture) answer(call stubCall, body any) {
-	call.done(f.now, Reply{Status: ReplyOK, Body: wire.Encode(body)})
+	call.done(f.now, store.Reply{Outcome: store.OK, Body: wire.Encode(body)})
 }
 
-func (f *fixture) fail(call stubCall, status ReplyStatus) { call.done(f.now, Reply{Status: status}) }
+func (f *fixture) fail(call stubCall, outcome store.Outcome) {
+	call.done(f.now, store.Reply{Outcome: outcome})
+}
 
 // commitBody is what a commit demands and writes.
 type commitBody struct {
@@ -140,7 +143,7 @@
 	f.tick(0)
 	read := f.expect("GET", memberTarget)
 	list := f.expect("GET", listTarget)
-	f.fail(read, ReplyMissing)
+	f.fail(read, store.Missing)
 	f.answer(f.expect("POST", "/leases"), state.Granted{Lease: testLease})
 	commit, _ := f.expectCommit()
 	f.answer(commit, state.Committed{Revision: joinRevision})
