--- a/controller/timers.go
+++ b/controller/timers.go
@@ -1,15 +1,16 @@
 package controller
 
-import (
-	"tamarindlead/micros"
-)
+import "tamarindlead/micros"
 
-// How often the slower duties are looked at, and how exactly time is seen to pass.
+// Intervals of ticks.
 const (
+	// slowTick is how often the slower duties are looked at: heartbeats, leases, holds.
 	slowTick = 250 * micros.Millisecond
-	fastTick = 50 * micros.Millisecond // while something waits for a moment
+	// fastTick is how exactly time is seen to pass while something waits for a moment.
+	fastTick = 50 * micros.Millisecond
 )
 
+// timer calls a function once a time has come.
 type timer struct {
 	at micros.Micros
 	do func()
@@ -20,10 +21,11 @@
 	c.timers = append(c.timers, timer{c.now + d, do})
 }
 
+// runTimers calls the timers that are due, in the order in which they were set.
 func (c *Core) runTimers() {
-	due := c.timers
-	c.timers = nil
-	for _, t := range due {
+	pending := c.timers
+	c.timers = nil // those called may set others
+	for _, t := range pending {
 		if c.now >= t.at {
 			t.do()
 		} else {
