--- a/controller/block_split.go
+++ b/controller/block_split.go
@@ -91,11 +91,6 @@
 	return part
 }
 
-// entryBytes estimates what a machine's entry takes.
-func (b *block) entryBytes(m *machine) float64 {
-	return machineEntryBytes + max(b.bytesPerTask, taskEntryBytes)*float64(len(m.attempts))
-}
-
 // estimatedBytes estimates what all entries take.
 func (b *block) estimatedBytes() float64 {
 	sum := 0.0
--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -118,7 +118,7 @@
 	free := float64(o.c.cfg.ValueBytes) * taskFill
 	newJobs := map[*job]bool{}
 	for _, m := range b.machines {
-		free -= machineEntryBytes + b.taskBytes()*float64(len(m.attempts))
+		free -= b.entryBytes(m)
 		for _, a := range m.attempts {
 			if a.state == attemptProposed && !newJobs[a.job] {
 				newJobs[a.job] = true
@@ -132,6 +132,11 @@
 // taskBytes is what a task takes, as a rule, of a job that the block describes already.
 func (b *block) taskBytes() float64 { return max(b.bytesPerTask, taskEntryBytes) }
 
+// entryBytes is what a machine's entry takes, as a rule.
+func (b *block) entryBytes(m *machine) float64 {
+	return machineEntryBytes + b.taskBytes()*float64(len(m.attempts))
+}
+
 // isAdopted tells that the block was made for a machine that had no entry in any record.
 func (b *block) isAdopted() bool { return strings.HasPrefix(b.name, adoptedPrefix) }
 
