--- a/internal/jobgraph/graph_test.go
+++ b/internal/jobgraph/graph_test.go
@@ -193,8 +193,10 @@
 					t.Fatal("changes with a gap before them were taken")
 				}
 				after := g.revision - min(g.revision, rng.Uint64N(5))
-				if !g.Apply(after, r.since(after), wallClock) || !g.Apply(after, r.since(after), wallClock) {
-					t.Fatal("changes that continue the view were refused")
+				for range 2 { // two reads may both bring the same changes
+					if !g.Apply(after, r.since(after), wallClock) {
+						t.Fatal("changes that continue the view were refused")
+					}
 				}
 				for _, id := range sortedKeys(g.unresolved) {
 					if _, over := r.finals[id]; !over {
