Core and owner: fields are grouped and documented, the slower duties are a function

| old | new | | --- | --- | | dropAll | refusePending | | isSilent (one function) | isSilent, allSilentLimit, shouldReport | | 200 ms in resync | resyncPause |

--- a/controller/cluster.go
+++ b/controller/cluster.go
@@ -57,7 +57,7 @@
 // setOwner is the one place where this node begins or ends owning.
 func (c *Core) setOwner(o *owner) {
 	if c.owner != nil {
-		c.owner.dropAll()
+		c.owner.refusePending()
 	}
 	c.owner = o
 	c.shareLimits()
--- a/controller/core.go
+++ b/controller/core.go
@@ -21,42 +21,52 @@
 
 // Core is the state of a controller node.
 type Core struct {
-	cfg       *config.Settings
-	log       *slog.Logger
-	debug     bool          // the log takes details
-	now       micros.Micros // steady
+	cfg   *config.Settings
+	log   *slog.Logger
+	debug bool // the log takes details
+
+	// Times, as of the present event. now is steady and only grows; wallClock is the time of
+	// day, which records and users see.
+	now       micros.Micros
 	wallClock micros.Micros
+	timers    []timer
+	nextSlow  micros.Micros // when the slower duties are due
+
+	// Effects of the present event, and the calls that wait for their ends.
+	out    []Effect
+	nextID uint64
+	calls  map[uint64]func(CallDone)
+
+	// The state service and the cloud, with this node's part of their limits.
+	budget    *budget.Budget
+	store     *store.Client
+	cloudRate *rate.Limiter
 
-	out     []Effect
-	nextID  uint64
-	numbers uint64 // of attempts and rentals, see nextNumber
-	calls   map[uint64]func(CallDone)
+	// The cluster: other controllers, members and owners by the records, and this node's part.
+	peers   map[string]*peerNode
+	node    *cluster.Node
+	cluster *cluster.View // of node
+	owner   *owner        // set while this node owns teams
+	numbers uint64        // of attempts and rentals, see nextNumber
 
-	budget      *budget.Budget
-	store       *store.Client
-	peers       map[string]*peerNode
-	types       machineTypeTable
+	// What users ask for.
 	submissions submissions
 	finals      finalStates
 	lookups     lookupStage
 	graph       *jobgraph.Graph // the active jobs
 	jobView     jobView
-	node        *cluster.Node
-	cluster     *cluster.View // what the records say, see node
-	spotRisk    capacity.SpotRisk
-	count       counters
-	owner       *owner // set while this node owns teams
-
 	// cancellations keeps which cancellations users may be told of, and bounds leases.
 	cancellations *cancelack.Tracker
 
-	timers    []timer
-	cloudRate *rate.Limiter
-
-	recentReports []micros.Micros // arrivals of workers' reports, latest last
+	// Machines in general.
+	types    machineTypeTable
+	spotRisk capacity.SpotRisk
+	// recentReports are arrivals of workers' reports, the latest last.
+	recentReports []micros.Micros
 	// elsewhereAt is when a worker of another zone reported last.
 	elsewhereAt micros.Micros
-	nextSlow    micros.Micros
+
+	count counters
 }
 
 // randomStream is the second half of the seed of the random source.
@@ -105,20 +115,12 @@
 	return c.out
 }
 
+// tick does what is due, after every event.
 func (c *Core) tick() {
 	c.runTimers()
 	if c.now >= c.nextSlow {
 		c.nextSlow = c.now + slowTick
-		c.store.Tick()
-		c.tickPeers()
-		c.tickMachineTypes()
-		c.node.Tick(c.now)
-		c.tickJobView()
-		c.tickStatus()
-		c.cancellations.ForgetEnded(c.now)
-		if c.owner != nil {
-			c.owner.slowTick()
-		}
+		c.tickSlow()
 	}
 	c.submissions.flush()
 	c.cancellations.Tick(c.now)
@@ -128,6 +130,20 @@
 	}
 }
 
+// tickSlow does the slower duties.
+func (c *Core) tickSlow() {
+	c.store.Tick()
+	c.tickPeers()
+	c.tickMachineTypes()
+	c.node.Tick(c.now)
+	c.tickJobView()
+	c.tickStatus()
+	c.cancellations.ForgetEnded(c.now)
+	if c.owner != nil {
+		c.owner.slowTick()
+	}
+}
+
 // call starts an outbound request.
 func (c *Core) call(call Call, done func(CallDone)) {
 	c.nextID++
@@ -137,6 +153,7 @@
 	c.out = append(c.out, call)
 }
 
+// respond answers a request, with a body unless it is nil.
 func (c *Core) respond(id uint64, status int, body any) {
 	var data []byte
 	if body != nil {
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -17,63 +17,78 @@
 
 const (
 	ownerLoading ownerState = iota // the records are being read
-	ownerActive
+	ownerActive                    // jobs are placed, machines get commands
 )
 
 func (s ownerState) String() string { return [...]string{"loading", "active"}[s] }
 
-// owner is the part of a node that places jobs and gives commands.
+// owner is the part of a node that places jobs and gives commands. It works from the records:
+// after a takeover, or if they are not as they were known, a new owner reads all of them.
 type owner struct {
-	c                 *Core
-	state             ownerState
-	since             micros.Micros
-	retryAt           micros.Micros
-	busy              bool
-	teams             map[string]*team
-	machines          map[string]*machine
-	list              []*machine // the same in the order of their names
-	blocks            []*block
-	shards            []*shard
-	jobs              map[string]*job
-	waiting           map[string]*job // those that wait for others, which are not among the jobs
-	listed            bool            // the jobs were listed; changes since are taken
-	swept             bool            // leftovers of long lists were looked for
-	queue             []*job          // active jobs in the order in which they are placed
-	rentals           map[string]*rental
-	holds             map[string]*hold         // by job
-	recentlyReturned  map[string]micros.Micros // machines that were returned
-	ownedElsewhere    map[string]micros.Micros // machines that another owns, though no peer says so yet
-	unclaimed         map[string]micros.Micros // listed machines that nobody claims, since when
-	obsoleteKeys      []string                 // keys that nobody reads any more
-	obsoleteDeletedAt micros.Micros            // when some of them were deleted last, or there were none
-	cancelled         []string                 // waiting jobs that are cancelled with one before them, to be recorded
-	endings           []*job                   // that records name, and of which it is not known how they ended
-	watchRev          uint64
-	watchDown         bool
-
-	lastHeard          micros.Micros
-	nextMachineRequest micros.Micros // machines may be asked for again
-	nextArrayRequest   micros.Micros // and for arrays
-	dispatchQueue      []*machine
-	openCommands       int // direct commands and questions to machines under way
-	proposed           int // attempts that are not recorded yet
-	proposedJobs       int // jobs with such
-	nextPass           micros.Micros
-	scheduleWanted     bool
-	releaseWanted      bool
-	flushing           bool
-	flushAt            micros.Micros
-	nextScale          micros.Micros
-	nextScaleDown      micros.Micros
-	listing            cloudList
-	refusedOffers      map[capacity.Offer]micros.Micros // not asked for until then
-	partitioned        map[string]micros.Micros         // zones that are cut off, since when
-	classes            *capacity.Classes
-	releasing          bool
-	releaseAt          micros.Micros
+	c       *Core
+	state   ownerState
+	since   micros.Micros // when it became active; before that, when it was made
+	busy    bool          // the records are being read
+	retryAt micros.Micros // a read or watch that failed is tried again then
+	teams   map[string]*team
+
+	// Jobs.
+	jobs    map[string]*job
+	queue   []*job          // active jobs in the order in which they are placed
+	waiting map[string]*job // those that wait for others, which are not among the jobs
+	// cancelled are waiting jobs that are cancelled with one before them, to be recorded.
+	cancelled []string
+	// endings are jobs that records name, of which it is not known how they ended.
+	endings []*job
+	holds   map[string]*hold // by job
+	classes *capacity.Classes
 
+	// The watch of the jobs' records.
+	listed    bool // the jobs were listed; changes since are taken
+	watchRev  uint64
+	watchDown bool
 	// cancellationsKnownUntil is when the last answered watch of the jobs began.
 	cancellationsKnownUntil micros.Micros
+
+	// Machines.
+	machines         map[string]*machine
+	list             []*machine // the same in the order of their names
+	listing          cloudList
+	rentals          map[string]*rental
+	refusedOffers    map[capacity.Offer]micros.Micros // not asked for until then
+	recentlyReturned map[string]micros.Micros         // machines that were returned, remembered until then
+	ownedElsewhere   map[string]micros.Micros         // machines that another owns, though no peer says so yet
+	unclaimed        map[string]micros.Micros         // listed machines that nobody claims, since when
+	partitioned      map[string]micros.Micros         // zones that are cut off, since when
+	releaseWanted    bool                             // machines are to be returned to the cloud
+	releasing        bool                             // a request for that is under way
+	releaseAt        micros.Micros
+	nextScale        micros.Micros
+	nextScaleDown    micros.Micros
+	// nextMachineRequest and nextArrayRequest are when machines may be asked of other owners
+	// again, the latter for arrays.
+	nextMachineRequest micros.Micros
+	nextArrayRequest   micros.Micros
+
+	// Commands to machines.
+	lastHeard     micros.Micros // the latest report
+	dispatchQueue []*machine
+	openCommands  int // direct commands and questions to machines under way
+
+	// Scheduling passes, and the attempts that they have proposed.
+	scheduleWanted bool
+	nextPass       micros.Micros
+	proposed       int // attempts that are not recorded yet
+	proposedJobs   int // jobs with such
+
+	// Commits.
+	blocks            []*block
+	shards            []*shard
+	flushing          bool // a commit is under way
+	flushAt           micros.Micros
+	obsoleteKeys      []string      // keys that nobody reads any more
+	obsoleteDeletedAt micros.Micros // when some of them were deleted last, or there were none
+	swept             bool          // leftovers of long lists were looked for
 }
 
 // team is a team that this node owns.
@@ -84,6 +99,7 @@
 	config.Team
 }
 
+// newOwner returns an owner of teams that has read no records yet.
 func newOwner(c *Core, teams map[string]cluster.Team) *owner {
 	o := &owner{
 		c: c, since: c.now, lastHeard: c.now,
@@ -129,14 +145,15 @@
 // superseded tells callbacks of an owner that has been replaced to do nothing.
 func (o *owner) superseded() bool { return o.c.owner != o }
 
+// setState is the one place where the state changes.
 func (o *owner) setState(s ownerState) {
 	o.c.log.Info("owner", "from", o.state.String(), "to", s.String(),
 		"jobs", len(o.jobs), "machines", len(o.machines))
 	o.state = s
 }
 
-// dropAll answers what waits, when this node stops owning.
-func (o *owner) dropAll() {
+// refusePending answers the reports that wait, when this node stops owning.
+func (o *owner) refusePending() {
 	for _, m := range o.list {
 		if m.pendingRequest != 0 {
 			o.c.refuse(m.pendingRequest, 503, "ownership lost")
@@ -145,6 +162,9 @@
 	}
 }
 
+// resyncPause keeps an owner that reads all records again and again from using up the limits.
+const resyncPause = 200 * micros.Millisecond
+
 // resync starts over from the records, after something that should not happen if
 // they were as this node believes.
 func (o *owner) resync(why string) {
@@ -152,12 +172,12 @@
 		return
 	}
 	o.c.log.Warn("reading all records again", "why", why)
-	views := map[string]cluster.Team{}
+	records := map[string]cluster.Team{}
 	for name, t := range o.teams {
-		views[name] = t.record
+		records[name] = t.record
 	}
-	o.c.setOwner(newOwner(o.c, views))
-	o.c.owner.retryAt = o.c.now + 200*micros.Millisecond
+	o.c.setOwner(newOwner(o.c, records))
+	o.c.owner.retryAt = o.c.now + resyncPause
 	o.c.owner.lastHeard = o.lastHeard
 }
 
@@ -177,6 +197,7 @@
 	}
 }
 
+// slowTick does the slower duties of an active owner.
 func (o *owner) slowTick() {
 	if o.state != ownerActive {
 		return
@@ -201,12 +222,13 @@
 const allSilentAfter = 6 * micros.Second
 
 // isSilent tells that machines which should report to this owner do not, not one of them.
-// Machines that still boot do not count: nothing can be concluded from them.
 func (o *owner) isSilent() bool {
-	latest, n := micros.Micros(0), 0
+	if o.state != ownerActive {
+		return false
+	}
+	latest, expected := micros.Micros(0), 0
 	for _, m := range o.machines {
-		// After a takeover, a machine with tasks was up.
-		if m.state >= machineCondemned || m.state == machineBooting && !(m.takenOver && len(m.attempts) > 0) {
+		if !m.shouldReport() {
 			continue
 		}
 		heard := m.heard
@@ -214,13 +236,29 @@
 			heard = o.since
 		}
 		latest = max(latest, heard)
-		n++
+		expected++
 	}
-	limit := max(allSilentAfter, o.c.cfg.ReportEvery*5/4)
-	if n == 1 { // more likely it is the machine; it is given up before then
-		limit = o.c.cfg.SilentAfter() + o.c.cfg.ReportEvery
+	return expected > 0 && o.c.now-latest > o.allSilentLimit(expected)
+}
+
+// allSilentLimit is how long all machines may be silent.
+func (o *owner) allSilentLimit(machines int) micros.Micros {
+	if machines == 1 { // more likely it is the machine; it is given up before then
+		return o.c.cfg.SilentAfter() + o.c.cfg.ReportEvery
+	}
+	return max(allSilentAfter, o.c.cfg.ReportEvery*5/4)
+}
+
+// shouldReport tells that a machine is up as far as is known. Nothing can be concluded from the
+// silence of one that still boots, but after a takeover one with tasks was up.
+func (m *machine) shouldReport() bool {
+	switch {
+	case m.state >= machineCondemned:
+		return false
+	case m.state == machineBooting:
+		return m.takenOver && len(m.attempts) > 0
 	}
-	return o.state == ownerActive && n > 0 && o.c.now-latest > limit
+	return true
 }
 
 // guards builds a list of guards that always holds this node's own record: an owner
@@ -234,19 +272,19 @@
 	return state.SortedGuards(all)
 }
 
-// ownsRecordsOf tells whether what an owner had is this node's to take: its own, that of owners
-// whose heir it is, and what nobody else takes.
-func (o *owner) ownsRecordsOf(id string) bool {
-	if id == o.c.node.ID() || o.ownsAllTeams() {
+// ownsRecordsOf tells whether the records of an owner are this one's to take: its own, those of
+// owners whose successor it is, and what no other owner takes.
+func (o *owner) ownsRecordsOf(ownerID string) bool {
+	if ownerID == o.c.node.ID() || o.ownsAllTeams() {
 		return true
 	}
 	for _, t := range o.teams {
-		if slices.Contains(t.record.Predecessors, id) {
+		if slices.Contains(t.record.Predecessors, ownerID) {
 			return true
 		}
 	}
-	if o.c.cluster.IsLive(id) || o.c.cluster.FirstOwner() != o.c.cfg.Node {
+	if o.c.cluster.IsLive(ownerID) || o.c.cluster.FirstOwner() != o.c.cfg.Node {
 		return false
 	}
-	return !o.c.cluster.HasSuccessor(id)
+	return !o.c.cluster.HasSuccessor(ownerID)
 }
