Job queue and list of machines: whole names, a type for what a machine is

| old | new | | --- | --- | | jobRecord, jobGone, rewatch | loadJob, jobRemoved, retryWatch | | counts | jobCounts | | newMachine, newMachineIn, adopt (five values) | machineInfo |

--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -29,13 +29,13 @@
 func benchOwner() *owner {
 	o := testOwner()
 	for i := range 300 {
-		o.jobRecord(record.ActiveKey(fmt.Sprintf("req-%06d", i)), wire.Encode(record.NewJob(&sched.Job{
+		o.loadJob(record.ActiveKey(fmt.Sprintf("req-%06d", i)), wire.Encode(record.NewJob(&sched.Job{
 			ID: fmt.Sprintf("req-%06d", i), Class: "render", Team: "red", Priority: sched.Normal, Tasks: 150,
 			Need: sched.NewResources(2, 0, 2), Image: fmt.Sprint("img", i%20), Spot: true, Estimate: 30 * micros.Second,
 		}, 0)), uint64(i+1))
 	}
 	for i := range benchMachines {
-		m := o.newMachine(fmt.Sprintf("m-%06d", i), "mid", o.c.cfg.Zones[i%2], i%3 == 0, "worker")
+		m := o.newMachine(machineInfo{fmt.Sprintf("m-%06d", i), "mid", o.c.cfg.Zones[i%2], i%3 == 0, "worker"})
 		m.token, m.session, m.synced, m.tokenShownAt, m.heard, m.state = 1, 1, true, o.c.now, o.c.now, machineUp
 		for n := range benchTasks {
 			at := i*benchTasks + n
@@ -172,7 +172,7 @@
 		fresh := newOwner(o.c, o.c.node.OwnTeams())
 		fresh.jobs, fresh.queue = map[string]*job{}, nil
 		for _, j := range o.queue {
-			fresh.jobRecord(record.ActiveKey(j.ID), wire.Encode(record.NewJob(j.Job, 0)), j.version)
+			fresh.loadJob(record.ActiveKey(j.ID), wire.Encode(record.NewJob(j.Job, 0)), j.version)
 		}
 		fresh.loadBlocks(entries)
 		if len(fresh.list) != benchMachines {
--- a/controller/cloud_list.go
+++ b/controller/cloud_list.go
@@ -107,7 +107,9 @@
 		if !o.isUnclaimed(entry.Name) {
 			return
 		}
-		m = o.adopt(entry.Name, entry.Type, entry.Zone, entry.Spot, entry.Endpoint)
+		m = o.adopt(machineInfo{
+			name: entry.Name, kind: entry.Type, zone: entry.Zone, spot: entry.Spot, endpoint: entry.Endpoint,
+		})
 		m.rented = o.c.wallClock - micros.FromSeconds(entry.AgeS)
 	}
 	m.listed, m.unlisted = true, 0
--- a/controller/cluster.go
+++ b/controller/cluster.go
@@ -100,7 +100,7 @@
 	return to
 }
 
-// claimant finds the sibling that says it owns a machine, or "".
+// claimant finds the peer that says it owns a machine, or "".
 func (c *Core) claimant(machine string) string {
 	for _, cfg := range c.cfg.Siblings {
 		if s := c.peers[cfg.Node]; s.fresh(c.now) && s.ownsMachine[machine] {
--- a/controller/commits.go
+++ b/controller/commits.go
@@ -199,7 +199,7 @@
 		switch {
 		case o.superseded():
 		case out == store.Missing:
-			o.jobGone(j.ID, o.cancellationsKnownUntil)
+			o.jobRemoved(j.ID, o.cancellationsKnownUntil)
 		case out == store.OK:
 			j.version, j.unsure = e.Version, false
 			o.scheduleWanted = true
--- a/controller/gangs_test.go
+++ b/controller/gangs_test.go
@@ -18,9 +18,9 @@
 		ID: "req-000001", Class: "merge", Team: "red", Gang: true, Tasks: 4,
 		Need: sched.NewResources(20, 0, 80), Image: "img", Spot: true,
 	}
-	o.jobRecord(record.ActiveKey(gang.ID), wire.Encode(record.NewJob(gang, 0)), 1)
+	o.loadJob(record.ActiveKey(gang.ID), wire.Encode(record.NewJob(gang, 0)), 1)
 	for i := range 6 {
-		m := o.newMachine(fmt.Sprintf("m-%06d", i), "mid", "a", i < 5, "worker")
+		m := o.newMachine(machineInfo{fmt.Sprintf("m-%06d", i), "mid", "a", i < 5, "worker"})
 		m.token, m.heard, m.state = 1, o.c.now, machineUp
 	}
 	j := o.jobs[gang.ID]
@@ -60,9 +60,9 @@
 			ID: fmt.Sprintf("req-%06d", i), Class: "merge", Team: "red", Gang: true, Tasks: 1,
 			Need: sched.NewResources(20, 0, 80), Image: "img",
 		}
-		o.jobRecord(record.ActiveKey(gang.ID), wire.Encode(record.NewJob(gang, 0)), 1)
+		o.loadJob(record.ActiveKey(gang.ID), wire.Encode(record.NewJob(gang, 0)), 1)
 	}
-	m := o.newMachine("m-000000", "mid", "a", false, "worker")
+	m := o.newMachine(machineInfo{"m-000000", "mid", "a", false, "worker"})
 	m.token, m.heard, m.state = 1, o.c.now, machineUp
 	ended := o.attach(o.queue[0], 0, 7, m, attemptLive)
 	o.setAttempt(ended, attemptFinished)
@@ -82,7 +82,7 @@
 			ID: fmt.Sprintf("req-%06d", 9-i), Class: "merge", Team: "red", Tasks: 1,
 			Need: sched.NewResources(cpus, 0, 1), Image: "img", Priority: sched.Priority(i),
 		}
-		o.jobRecord(record.ActiveKey(spec.ID), wire.Encode(record.NewJob(spec, micros.Micros(i))), 1)
+		o.loadJob(record.ActiveKey(spec.ID), wire.Encode(record.NewJob(spec, micros.Micros(i))), 1)
 	}
 	covered := o.guaranteed()
 	for i, want := range []bool{true, true, false, false} {
--- a/controller/job_queue.go
+++ b/controller/job_queue.go
@@ -13,8 +13,8 @@
 	"tamarindlead/micros"
 )
 
-// record.Job takes an accepted job from its record.
-func (o *owner) jobRecord(key string, value []byte, version uint64) {
+// loadJob takes an accepted job from its record, unless it is known or of another owner's team.
+func (o *owner) loadJob(key string, value []byte, version uint64) {
 	id := strings.TrimPrefix(key, record.ActivePrefix)
 	if o.jobs[id] != nil || o.waiting[id] != nil || o.c.cancellations.Ended(id) {
 		return
@@ -51,12 +51,13 @@
 	o.scheduleWanted = true
 }
 
+// queueJob puts a job at its place in the queue.
 func (o *owner) queueJob(j *job) {
 	i, _ := slices.BinarySearchFunc(o.queue, j, queueOrder)
 	o.queue = slices.Insert(o.queue, i, j)
 }
 
-// queueOrder: higher priority first, then who came, or was ready, first.
+// queueOrder compares jobs in the queue: higher priority first, then who came, or was ready, first.
 func queueOrder(a, b *job) int {
 	return cmp.Or(-cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.since, b.since), cmp.Compare(a.ID, b.ID))
 }
@@ -74,8 +75,7 @@
 			o.resync("the watch fell behind")
 			return
 		case r.Outcome != store.OK:
-			// Again after a pause, which the slow tick gives.
-			o.rewatch(after)
+			o.retryWatch(after)
 			return
 		case !c.takeChanges(after, r):
 			o.resync("the watch cannot be followed")
@@ -86,13 +86,14 @@
 	})
 }
 
-func (o *owner) rewatch(after uint64) {
+// retryWatch watches again after a pause, which the slow tick ends.
+func (o *owner) retryWatch(after uint64) {
 	o.watchRev, o.watchDown, o.retryAt = after, true, o.c.now+loadRetry
 }
 
-// jobGone handles a job that is over: by our own commit, or cancelled, of which users were
+// jobRemoved handles a job that is over: by our own commit, or cancelled, of which users were
 // told at since or later.
-func (o *owner) jobGone(id string, since micros.Micros) {
+func (o *owner) jobRemoved(id string, since micros.Micros) {
 	if j := o.waiting[id]; j != nil && !j.writing {
 		o.c.log.Info("job cancelled while it waits", "job", id)
 		o.forgetWaiting(j)
@@ -130,12 +131,14 @@
 	o.scheduleWanted = true
 }
 
-// counts tells siblings what to show their users.
-func (o *owner) counts() []*peer.JobCount {
-	const most = 200
+// maxJobCounts bounds the counts in a heartbeat: the jobs that are placed first are told of.
+const maxJobCounts = 200
+
+// jobCounts tells peers what to show their users.
+func (o *owner) jobCounts() []*peer.JobCount {
 	var list []*peer.JobCount
 	for _, j := range o.queue {
-		if len(list) == most {
+		if len(list) == maxJobCounts {
 			break
 		}
 		if len(j.attempts) > 0 || j.doneN > 0 {
@@ -145,6 +148,7 @@
 	return list
 }
 
+// countsOf tells how many tasks of a job are done and run.
 func (o *owner) countsOf(id string) (done, running int) {
 	if j := o.jobs[id]; j != nil {
 		return j.doneN, j.runs
--- a/controller/jobview.go
+++ b/controller/jobview.go
@@ -34,14 +34,14 @@
 
 func (w jobObserver) JobPut(key string, value []byte, version uint64) {
 	if o := w.c.owner; o != nil && o.listed {
-		o.jobRecord(key, value, version)
+		o.loadJob(key, value, version)
 	}
 }
 
 func (w jobObserver) JobDeleted(id string) {
 	if o := w.c.owner; o != nil && o.listed {
 		// Users may have been told as early as what was known before ends.
-		o.jobGone(id, o.cancellationsKnownUntil)
+		o.jobRemoved(id, o.cancellationsKnownUntil)
 	}
 }
 
--- a/controller/limits_test.go
+++ b/controller/limits_test.go
@@ -91,13 +91,13 @@
 	o.c.cfg.ValueBytes, o.c.cfg.TxnOps = 2<<10, 500
 	for i := range 400 {
 		id := fmt.Sprintf("req-%06d", i*7919%1000000)
-		o.jobRecord(record.ActiveKey(id), wire.Encode(record.NewJob(&sched.Job{
+		o.loadJob(record.ActiveKey(id), wire.Encode(record.NewJob(&sched.Job{
 			ID: id, Class: "work", Team: "red", Priority: sched.Normal, Tasks: 1 + i%5, Image: "img",
 			Need: sched.NewResources(float64(1+i%3)/4, 0, float64(1+i%7)/8), Estimate: 30 * micros.Second,
 		}, 0)), uint64(i+1))
 	}
 	for i := range 30 {
-		m := o.newMachine(fmt.Sprintf("m-%06d", i), "mid", o.c.cfg.Zones[0], false, "worker")
+		m := o.newMachine(machineInfo{fmt.Sprintf("m-%06d", i), "mid", o.c.cfg.Zones[0], false, "worker"})
 		m.token, m.session, m.synced, m.tokenShownAt, m.heard, m.state = 1, 1, true, o.c.now, o.c.now, machineUp
 	}
 	placed := 0
@@ -163,7 +163,7 @@
 	rec := record.Completions{Chunks: map[string]string{}}
 	for i := range 12 {
 		id := jobName(i)
-		o.jobRecord(record.ActiveKey(id), wire.Encode(record.NewJob(&sched.Job{
+		o.loadJob(record.ActiveKey(id), wire.Encode(record.NewJob(&sched.Job{
 			ID: id, Class: "work", Team: "red", Tasks: 800, Need: sched.NewResources(1, 0, 1), Image: "img", Estimate: micros.Second,
 		}, 0)), uint64(i+1))
 		bits := make(record.Bitmap, 100)
@@ -203,11 +203,11 @@
 	o := testOwner()
 	o.c.cfg.ValueBytes = 2 << 10
 	id := jobName(1)
-	o.jobRecord(record.ActiveKey(id), wire.Encode(record.NewJob(&sched.Job{
+	o.loadJob(record.ActiveKey(id), wire.Encode(record.NewJob(&sched.Job{
 		ID: id, Class: "work", Team: "red", Tasks: 40, Need: sched.NewResources(2, 0, 2), Image: "img", Estimate: micros.Second,
 	}, 0)), 1)
 	for i := range 6 {
-		m := o.newMachine(fmt.Sprintf("m-%06d", i*7919), "mid", "a", false, fmt.Sprintf("10.1.%d.%d:9000", i*37, i*91%256))
+		m := o.newMachine(machineInfo{fmt.Sprintf("m-%06d", i*7919), "mid", "a", false, fmt.Sprintf("10.1.%d.%d:9000", i*37, i*91%256)})
 		m.token, m.state, m.heard = uint64(1000+i*4711), machineUp, o.c.now
 	}
 	if len(o.blocks) != 1 {
@@ -232,13 +232,13 @@
 	o.c.cfg.ValueBytes, o.c.cfg.TxnOps = 4<<10, 12
 	for i := range 5 {
 		id := jobName(i)
-		o.jobRecord(record.ActiveKey(id), wire.Encode(record.NewJob(&sched.Job{
+		o.loadJob(record.ActiveKey(id), wire.Encode(record.NewJob(&sched.Job{
 			ID: id, Class: "work", Team: "red", Tasks: 100, Need: sched.NewResources(2, 0, 2), Image: "img", Estimate: micros.Second,
 		}, o.c.wallClock)), uint64(i+1))
 	}
 	const machines, tasksEach = 30, 14
 	for i := range machines {
-		m := o.newMachine(fmt.Sprintf("m-%06d", i*7919), "mid", "a", false, fmt.Sprintf("10.1.%d.%d:9000", i*37%256, i*91%256))
+		m := o.newMachine(machineInfo{fmt.Sprintf("m-%06d", i*7919), "mid", "a", false, fmt.Sprintf("10.1.%d.%d:9000", i*37%256, i*91%256)})
 		m.token, m.session, m.synced, m.heard, m.state = uint64(1000+i*4711), 1, true, o.c.now, machineUp
 	}
 	o.scheduleWanted = true
--- a/controller/load.go
+++ b/controller/load.go
@@ -65,7 +65,7 @@
 	o.c.graph.Reset(entries, revision)
 	o.listed = true
 	for _, e := range entries {
-		o.jobRecord(e.Key, e.Value, e.Version)
+		o.loadJob(e.Key, e.Value, e.Version)
 	}
 	l.list(record.CompletionsPrefix, l.shardsRead)
 }
--- a/controller/load_machines.go
+++ b/controller/load_machines.go
@@ -56,7 +56,9 @@
 		return // it is in a newer block
 	}
 	kind := data.Kinds[entry.Kind]
-	m := o.newMachineIn(b, entry.Name, kind.Type, kind.Zone, kind.Spot, entry.Endpoint)
+	m := o.newMachineIn(b, machineInfo{
+		name: entry.Name, kind: kind.Type, zone: kind.Zone, spot: kind.Spot, endpoint: entry.Endpoint,
+	})
 	m.rented = micros.Micros(entry.Rented + data.Since)
 	m.recorded = true
 	if entry.Condemned {
--- a/controller/machine_list.go
+++ b/controller/machine_list.go
@@ -5,23 +5,35 @@
 	"slices"
 )
 
-func (o *owner) newMachine(name, kind, zone string, spot bool, endpoint string) *machine {
-	return o.newMachineIn(o.blockFor(kind, zone), name, kind, zone, spot, endpoint)
+// machineInfo is what a machine is: that never changes, but for the endpoint, which is "" until
+// the machine has reported.
+type machineInfo struct {
+	name     string
+	kind     string
+	zone     string
+	spot     bool
+	endpoint string
 }
 
-func (o *owner) newMachineIn(b *block, name, kind, zone string, spot bool, endpoint string) *machine {
+// newMachine adds a machine, with an entry in a block of its type and zone.
+func (o *owner) newMachine(info machineInfo) *machine {
+	return o.newMachineIn(o.blockFor(info.kind, info.zone), info)
+}
+
+// newMachineIn adds a machine, with an entry in a block.
+func (o *owner) newMachineIn(b *block, info machineInfo) *machine {
 	m := &machine{
-		name: name, kind: kind, zone: zone, spot: spot, endpoint: endpoint,
+		name: info.name, kind: info.kind, zone: info.zone, spot: info.spot, endpoint: info.endpoint,
 		heard: o.c.now, idleSince: o.c.now,
 		attempts: map[taskKey]*attempt{},
 	}
 	b.add(m)
 	o.markDirty(m)
-	if t := o.c.types.find(kind); t != nil {
+	if t := o.c.types.find(info.kind); t != nil {
 		m.size = t.Size
 	}
-	o.machines[name] = m
-	i, _ := slices.BinarySearchFunc(o.list, name, compareName)
+	o.machines[info.name] = m
+	i, _ := slices.BinarySearchFunc(o.list, info.name, compareName)
 	o.list = slices.Insert(o.list, i, m)
 	return m
 }
@@ -37,17 +49,17 @@
 	m.block.machines = slices.DeleteFunc(m.block.machines, func(x *machine) bool { return x == m })
 }
 
-// adopt takes a machine that nobody expected.
-func (o *owner) adopt(name, kind, zone string, spot bool, endpoint string) *machine {
-	o.c.log.Info("machine adopted", "machine", name, "type", kind, "zone", zone, "spot", spot)
-	b := (*block)(nil)
+// adopt takes a machine that was not expected: one that reports or that the cloud lists.
+func (o *owner) adopt(info machineInfo) *machine {
+	o.c.log.Info("machine adopted", "machine", info.name, "type", info.kind, "zone", info.zone, "spot", info.spot)
+	var b *block
 	if o.ownsAllTeams() {
-		b = o.blockFor(kind, zone)
+		b = o.blockFor(info.kind, info.zone)
 	} else {
 		// Another owner may have it without our knowing: see verify.
-		b = o.newBlock(adoptedPrefix + name)
+		b = o.newBlock(adoptedPrefix + info.name)
 	}
-	m := o.newMachineIn(b, name, kind, zone, spot, endpoint)
+	m := o.newMachineIn(b, info)
 	m.rented = o.c.wallClock
 	return m
 }
--- a/controller/machine_requests.go
+++ b/controller/machine_requests.go
@@ -139,7 +139,7 @@
 
 // describeShare adds to a heartbeat what peers must know of this owner.
 func (o *owner) describeShare(heartbeat *peer.Beat) {
-	heartbeat.Jobs = o.counts()
+	heartbeat.Jobs = o.jobCounts()
 	if o.ownsAllTeams() {
 		return // there is no owner to share machines with
 	}
--- a/controller/rentals.go
+++ b/controller/rentals.go
@@ -166,7 +166,7 @@
 	r.machines = names
 	for _, name := range names {
 		if o.machines[name] == nil {
-			m := o.newMachine(name, r.offer.Type, r.offer.Zone, r.offer.Spot, "")
+			m := o.newMachine(machineInfo{name: name, kind: r.offer.Type, zone: r.offer.Zone, spot: r.offer.Spot})
 			m.rented = o.c.wallClock
 		}
 	}
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -101,7 +101,9 @@
 			c.refuse(req, wire.StatusUnavailable, "machine was returned")
 			return
 		}
-		m = o.adopt(report.Machine, report.Type, report.Zone, report.Spot, report.Endpoint)
+		m = o.adopt(machineInfo{
+			name: report.Machine, kind: report.Type, zone: report.Zone, spot: report.Spot, endpoint: report.Endpoint,
+		})
 	}
 	switch {
 	case m.state >= machineCondemned:
--- a/controller/sorted.go
+++ b/controller/sorted.go
@@ -6,8 +6,7 @@
 	"slices"
 )
 
+// sortedKeys returns the keys of a map in order, for loops whose order has effects.
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
-	keys := slices.Collect(maps.Keys(m))
-	slices.Sort(keys)
-	return keys
+	return slices.Sorted(maps.Keys(m))
 }
