Tests of users: whole names for what the simulated users do, checks of answers in steps

The checks are the same, in the same order.

| old | new | | --- | --- | | looksTo, looks, oddTo, odds | closeLooksUntil, closeLooks, oddRequestsUntil, oddRequestsSent | | cancels, endShare, atEnd, quitIn | cancelShare, cancelAtEndShare, cancelledAtEnd, cancelAfter | | bad, waits, nextWaits, afterCancel | mustRefuse, waitingBesideRoom, nextWaitingCheck, startsAfterCancel |

--- a/controller/pairs_test.go
+++ b/controller/pairs_test.go
@@ -245,5 +245,5 @@
 
 func (p *pairs) figures() string {
 	w := p.w
-	return fmt.Sprintf("%v: %d starts, %d after a confirmed cancellation, %d jobs, %d cancelled", w.now-micros.Hour, w.starts, w.crowd.afterCancel, len(w.submitted), len(w.cancelled))
+	return fmt.Sprintf("%v: %d starts, %d after a confirmed cancellation, %d jobs, %d cancelled", w.now-micros.Hour, w.starts, w.crowd.startsAfterCancel, len(w.submitted), len(w.cancelled))
 }
--- a/controller/pipelines_verbs_test.go
+++ b/controller/pipelines_verbs_test.go
@@ -95,7 +95,7 @@
 	var out []string
 	for i, b := range badAwaits {
 		id := jobName(first + i)
-		w.crowd.bad[id] = "awaits: " + b.name
+		w.crowd.mustRefuse[id] = "awaits: " + b.name
 		body := withField(wire.Encode(w.goodFields(id)), "awaits", b.value(id, known))
 		r := w.answerOf(to, "POST", "/api/jobs", id, body)
 		if b.want == 400 && r.Status != 400 {
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -439,11 +439,11 @@
 	case "told-cancelled": // jobs whose users were told so
 		return fmt.Sprint(len(w.cancelled))
 	case "starts-after-cancel":
-		return fmt.Sprint(w.crowd.afterCancel)
+		return fmt.Sprint(w.crowd.startsAfterCancel)
 	case "cancelled-at-end":
-		return fmt.Sprint(w.crowd.atEnd)
+		return fmt.Sprint(w.crowd.cancelledAtEnd)
 	case "looks", "odd-requests", "late-writes", "lost-answers", "answers", "refused-429", "refused-503": // how often a meeting came about
-		n := map[string]int{"looks": w.crowd.looks, "odd-requests": w.crowd.odds, "late-writes": w.faults.lateDone, "lost-answers": w.faults.lostDone,
+		n := map[string]int{"looks": w.crowd.closeLooks, "odd-requests": w.crowd.oddRequestsSent, "late-writes": w.faults.lateDone, "lost-answers": w.faults.lostDone,
 			"answers": w.crowd.answers[arg(t, d, "job", "")], "refused-429": w.crowd.refusals[429], "refused-503": w.crowd.refusals[503]}[what]
 		if least := arg(t, d, "least", 0); least > 0 && n >= least {
 			return "enough"
--- a/controller/users_requests_test.go
+++ b/controller/users_requests_test.go
@@ -13,13 +13,13 @@
 
 // oddRequests sends one odd request after the other.
 func (w *world) oddRequests() {
-	p := &w.crowd
-	if w.now > p.oddTo {
+	users := &w.crowd
+	if w.now > users.oddRequestsUntil {
 		return
 	}
 	w.after(200*micros.Millisecond, w.oddRequests)
-	p.odds++
-	to, sent := p.rng.IntN(len(w.nodes)), w.now
+	users.oddRequestsSent++
+	to, sent := users.rng.IntN(len(w.nodes)), w.now
 	pick := func(is func(id string) bool) string {
 		var ids []string
 		for _, id := range sortedKeys(w.accepted) {
@@ -30,9 +30,9 @@
 		if len(ids) == 0 {
 			return ""
 		}
-		return ids[p.rng.IntN(len(ids))]
+		return ids[users.rng.IntN(len(ids))]
 	}
-	switch p.odds % 5 {
+	switch users.oddRequestsSent % 5 {
 	case 0: // an unfinished job again
 		if id := pick(func(id string) bool { return w.told[id] == "" }); id != "" {
 			w.user(to, "POST", "/api/jobs", w.bodies[id], func(r Respond) { w.checkAnswer(id, r, sent) })
@@ -42,22 +42,22 @@
 			w.user(to, "POST", "/api/jobs/"+id+"/cancel", nil, func(r Respond) { w.checkAnswer(id, r, sent) })
 		}
 	case 2: // a job that nobody submitted
-		id := "req-99" + jobName(p.odds)[len("req-00"):]
+		id := "req-99" + jobName(users.oddRequestsSent)[len("req-00"):]
 		path := "/api/jobs/" + id
 		w.user(to, "GET", path, nil, func(r Respond) { w.checkAnswer(id, r, sent) })
 		w.user(to, "POST", path+"/cancel", nil, func(r Respond) { w.checkAnswer(id, r, sent) })
 	case 3:
-		w.sendBad(to, w.malformed(p.odds/5), 400)
+		w.sendBad(to, w.malformed(users.oddRequestsSent/5), 400)
 	case 4:
-		w.sendBad(to, w.unrunnable(p.odds/5), 422)
+		w.sendBad(to, w.unrunnable(users.oddRequestsSent/5), 422)
 	}
 }
 
 // sendBad submits a job that must be refused for good: as malformed (400) at once whatever
 // else happens, as one that never runs (422) unless the node cannot decide.
 func (w *world) sendBad(to int, b badJob, want int) {
-	p := &w.crowd
-	p.bad[b.id] = b.why
+	users := &w.crowd
+	users.mustRefuse[b.id] = b.why
 	w.user(to, "POST", "/api/jobs", b.body, func(r Respond) {
 		undecided := r.Status == 0 || want == 422 && (r.Status == 503 || r.Status == 429)
 		if r.Status != want && !undecided {
@@ -136,16 +136,16 @@
 
 // userVerb plays the commands of this file; ok is false for any other.
 func userVerb(t *testing.T, w *world, d *datadriven.TestData) (out string, ok bool) {
-	p := &w.crowd
+	users := &w.crowd
 	span := func() micros.Micros { return argSeconds(t, d, "for", worldForever.Seconds()) }
 	switch d.Cmd {
 	case "close-looks":
-		p.looksTo, p.cancels = w.now+span(), argNumber(t, d, "cancels", 0)
+		users.closeLooksUntil, users.cancelShare = w.now+span(), argNumber(t, d, "cancels", 0)
 	case "cancel-at-end":
-		p.endShare = argNumber(t, d, "share", 1)
-		w.after(span(), func() { p.endShare = 0 })
+		users.cancelAtEndShare = argNumber(t, d, "share", 1)
+		w.after(span(), func() { users.cancelAtEndShare = 0 })
 	case "odd-requests":
-		p.oddTo = w.now + span()
+		users.oddRequestsUntil = w.now + span()
 		w.oddRequests()
 	case "burst":
 		rate, share := argNumber(t, d, "rate", 4), argNumber(t, d, "cancelled", 0)
@@ -153,8 +153,8 @@
 			id := jobName(arg(t, d, "from", 1) + i)
 			w.after(micros.FromSeconds(float64(i)/rate), func() {
 				one := *d
-				if p.rng.Float64() < share {
-					p.quitIn[id] = micros.Micros(p.rng.Int64N(int64(10 * micros.Second)))
+				if users.rng.Float64() < share {
+					users.cancelAfter[id] = micros.Micros(users.rng.Int64N(int64(10 * micros.Second)))
 				}
 				submitCommand(t, w, &one, id)
 			})
--- a/controller/users_test.go
+++ b/controller/users_test.go
@@ -16,30 +16,30 @@
 // crowd is what users do beyond submitting, asking and cancelling once, and what they were
 // told when. It draws from a row of its own, so that scenarios without it stay as they are.
 type crowd struct {
-	rng         *rand.Rand
-	looksTo     micros.Micros // until then users ask closely
-	cancels     float64       // this share of what they saw accepted is cancelled at once
-	endShare    float64       // of the jobs that end: cancelled at that moment
-	oddTo       micros.Micros
-	odds        int                      // how many odd requests were sent
-	looks       int                      // how many close looks were answered
-	atEnd       int                      // how many jobs were cancelled as they ended
-	bad         map[string]string        // jobs that must not be accepted, and why
-	acceptedAt  map[string]micros.Micros // when users were first told
-	toldAt      map[string]micros.Micros
-	quitIn      map[string]micros.Micros // cancelled so long after they were accepted
-	answers     map[string]int           // for each job, in which it was known
-	refusals    map[int]int              // by status
-	afterCancel int                      // starts after a confirmed cancellation
-	waits       map[string]micros.Micros // since when a job waits though there is room
-	nextWaits   micros.Micros
+	rng               *rand.Rand
+	closeLooksUntil   micros.Micros            // until then users ask closely
+	closeLooks        int                      // how many of these were answered
+	oddRequestsUntil  micros.Micros            // until then odd requests are sent
+	oddRequestsSent   int                      // how many were
+	cancelShare       float64                  // this share of what they saw accepted is cancelled at once
+	cancelAtEndShare  float64                  // this share of the jobs that end is cancelled at that moment
+	cancelledAtEnd    int                      // how many were
+	cancelAfter       map[string]micros.Micros // jobs that are cancelled so long after they were accepted
+	startsAfterCancel int                      // starts after a confirmed cancellation
+	mustRefuse        map[string]string        // jobs that must not be accepted, and why
+	acceptedAt        map[string]micros.Micros // when users were first told that a job is accepted
+	toldAt            map[string]micros.Micros // when users were first told a job's final state
+	answers           map[string]int           // answers about each job in which it was known
+	refusals          map[int]int              // by status
+	waitingBesideRoom map[string]micros.Micros // since when a job waits though there is room
+	nextWaitingCheck  micros.Micros
 }
 
 func newCrowd(seed uint64) crowd {
 	return crowd{
-		rng: rand.New(rand.NewPCG(seed, 3)), refusals: map[int]int{}, answers: map[string]int{}, bad: map[string]string{},
+		rng: rand.New(rand.NewPCG(seed, 3)), refusals: map[int]int{}, answers: map[string]int{}, mustRefuse: map[string]string{},
 		acceptedAt: map[string]micros.Micros{}, toldAt: map[string]micros.Micros{},
-		quitIn: map[string]micros.Micros{}, waits: map[string]micros.Micros{},
+		cancelAfter: map[string]micros.Micros{}, waitingBesideRoom: map[string]micros.Micros{},
 	}
 }
 
@@ -73,21 +73,22 @@
 // checkAnswer holds what a user is told against what was told before the question was sent.
 // Questions that cross may be answered in any order; two final states never differ.
 func (w *world) checkAnswer(id string, r Respond, sent micros.Micros) {
-	p := &w.crowd
-	known := func() bool { at, ok := p.acceptedAt[id]; return ok && at <= sent }
 	switch r.Status {
-	case 404, 400, 422:
-		if known() {
+	case wire.StatusNotFound, wire.StatusMalformed, wire.StatusNeverRuns:
+		if at, known := w.crowd.acceptedAt[id]; known && at <= sent {
 			w.breakRule("forgotten: %s is answered %d", id, r.Status)
 		}
 		w.checkRefused(id, r.Status, sent)
-		return
-	case 200, 201:
-	default:
-		return
+	case wire.StatusOK, wire.StatusAccepted:
+		w.checkKnown(id, r.Body, sent)
 	}
-	if why := p.bad[id]; why != "" {
-		w.breakRule("accepted_bad: %s is answered %d: %s", id, r.Status, why)
+}
+
+// checkKnown checks an answer by which a job was accepted.
+func (w *world) checkKnown(id string, body []byte, sent micros.Micros) {
+	users := &w.crowd
+	if why := users.mustRefuse[id]; why != "" {
+		w.breakRule("accepted_bad: %s is accepted: %s", id, why)
 		return
 	}
 	j := w.submitted[id]
@@ -96,40 +97,46 @@
 		return
 	}
 	if why := w.neverFits(j); why != "" && !w.accepted[id] {
-		w.breakRule("accepted_bad: %s is answered %d: %s", id, r.Status, why)
+		w.breakRule("accepted_bad: %s is accepted: %s", id, why)
 	}
-	p.answers[id]++
+	users.answers[id]++
 	w.accepted[id], w.answered[id] = true, w.now
 	var st wire.JobState
-	if wire.Decode(r.Body, &st) != nil || st.Ref != id {
+	if wire.Decode(body, &st) != nil || st.Ref != id {
 		w.breakRule("answer: that for %s cannot be read", id)
 		return
 	}
 	w.checkAwaited(id, st.Status)
-	final := st.Status == wire.JobDone || st.Status == wire.JobCancelled
-	if was, ok := w.told[id]; ok && was != st.Status && (final || p.toldAt[id] <= sent) {
-		w.breakRule("went_back: %s was %s, is %s", id, was, st.Status)
+	w.checkState(j, st.Status, sent)
+}
+
+// checkState checks the state of a job that a user is told.
+func (w *world) checkState(j *sched.Job, status wire.JobPhase, sent micros.Micros) {
+	users, id := &w.crowd, j.ID
+	final := status == wire.JobDone || status == wire.JobCancelled
+	if was, ok := w.told[id]; ok && was != status && (final || users.toldAt[id] <= sent) {
+		w.breakRule("went_back: %s was %s, is %s", id, was, status)
 	}
 	fresh := w.told[id] == "" && final
-	if _, ok := p.acceptedAt[id]; !ok {
-		p.acceptedAt[id], fresh = w.now, true
-		if in, ok := p.quitIn[id]; ok {
-			w.after(in, func() { w.cancel(id, p.rng.IntN(len(w.nodes))) })
+	if _, ok := users.acceptedAt[id]; !ok {
+		users.acceptedAt[id], fresh = w.now, true
+		if in, ok := users.cancelAfter[id]; ok {
+			w.after(in, func() { w.cancel(id, users.rng.IntN(len(w.nodes))) })
 		}
 	}
-	if !final {
-		if fresh {
-			w.lookClosely(id)
-		}
-		return
+	if final {
+		w.checkFinal(j, status)
 	}
-	if st.Status == wire.JobDone {
-		for i := range j.Tasks {
-			if !w.done[wire.TaskName(id, i)] {
-				w.breakRule("not_done: %s without task %d", id, i)
-				break
-			}
-		}
+	if fresh {
+		w.lookClosely(id)
+	}
+}
+
+// checkFinal checks that a job has ended as its user is told, and notes that.
+func (w *world) checkFinal(j *sched.Job, status wire.JobPhase) {
+	id := j.ID
+	if status == wire.JobDone {
+		w.checkTasksDone(j)
 	} else {
 		if !w.mayBeCancelled(id) {
 			w.breakRule("went_back: %s was not cancelled by its user, nor was a job that it needs", id)
@@ -139,10 +146,17 @@
 		}
 	}
 	if w.told[id] == "" {
-		w.told[id], p.toldAt[id] = st.Status, w.now
+		w.told[id], w.crowd.toldAt[id] = status, w.now
 	}
-	if fresh {
-		w.lookClosely(id)
+}
+
+// checkTasksDone checks that all tasks of a job were done that is said to be.
+func (w *world) checkTasksDone(j *sched.Job) {
+	for i := range j.Tasks {
+		if !w.done[wire.TaskName(j.ID, i)] {
+			w.breakRule("not_done: %s without task %d", j.ID, i)
+			return
+		}
 	}
 }
 
@@ -176,12 +190,12 @@
 // lookClosely asks all nodes again and again about what a user was just told, and repeats
 // the submission at each.
 func (w *world) lookClosely(id string) {
-	p := &w.crowd
-	if w.now > p.looksTo {
+	users := &w.crowd
+	if w.now > users.closeLooksUntil {
 		return
 	}
-	if w.told[id] == "" && p.rng.Float64() < p.cancels {
-		w.cancel(id, p.rng.IntN(len(w.nodes)))
+	if w.told[id] == "" && users.rng.Float64() < users.cancelShare {
+		w.cancel(id, users.rng.IntN(len(w.nodes)))
 	}
 	for _, d := range lookAfter {
 		w.after(d, func() { w.lookEverywhere(id) })
@@ -193,7 +207,7 @@
 	sent := w.now
 	see := func(r Respond) {
 		if r.Status == 200 {
-			w.crowd.looks++
+			w.crowd.closeLooks++
 		}
 		w.checkAnswer(id, r, sent)
 	}
@@ -206,8 +220,8 @@
 // jobEnded is called when a task completes: some users cancel, ask and submit again at the
 // very moment at which the last one does.
 func (w *world) jobEnded(id string) {
-	p := &w.crowd
-	if p.endShare == 0 || w.wantsEnd[id] {
+	users := &w.crowd
+	if users.cancelAtEndShare == 0 || w.wantsEnd[id] {
 		return
 	}
 	for i := range w.submitted[id].Tasks {
@@ -215,9 +229,9 @@
 			return
 		}
 	}
-	if p.rng.Float64() < p.endShare {
-		p.atEnd++
-		w.cancel(id, p.rng.IntN(len(w.nodes)))
+	if users.rng.Float64() < users.cancelAtEndShare {
+		users.cancelledAtEnd++
+		w.cancel(id, users.rng.IntN(len(w.nodes)))
 		w.lookEverywhere(id)
 	}
 }
@@ -242,26 +256,26 @@
 // noteStart counts starts after a user was told of the cancellation.
 func (w *world) noteStart(id string) {
 	if _, ok := w.cancelled[id]; ok {
-		w.crowd.afterCancel++
+		w.crowd.startsAfterCancel++
 	}
 }
 
 // checkWaiting sees that once troubles are over no job waits for long while a machine that
 // fits has room and its team is under its limit.
 func (w *world) checkWaiting() {
-	p := &w.crowd
-	if w.calm == 0 || w.now < p.nextWaits {
+	users := &w.crowd
+	if w.calm == 0 || w.now < users.nextWaitingCheck {
 		return
 	}
-	p.nextWaits = w.now + micros.Second
+	users.nextWaitingCheck = w.now + micros.Second
 	for _, id := range sortedKeys(w.accepted) {
 		if !w.waitsBesideRoom(id) {
-			delete(p.waits, id)
+			delete(users.waitingBesideRoom, id)
 			continue
 		}
-		since, ok := p.waits[id]
+		since, ok := users.waitingBesideRoom[id]
 		if !ok {
-			p.waits[id] = w.now
+			users.waitingBesideRoom[id] = w.now
 		} else if w.now-since > waitsFor {
 			w.breakRule("waits: %s has waited since %v beside room for it", id, since-micros.Hour)
 		}
