--- a/controller/cancellations.go
+++ b/controller/cancellations.go
@@ -47,65 +47,65 @@
 }
 
 // readRecord reads the job's record, and then cancels the job.
-func (x *cancellation) readRecord() {
-	x.c.store.Get(budget.Users, record.ActiveKey(x.job), func(outcome store.Outcome, entry state.Entry) {
+func (r *cancellation) readRecord() {
+	r.c.store.Get(budget.Users, record.ActiveKey(r.job), func(outcome store.Outcome, entry state.Entry) {
 		switch outcome {
 		case store.OK:
-			x.commit(entry.Version)
+			r.commit(entry.Version)
 		case store.Missing:
-			x.c.lookup(x.job, x.notActive)
+			r.c.lookup(r.job, r.notActive)
 		default:
-			x.refuse(reasonStoreSilent)
+			r.refuse(reasonStoreSilent)
 		}
 	})
 }
 
 // notActive answers about a job that has no record as an active one.
-func (x *cancellation) notActive(result lookupResult) {
+func (r *cancellation) notActive(result lookupResult) {
 	switch {
 	case result.outcome == lookupNotFound:
-		x.c.reject(x.request, wire.StatusNotFound, reasonNoSuchJob)
+		r.c.reject(r.request, wire.StatusNotFound, reasonNoSuchJob)
 	case result.outcome == lookupFound && result.version == 0:
-		x.respond(result.status)
+		r.respond(result.status)
 	default:
-		x.refuse(reasonStoreSilent)
+		r.refuse(reasonStoreSilent)
 	}
 }
 
 // commit records that the job is cancelled, if its record still has a version.
-func (x *cancellation) commit(version uint64) {
-	guards := []state.Guard{{Key: record.ActiveKey(x.job), Version: version}}
+func (r *cancellation) commit(version uint64) {
+	guards := []state.Guard{{Key: record.ActiveKey(r.job), Version: version}}
 	writes := []state.Write{
-		{Put: record.FinalKey(x.job), Value: record.Final{Status: record.StatusCancelled, At: x.c.wallClock}},
-		{Delete: record.ActiveKey(x.job)},
+		{Put: record.FinalKey(r.job), Value: record.Final{Status: record.StatusCancelled, At: r.c.wallClock}},
+		{Delete: record.ActiveKey(r.job)},
 	}
-	x.c.store.Do(budget.Users, state.Commit(guards, writes), func(reply store.Reply) { x.committed(reply.Outcome) })
+	r.c.store.Do(budget.Users, state.Commit(guards, writes), func(reply store.Reply) { r.committed(reply.Outcome) })
 }
 
-func (x *cancellation) committed(outcome store.Outcome) {
+func (r *cancellation) committed(outcome store.Outcome) {
 	inDoubt := outcome == store.Conflict || outcome == store.Unknown // over meanwhile, or perhaps executed
 	switch {
 	case outcome == store.OK:
-		x.c.announceCancellation(x.job, x.c.now+acceptWithin, x.announced)
-	case inDoubt && x.c.now < x.deadline:
-		x.readRecord()
+		r.c.announceCancellation(r.job, r.c.now+acceptWithin, r.announced)
+	case inDoubt && r.c.now < r.deadline:
+		r.readRecord()
 	default:
-		x.refuse(reasonStoreSilent)
+		r.refuse(reasonStoreSilent)
 	}
 }
 
-func (x *cancellation) announced(mayTell bool) {
+func (r *cancellation) announced(mayTell bool) {
 	if !mayTell {
-		x.refuse(reasonUnacknowledged)
+		r.refuse(reasonUnacknowledged)
 		return
 	}
-	x.respond(wire.JobCancelled)
+	r.respond(wire.JobCancelled)
 }
 
-func (x *cancellation) respond(status wire.JobPhase) {
-	x.c.respond(x.request, wire.StatusOK, wire.JobState{Ref: x.job, Status: status})
+func (r *cancellation) respond(status wire.JobPhase) {
+	r.c.respond(r.request, wire.StatusOK, wire.JobState{Ref: r.job, Status: status})
 }
 
-func (x *cancellation) refuse(reason refusalReason) {
-	x.c.refuse(x.request, wire.StatusUnavailable, reason)
+func (r *cancellation) refuse(reason refusalReason) {
+	r.c.refuse(r.request, wire.StatusUnavailable, reason)
 }
--- a/controller/lookups.go
+++ b/controller/lookups.go
@@ -291,8 +291,8 @@
 }
 
 // finishFinal answers with a state that stays. That a job is cancelled is told only once the
-// peers know: see announceCancellation. If it was cancelled with one before it, the root, that is what
-// they know.
+// peers know: see announceCancellation. If it was cancelled with one before it, the root, that
+// is what they know.
 func (c *Core) finishFinal(l *lookup, status wire.JobPhase, root string) {
 	if status != wire.JobCancelled {
 		c.finals.remember(l.id, status)
