The ID of an owner is a type

IDs, node names and block names were all strings, of which the wrong one could be passed. The records' encodings stay as they are.

| old | new | | --- | --- | | cluster.OwnerID, NodeOf | record.OwnerID, NewOwnerID, OwnerID.Node |

--- a/controller/block_write.go
+++ b/controller/block_write.go
@@ -5,7 +5,6 @@
 	"math"
 
 	"tamarindlead/internal/capacity"
-	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 )
@@ -124,7 +123,7 @@
 	if m.state != machineTransferring || len(m.attempts) > 0 || len(w.transferred) >= w.maxTransfers || !w.owner.canTransfer(m) {
 		return false
 	}
-	successor := w.owner.c.cluster.MemberGuard(cluster.NodeOf(m.transferTo))
+	successor := w.owner.c.cluster.MemberGuard(m.transferTo.Node())
 	if !w.mayGuard(successor.Key) {
 		return false
 	}
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 	"tamarindlead/sched"
@@ -108,7 +109,7 @@
 	errors   int
 	pausedTo micros.Micros
 	// transferTo is the owner that gets it, while it moves.
-	transferTo string
+	transferTo record.OwnerID
 }
 
 // maxImages is how many images a machine is believed to keep.
--- a/controller/machine_requests.go
+++ b/controller/machine_requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"tamarindlead/internal/peer"
+	"tamarindlead/internal/record"
 	"tamarindlead/micros"
 	"tamarindlead/sched"
 )
@@ -26,7 +27,7 @@
 	}
 	o.nextMachineRequest = o.c.now + machineRequestPause
 	request := &peer.Want{
-		Job: job.ID, Team: job.Team, Owner: o.c.node.ID(), Tasks: int32(tasks), Priority: int32(job.Priority),
+		Job: job.ID, Team: job.Team, Owner: string(o.c.node.ID()), Tasks: int32(tasks), Priority: int32(job.Priority),
 		Cpu: job.Need.CPU, Gpu: job.Need.GPU, Mem: job.Need.Mem,
 		OneZone: job.OneZone && job.Gang, Spread: job.Spread && job.Gang, Spot: job.Spot, Zone: job.Zone,
 		AnyType: job.Types == nil, Types: job.Types, Reclaim: reclaim,
@@ -58,12 +59,13 @@
 // handleMachineRequest takes a machine request: as the leader, from an owner, to choose the
 // giver; as the giver, from the leader, to transfer machines.
 func (c *Core) handleMachineRequest(request *peer.Want) {
+	asking := record.OwnerID(request.Owner)
 	switch {
 	case request.Give:
-		if c.owner != nil && c.owner.state == ownerActive && request.Owner != c.node.ID() {
+		if c.owner != nil && c.owner.state == ownerActive && asking != c.node.ID() {
 			c.owner.transferMachines(request)
 		}
-	case c.node.IsLeading() && c.cluster.IsLive(request.Owner):
+	case c.node.IsLeading() && c.cluster.IsLive(asking):
 		c.assignMachineRequest(request)
 	}
 }
@@ -88,7 +90,7 @@
 	job := requestedJob(request)
 	chosen, mostOver := "", 0.0
 	for _, node := range c.cluster.Members() {
-		if c.cluster.MemberID(node) == request.Owner {
+		if c.cluster.MemberID(node) == record.OwnerID(request.Owner) {
 			continue
 		}
 		share := c.ownerShare(node)
--- a/controller/machine_transfers.go
+++ b/controller/machine_transfers.go
@@ -2,7 +2,6 @@
 
 import (
 	"tamarindlead/internal/budget"
-	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/peer"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
@@ -24,13 +23,14 @@
 // allows it, some on which tasks are stopped.
 func (o *owner) transferMachines(request *peer.Want) {
 	job := requestedJob(request)
-	if o.transferIdle(job, request.Owner) == 0 && request.Reclaim {
-		o.reclaimFor(job, request.Owner)
+	newOwner := record.OwnerID(request.Owner)
+	if o.transferIdle(job, newOwner) == 0 && request.Reclaim {
+		o.reclaimFor(job, newOwner)
 	}
 }
 
 // transferIdle transfers idle machines for a job, and returns how many of its tasks they hold.
-func (o *owner) transferIdle(job *sched.Job, newOwner string) int {
+func (o *owner) transferIdle(job *sched.Job, newOwner record.OwnerID) int {
 	slots := 0
 	for _, m := range o.list {
 		if slots >= job.Tasks {
@@ -48,7 +48,7 @@
 }
 
 // reclaimFor transfers machines on which tasks of teams above their guarantees are stopped.
-func (o *owner) reclaimFor(job *sched.Job, newOwner string) {
+func (o *owner) reclaimFor(job *sched.Job, newOwner record.OwnerID) {
 	plan := o.evictPlan(job, o.evictView(), sched.Reclaim, o.guaranteed())
 	if plan == nil {
 		return
@@ -85,9 +85,9 @@
 		o.c.now-m.idleSince > idleBeforeTransfer
 }
 
-func (o *owner) startTransfer(m *machine, newOwner string) {
+func (o *owner) startTransfer(m *machine, newOwner record.OwnerID) {
 	m.transferTo = newOwner
-	o.setMachine(m, machineTransferring, "for "+newOwner)
+	o.setMachine(m, machineTransferring, "for "+string(newOwner))
 }
 
 // canTransfer tells whether the new owner of a machine is live. If not, the machine stays.
@@ -106,7 +106,7 @@
 
 // writeTransfer writes the new owner of an empty machine, in a block of its own.
 func (o *owner) writeTransfer(t *txn, m *machine) {
-	newOwner := o.c.cluster.MemberGuard(cluster.NodeOf(m.transferTo))
+	newOwner := o.c.cluster.MemberGuard(m.transferTo.Node())
 	t.guards[newOwner.Key] = newOwner.Version
 	data := &record.BlockData{
 		Kinds:    []record.BlockKind{{Type: m.kind, Zone: m.zone, Spot: m.spot}},
@@ -119,7 +119,7 @@
 func (o *owner) transferred(m *machine) {
 	o.ownedElsewhere[m.name] = o.c.now + elsewhereMemory
 	o.forget(m)
-	if p := o.c.peers[cluster.NodeOf(m.transferTo)]; p != nil {
+	if p := o.c.peers[m.transferTo.Node()]; p != nil {
 		given := &peer.Given{Block: transferBlockName(m)}
 		o.c.send(p, &peer.Message{Body: &peer.Message_Given{Given: given}})
 	}
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -7,6 +7,7 @@
 	"tamarindlead/config"
 	"tamarindlead/internal/capacity"
 	"tamarindlead/internal/cluster"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/micros"
 	"tamarindlead/sched"
@@ -274,17 +275,17 @@
 
 // ownsRecordsOf tells whether the records of an owner are this one's to take: its own, those of
 // owners whose successor it is, and what no other owner takes.
-func (o *owner) ownsRecordsOf(ownerID string) bool {
-	if ownerID == o.c.node.ID() || o.ownsAllTeams() {
+func (o *owner) ownsRecordsOf(earlier record.OwnerID) bool {
+	if earlier == o.c.node.ID() || o.ownsAllTeams() {
 		return true
 	}
 	for _, t := range o.teams {
-		if slices.Contains(t.record.Predecessors, ownerID) {
+		if slices.Contains(t.record.Predecessors, earlier) {
 			return true
 		}
 	}
-	if o.c.cluster.IsLive(ownerID) || o.c.cluster.FirstOwner() != o.c.cfg.Node {
+	if o.c.cluster.IsLive(earlier) || o.c.cluster.FirstOwner() != o.c.cfg.Node {
 		return false
 	}
-	return !o.c.cluster.HasSuccessor(ownerID)
+	return !o.c.cluster.HasSuccessor(earlier)
 }
--- a/internal/cluster/assign.go
+++ b/internal/cluster/assign.go
@@ -29,7 +29,7 @@
 }
 
 // noOwner stands for the owner of teams that were never assigned.
-const noOwner = ""
+const noOwner record.OwnerID = ""
 
 // assign gives teams without a live owner to members. All teams of one lost owner go to one
 // successor, which takes over its machines and what runs on them.
@@ -55,8 +55,8 @@
 }
 
 // lostTeams lists the teams without a live owner by their earlier owner.
-func (n *Node) lostTeams() map[string][]string {
-	lost := map[string][]string{}
+func (n *Node) lostTeams() map[record.OwnerID][]string {
+	lost := map[record.OwnerID][]string{}
 	for _, name := range n.view.teamNames {
 		if team, ok := n.view.teams[name]; !ok {
 			lost[noOwner] = append(lost[noOwner], name)
@@ -75,7 +75,7 @@
 
 // planAssignment chooses an owner for each lost team, as far as one commit can hold, and
 // returns the commit's guards and writes.
-func (n *Node) planAssignment(lost map[string][]string) (guards map[string]uint64, writes []state.Write) {
+func (n *Node) planAssignment(lost map[record.OwnerID][]string) (guards map[string]uint64, writes []state.Write) {
 	guards = map[string]uint64{}
 	assigned := map[string]int{} // teams by node
 	for _, lostOwner := range slices.Sorted(maps.Keys(lost)) {
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -6,12 +6,11 @@
 package cluster
 
 import (
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"strings"
 
 	"tamarindlead/config"
+	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
 	"tamarindlead/internal/store"
 	"tamarindlead/micros"
@@ -77,7 +76,7 @@
 func (n *Node) View() *View { return &n.view }
 
 // ID names this incarnation of the node as an owner.
-func (n *Node) ID() string { return OwnerID(n.config.Node, n.incarnation) }
+func (n *Node) ID() record.OwnerID { return record.NewOwnerID(n.config.Node, n.incarnation) }
 
 // Incarnation is the number that tells this incarnation of the node from earlier ones.
 func (n *Node) Incarnation() uint64 { return n.incarnation }
@@ -95,14 +94,3 @@
 	}
 	return own
 }
-
-// OwnerID names one incarnation of a node as an owner.
-func OwnerID(node string, incarnation uint64) string {
-	return fmt.Sprintf("%s/%d", node, incarnation)
-}
-
-// NodeOf returns the node of an owner's ID.
-func NodeOf(ownerID string) string {
-	node, _, _ := strings.Cut(ownerID, "/")
-	return node
-}
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -31,9 +31,6 @@
 	Version uint64
 }
 
-// OwnerID names the incarnation of the node that owns the team.
-func (t Team) OwnerID() string { return OwnerID(t.Owner, t.Incarnation) }
-
 func newView(teams []config.Team) View {
 	view := View{}
 	for _, team := range teams {
@@ -70,10 +67,10 @@
 }
 
 // IsLive tells whether an incarnation of a node is a member.
-func (v *View) IsLive(ownerID string) bool {
-	node := NodeOf(ownerID)
+func (v *View) IsLive(owner record.OwnerID) bool {
+	node := owner.Node()
 	member, ok := v.members[node]
-	return ok && OwnerID(node, member.Incarnation) == ownerID
+	return ok && record.NewOwnerID(node, member.Incarnation) == owner
 }
 
 // IsMember tells whether any incarnation of a node is a member.
@@ -86,8 +83,8 @@
 func (v *View) Members() []string { return slices.Sorted(maps.Keys(v.members)) }
 
 // MemberID names the incarnation of a node that is a member.
-func (v *View) MemberID(node string) string {
-	return OwnerID(node, v.members[node].Incarnation)
+func (v *View) MemberID(node string) record.OwnerID {
+	return record.NewOwnerID(node, v.members[node].Incarnation)
 }
 
 // MemberGuard is the guard that a node is still the member that is known here.
@@ -128,9 +125,9 @@
 
 // HasSuccessor tells whether an owner still owns a team, or a team's present owner takes over
 // from it.
-func (v *View) HasSuccessor(ownerID string) bool {
+func (v *View) HasSuccessor(owner record.OwnerID) bool {
 	for _, team := range v.teams {
-		if slices.Contains(team.Predecessors, ownerID) || team.OwnerID() == ownerID {
+		if slices.Contains(team.Predecessors, owner) || team.OwnerID() == owner {
 			return true
 		}
 	}
--- a/internal/record/block.go
+++ b/internal/record/block.go
@@ -10,8 +10,8 @@
 // Block holds the entries of some machines of one owner. Writes are scarce, so several
 // machines share a record; each has a token of its own, which only grows.
 type Block struct {
-	Owner string `cbor:"o"`
-	Data  string `cbor:"d"` // BlockData in CBOR, compressed, in base64, since values must be text
+	Owner OwnerID `cbor:"o"`
+	Data  string  `cbor:"d"` // BlockData in CBOR, compressed, in base64, since values must be text
 }
 
 // BlockData is the content of a Block. It names each job and each kind of machine once.
@@ -108,7 +108,7 @@
 }
 
 // Block encodes the data as the record of an owner.
-func (d *BlockData) Block(owner string) Block {
+func (d *BlockData) Block(owner OwnerID) Block {
 	return Block{owner, base64.RawStdEncoding.EncodeToString(Compress(wire.Encode(d)))}
 }
 
--- a/internal/record/cluster.go
+++ b/internal/record/cluster.go
@@ -13,8 +13,11 @@
 
 // Team names a team's owner, and the earlier owners whose machines it takes over.
 type Team struct {
-	Owner        string   `cbor:"o"`
-	Incarnation  uint64   `cbor:"i"` // of the owner
-	Term         uint64   `cbor:"e"` // of the leader that assigned the team
-	Predecessors []string `cbor:"h"` // IDs of the earlier owners, the latest last
+	Owner        string    `cbor:"o"` // node
+	Incarnation  uint64    `cbor:"i"` // of the owner
+	Term         uint64    `cbor:"e"` // of the leader that assigned the team
+	Predecessors []OwnerID `cbor:"h"` // the earlier owners, the latest last
 }
+
+// OwnerID names the incarnation of the node that owns the team.
+func (t Team) OwnerID() OwnerID { return NewOwnerID(t.Owner, t.Incarnation) }
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -17,11 +17,11 @@
 // Rental describes a rental. It is written before the machines are requested, so that no
 // machine is paid for that nobody knows of.
 type Rental struct {
-	Owner  string `cbor:"o"`
-	Type   string `cbor:"b"`
-	Zone   string `cbor:"h"`
-	Spot   bool   `cbor:"s"`
-	Number int    `cbor:"n"` // of machines
+	Owner  OwnerID `cbor:"o"`
+	Type   string  `cbor:"b"`
+	Zone   string  `cbor:"h"`
+	Spot   bool    `cbor:"s"`
+	Number int     `cbor:"n"` // of machines
 }
 
 // Hold keeps freed machines for a gang.
