--- a/internal/jobgraph/graph_test.go
+++ b/internal/jobgraph/graph_test.go
@@ -355,3 +355,117 @@
 		t.Fatalf("assumed done: ready %v, told %v", g.Waiting(b).Ready(), seen.ready)
 	}
 }
+
+// entryOf is a job's record as a listing has it.
+func entryOf(job *sched.Job, version uint64) state.Entry {
+	return state.Entry{Key: record.ActiveKey(job.ID), Value: recordOf(job, 1), Version: version}
+}
+
+// TestReset guards that a listing keeps what was read of ends and lists. Only how a cancelled
+// job ended is read once more, since the listing does not show why its dependents wait.
+func TestReset(t *testing.T) {
+	g := newTestGraph(t)
+	a, b, c, d := jobName(1), jobName(2), jobName(3), jobName(4)
+	other := testJob(jobName(9))
+	partial := state.Entry{Key: record.ActiveKey(d), Version: 5}
+	description := wire.FromJob(testJob(d))
+	partial.Value = wire.Encode(record.Job{Accepted: 2, Waiting: &description, Parts: 1})
+	entries := []state.Entry{
+		entryOf(testJob(a), 1), entryOf(testJob(b), 2), entryOf(other, 3),
+		entryOf(testJob(c, a, other.ID), 4), partial, entryOf(testJob(jobName(5), b), 6),
+	}
+	g.Reset(entries, 6)
+	g.CompleteList(g.Waiting(d), []string{other.ID})
+	apply(t, g, state.Change{Delete: record.ActiveKey(a)})
+	g.Done(a, 55)
+	apply(t, g, state.Change{Delete: record.ActiveKey(b)})
+	g.Cancelled(b, b)
+
+	g.Reset(entries[2:], 8)
+	if job := g.Waiting(c); job.LatestDone != 55 || len(job.awaited) != 1 || !slices.Equal(g.Unresolved(), []string{b}) {
+		t.Errorf("what is known of a job that is done is lost: %+v, unresolved %v", job, g.Unresolved())
+	}
+	if job := g.Waiting(d); !job.Complete() || !job.awaited[other.ID] {
+		t.Errorf("a list is lost: %+v", job)
+	}
+	if job := g.Waiting(jobName(5)); job.CancelledRoot != b {
+		t.Errorf("a cancellation is lost: %+v", job)
+	}
+
+	entries[3].Version = 9 // the same name, and not the job that was known
+	g.Reset(entries[2:], 9)
+	if job := g.Waiting(c); job.LatestDone != 0 || len(job.awaited) != 2 {
+		t.Errorf("another record is taken for the one that was known: %+v", job)
+	}
+}
+
+// TestCancelledDependent guards that nobody reads how a job ended whose dependents are known to
+// be cancelled with it, and that a cancelled job passes on nothing.
+func TestCancelledDependent(t *testing.T) {
+	g := newTestGraph(t)
+	g.Reset(nil, 0)
+	a, b, c, d := jobName(1), jobName(2), jobName(3), jobName(4)
+	submit(t, g, testJob(a), 1)
+	submit(t, g, testJob(b), 1)
+	submit(t, g, testJob(c, a, b), 1)
+	submit(t, g, testJob(d, c), 1)
+	if inherited, awaited := g.Inherited(b); !awaited || inherited.Priority != sched.Normal {
+		t.Fatalf("inherits %v, awaited %v", inherited, awaited)
+	}
+	apply(t, g, state.Change{Delete: record.ActiveKey(a)})
+	g.Cancelled(a, a)
+	if inherited, awaited := g.Inherited(b); !awaited || inherited != (Inheritance{}) {
+		t.Errorf("inherits %v from a cancelled job, awaited %v", inherited, awaited)
+	}
+	apply(t, g, state.Change{Delete: record.ActiveKey(c)})
+	if g.HasUnresolved() {
+		t.Errorf("how %v ended is asked", g.Unresolved())
+	}
+	if _, awaited := g.Inherited(b); awaited {
+		t.Error("a job is taken to be awaited when nobody does any more")
+	}
+}
+
+// TestAssumeDone guards that a job is ready which was placed before its list was read.
+func TestAssumeDone(t *testing.T) {
+	g := newTestGraph(t)
+	g.Reset(nil, 0)
+	description := wire.FromJob(testJob(jobName(1)))
+	value := wire.Encode(record.Job{Accepted: 2, Waiting: &description, Parts: 1})
+	apply(t, g, state.Change{Put: record.ActiveKey(jobName(1)), Value: value})
+	g.AssumeDone(g.Waiting(jobName(1)))
+	if !g.Waiting(jobName(1)).Ready() || g.FirstPartial() != nil {
+		t.Error("a job that was placed is not ready")
+	}
+}
+
+// TestVersions guards the bound of the versions that are kept.
+func TestVersions(t *testing.T) {
+	g := newTestGraph(t)
+	for i := range maxVersions + 5 {
+		g.SetVersion(jobName(i), 1)
+	}
+	if len(g.versions) != maxVersions {
+		t.Errorf("%d versions are kept", len(g.versions))
+	}
+	if g.SetVersion(jobName(0), 7); g.Version(jobName(0)) != 7 {
+		t.Error("a version that is kept is not replaced")
+	}
+	if g.ForgetVersion(jobName(0)); g.Version(jobName(0)) != 0 {
+		t.Error("a version is not forgotten")
+	}
+}
+
+// TestAwaitsOthers guards the difference between records of jobs that await others and those
+// that do not.
+func TestAwaitsOthers(t *testing.T) {
+	for _, awaits := range [][]string{nil, {jobName(1)}} {
+		got, err := AwaitsOthers(recordOf(testJob(jobName(2), awaits...), 1))
+		if err != nil || got != (len(awaits) > 0) {
+			t.Errorf("awaits %v: %v, %v", awaits, got, err)
+		}
+	}
+	if _, err := AwaitsOthers([]byte{0xff}); err == nil {
+		t.Error("a record that cannot be read is read")
+	}
+}
