The block of a transferred machine is deleted once the machine's new block is written

Cause: mergeTransferred did not count the new block among those that the old one waits for, as splitting does. When the new one was written the count fell to -1, and the old record was never due again: it stayed until the next takeover, and with the machine gone from its new block by then it would have brought it back.

TestMergeTransferred fails without the line.

--- a/controller/blocks.go
+++ b/controller/blocks.go
@@ -163,6 +163,7 @@
 	b.machines, b.dirty = nil, false
 	target.add(m)
 	target.sources = append(target.sources, b)
+	b.unwrittenTargets++
 	o.markDirty(m)
 }
 
--- a/controller/blocks_test.go
+++ b/controller/blocks_test.go
@@ -117,6 +117,40 @@
 	b.ReportMetric(float64(len(o.blocks)), "blocks")
 }
 
+// TestMergeTransferred guards against a machine that is in no record while it leaves the
+// block in which it was transferred.
+func TestMergeTransferred(t *testing.T) {
+	o := benchOwner()
+	for _, b := range o.blocks {
+		b.dirty = false
+	}
+	from := o.newBlock(transferPrefix + "m-900000")
+	from.version = 7
+	m := o.newMachineIn(from, "m-900000", "mid", o.c.cfg.Zones[0], false, "worker")
+	m.token, m.recorded, m.state = 7, true, machineUp
+	write := func() []string {
+		tx := &txn{guards: map[string]uint64{}}
+		o.flushRecords(tx, func() int { return o.c.cfg.TxnOps - len(tx.writes) })
+		var deleted []string
+		for _, w := range tx.writes {
+			if w.Delete != "" {
+				deleted = append(deleted, w.Delete)
+			}
+		}
+		o.settle(tx, true, 10)
+		return deleted
+	}
+	if deleted := write(); len(deleted) > 0 || m.block == from || !slices.Contains(m.block.machines, m) {
+		t.Fatalf("with the first commit %v is deleted, the machine is in %s", deleted, m.block.name)
+	}
+	if deleted := write(); !slices.Equal(deleted, []string{record.BlockKey(from.name)}) {
+		t.Fatalf("with the second commit %v is deleted", deleted)
+	}
+	if slices.Contains(o.blocks, from) {
+		t.Fatal("the empty block is kept")
+	}
+}
+
 // TestGuardsOfBlock guards against a block that needs more guards than a commit takes: it is
 // written in several steps, and every attempt is recorded in the end.
 func TestGuardsOfBlock(t *testing.T) {
