An owner that has used up its numbers has its member record written anew

Cause: numbers of attempts, rentals, blocks and shards are revision << 20 | count, and nothing bounded the count: after 2^20 numbers in one incarnation of a node, which a large fleet uses in some hours, they repeat or run into those of another revision. A rental's name that is used again rents nothing.

Now the node rejoins when 2^16 numbers are left: the new record has a higher version, with which the count begins anew. That costs one reading of all records, as after any lost record.

--- a/controller/core.go
+++ b/controller/core.go
@@ -47,7 +47,7 @@
 	node    *cluster.Node
 	cluster *cluster.View // of node
 	owner   *owner        // set while this node owns teams
-	numbers uint64        // of attempts and rentals, see nextNumber
+	numbers numbers
 
 	// What users ask for.
 	submissions submissions
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -203,6 +203,10 @@
 	if o.state != ownerActive {
 		return
 	}
+	if o.c.numbers.low(o.c.node.RecordVersion()) {
+		o.c.node.Rejoin(o.c.now, "its numbers are used up") // ends this owner
+		return
+	}
 	if o.watchDown && o.c.now >= o.retryAt {
 		o.watchDown = false
 		o.watchJobs(o.watchRev)
--- a/controller/proposals.go
+++ b/controller/proposals.go
@@ -6,6 +6,7 @@
 	"tamarindlead/sched"
 )
 
+// propose gives tasks their places, which take effect once they are recorded.
 func (o *owner) propose(j *job, got []sched.Assignment) {
 	if len(got) == 0 {
 		return
@@ -30,14 +31,42 @@
 	}
 }
 
-// nextNumber gives out numbers for attempts and rentals that nobody has given out
-// before: the revision of this node's record comes first, and the count goes on when all
-// records are read again.
-func (o *owner) nextNumber() uint64 {
-	o.c.numbers++
-	return o.c.node.RecordVersion()<<20 | o.c.numbers
+// Numbers of attempts, rentals, blocks and shards are unique for ever: the revision of this
+// node's member record, then a count. The count goes on when all records are read again.
+const (
+	// countBits is the width of the count.
+	countBits = 20
+	// maxCount is the largest count.
+	maxCount = 1<<countBits - 1
+	// countMargin is how many numbers are left when a new member record is written. A pass
+	// takes a number for each job at most, and passes are a few a second.
+	countMargin = 1 << 16
+)
+
+// numbers gives out the counts of numbers.
+type numbers struct {
+	revision uint64 // of the member record with which the count began
+	count    uint64
+}
+
+// next returns a number that nobody has given out before.
+func (n *numbers) next(revision uint64) uint64 {
+	if n.revision != revision {
+		n.revision, n.count = revision, 0
+	}
+	n.count++
+	return n.revision<<countBits | n.count
+}
+
+// low tells that the counts for a revision are about to be used up.
+func (n *numbers) low(revision uint64) bool {
+	return n.revision == revision && n.count > maxCount-countMargin
 }
 
+// nextNumber gives out a number for an attempt, rental, block or shard.
+func (o *owner) nextNumber() uint64 { return o.c.numbers.next(o.c.node.RecordVersion()) }
+
+// recorded handles a proposed attempt whose record was written.
 func (o *owner) recorded(a *attempt) {
 	if a.state != attemptProposed {
 		return
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -216,6 +216,13 @@
 		return atLeast(t, d, func(id string) bool { return w.told[id] == wire.JobDone })
 	case "accepted":
 		return atLeast(t, d, func(id string) bool { return w.accepted[id] })
+	case "numbers-low": // the owner has given out nearly all numbers of its record's version
+		owner := node().core
+		owner.numbers.next(owner.node.RecordVersion())
+		owner.numbers.count = maxCount - countMargin
+	case "numbers-left":
+		owner := node().core
+		return fmt.Sprint(!owner.numbers.low(owner.node.RecordVersion()))
 	case "state-compact":
 		w.state.Compact = true
 	case "cloud-down":
--- a/internal/cluster/membership.go
+++ b/internal/cluster/membership.go
@@ -165,7 +165,11 @@
 
 // RecordLost must be called when a guard on this node's own record did not hold: another
 // incarnation has replaced the record, or its lease has ended.
-func (n *Node) RecordLost(now micros.Micros) {
+func (n *Node) RecordLost(now micros.Micros) { n.Rejoin(now, "its record has changed") }
+
+// Rejoin has the node write its record anew, so that the record has a higher version. What it
+// owned it owns again afterwards, since its incarnation stays the same.
+func (n *Node) Rejoin(now micros.Micros, why string) {
 	n.membership.pausedUntil = now + joinRetry
-	n.setMember(now, memberOut, "its record has changed")
+	n.setMember(now, memberOut, why)
 }
