--- a/controller/blocks_test.go
+++ b/controller/blocks_test.go
@@ -126,7 +126,7 @@
 	}
 	from := o.newBlock(transferPrefix + "m-900000")
 	from.version = 7
-	m := o.newMachineIn(from, "m-900000", "mid", o.c.cfg.Zones[0], false, "worker")
+	m := o.newMachineIn(from, machineInfo{name: "m-900000", kind: "mid", zone: o.c.cfg.Zones[0], endpoint: "worker"})
 	m.token, m.recorded, m.state = 7, true, machineUp
 	write := func() []string {
 		tx := &txn{guards: map[string]uint64{}}
