Tests of the package cluster: an earlier incarnation's late record, the watch's revision, ties

Taken away one by one, the incarnation in leaderChanged, the leader's own preference in chooseOwner and the bound of the watch's revision were not missed by any test of the package.

--- a/internal/cluster/assign_test.go
+++ b/internal/cluster/assign_test.go
@@ -135,3 +135,19 @@
 	f.tick(0)
 	f.expectNoCall()
 }
+
+// TestLeaderTakesTeamsItselfIfAllIsEqual: without owners, and also if its name comes later.
+func TestLeaderTakesTeamsItselfIfAllIsEqual(t *testing.T) {
+	for _, spread := range []bool{false, true} {
+		settings := testSettings("red")
+		settings.Node, settings.Tuning.SpreadTeams = "n1", spread
+		f := newFixture(t, settings)
+		for _, node := range []string{"n0", "n1", "n2"} {
+			entry := memberEntry(node, 1, 2)
+			f.node.view.put(entry.Key, entry.Value, entry.Version)
+		}
+		if got := f.node.chooseOwner(map[string]int{}); got != "n1" {
+			t.Errorf("spread %t: %s is chosen; want n1", spread, got)
+		}
+	}
+}
--- a/internal/cluster/leadership_test.go
+++ b/internal/cluster/leadership_test.go
@@ -169,3 +169,29 @@
 		t.Errorf("%d notifications of changes; want 2", f.host.viewChanges)
 	}
 }
+
+// TestEarlierIncarnationSeenWhileCampaigning: a late commit of an earlier incarnation puts its
+// record; this one's commit fails by it, and is tried again against that record.
+func TestEarlierIncarnationSeenWhileCampaigning(t *testing.T) {
+	f := newFixture(t, testSettings("red"))
+	commit, _ := f.campaigning()
+	f.changed(leaderEntry("n0", f.node.Incarnation()+1, 15))
+	f.expectLead(leadVacant, "", 15)
+	f.fail(commit, store.Conflict)
+	f.tick(campaignJitter)
+	_, body := f.expectCommit()
+	if body.Guards[0].Version != 15 {
+		t.Errorf("guarded on version %d; want 15", body.Guards[0].Version)
+	}
+}
+
+// TestWatchGoesOnFromItsRevision: an answer of an older revision does not set the watch back.
+func TestWatchGoesOnFromItsRevision(t *testing.T) {
+	f := newFixture(t, testSettings("red"))
+	f.joined(leaderEntry("n1", 1, 3))
+	f.answerWatch(state.Changes{Revision: joinRevision - 1})
+	want := state.Watch(record.ClusterPrefix, joinRevision, 0).Target
+	if len(f.store.watches) != 1 || f.store.watches[0].request.Target != want {
+		t.Errorf("watches %v; want %s", f.store.watches, want)
+	}
+}
