--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -25,7 +25,7 @@
 	outShare     = 0.25    // of the sockets, for outbound connections
 	keepShare    = 0.8     // of the others: with more, workers connect anew for each report
 	idleShare    = 0.1     // of the sockets, for those of them that idle
-	maxPeerBody  = 1 << 20 // bodies from siblings
+	maxPeerBody  = 1 << 20 // bodies from other controllers
 	idleLimit    = 90 * micros.Second
 	partialLimit = 10 * micros.Second
 	keepIdle     = 6 // outbound connections kept for each address
--- a/internal/cluster/membership.go
+++ b/internal/cluster/membership.go
@@ -157,7 +157,7 @@
 // leave gives up membership, and with it leading and owning, so that a node that workers can
 // reach takes over.
 func (n *Node) leave(now micros.Micros) {
-	n.log.Warn("leaving: workers reach a sibling but not this node")
+	n.log.Warn("leaving: workers reach a peer but not this node")
 	n.membership.pausedUntil = now + leavePause
 	n.store.Call(state.Revoke(n.membership.lease), func(micros.Micros, store.Reply) {})
 	n.setMember(now, memberOut, "workers do not reach it")
