--- a/controller/finalreads_test.go
+++ b/controller/finalreads_test.go
@@ -6,10 +6,13 @@
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/datadriven"
+
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/standin"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
 
@@ -71,3 +74,19 @@
 		}
 	}
 }
+
+// TestSweepsAllParts guards against leftovers of long lists beyond the first page of a listing.
+func TestSweepsAllParts(t *testing.T) {
+	w := scenarioWorld(t, &datadriven.TestData{Pos: "finalreads_test.go", Cmd: "world"})
+	var leftovers []standin.Record
+	for i := range 2*state.PageSize + 1 {
+		leftovers = append(leftovers, standin.Record{
+			Key: record.PartKey(jobName(i), 0), Value: wire.Encode(record.Part{IDs: []string{jobName(i + 1)}}), Version: uint64(i + 1),
+		})
+	}
+	w.state.Load(leftovers, uint64(len(leftovers)), micros.Second)
+	w.run(sweepAfter + 120*micros.Second)
+	if left := w.state.Keys(record.PartPrefix); len(left) > 0 || len(w.broken) > 0 {
+		t.Fatalf("%d parts are left, the first is %s; rules broken: %v", len(left), left[0], w.broken)
+	}
+}
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -90,6 +90,7 @@
 	obsoleteKeys      []string      // keys that nobody reads any more
 	obsoleteDeletedAt micros.Micros // when some of them were deleted last, or there were none
 	swept             bool          // leftovers of long lists were looked for
+	sweptUntil        string        // the last key that was looked at
 }
 
 // team is a team that this node owns.
--- a/controller/waiting.go
+++ b/controller/waiting.go
@@ -171,7 +171,7 @@
 		return
 	}
 	o.swept = true
-	o.c.store.Do(budget.Cleanup, state.List(record.PartPrefix, ""), func(r store.Reply) {
+	o.c.store.Do(budget.Cleanup, state.List(record.PartPrefix, o.sweptUntil), func(r store.Reply) {
 		var page state.Page
 		if o.superseded() {
 			return
@@ -187,6 +187,9 @@
 				o.swept = false
 			default:
 				o.dropLeftoverParts(page.Entries)
+				if page.More && len(page.Entries) > 0 { // the next page comes with a later tick
+					o.sweptUntil, o.swept = page.Entries[len(page.Entries)-1].Key, false
+				}
 			}
 		})
 	})
