The simulated world repeats: leases end, and lost requests fail, in a fixed order

Cause of scenarios that did not repeat: leases that end at the same moment ended in the order of a map in the stand-in, and so did a crashed node's pending requests in the test world. The core did not vary.

--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -148,8 +148,8 @@
 
 func (w *world) crash(n *simNode, down micros.Micros) {
 	n.up, n.life, n.downTo = false, n.life+1, w.now+down
-	for _, answer := range n.pending {
-		answer(Respond{})
+	for _, id := range sortedKeys(n.pending) {
+		n.pending[id](Respond{})
 	}
 	n.pending = nil
 }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -6,7 +6,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/url"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -120,8 +122,8 @@
 		}
 	}
 	s.Now = now
-	for id, l := range s.leases {
-		if now > l.ends {
+	for _, id := range slices.Sorted(maps.Keys(s.leases)) {
+		if now > s.leases[id].ends {
 			s.endLease(id)
 		}
 	}
