Rentals for arrays are bounded by what binding team limits leave, counted once

Cause: each waiting array counted all the room that its team's limit left.

Another form, which counted limits once in the waiting work itself, rented too little.

--- a/controller/scale.go
+++ b/controller/scale.go
@@ -201,6 +201,7 @@
 // demands groups the jobs by the machine types that they fit.
 func (o *owner) demands() []*capacity.Demand {
 	byKey := map[demandKey]*capacity.Demand{}
+	counted := map[string]sched.Resources{} // of each team's limit, by the jobs before
 	var list []*capacity.Demand
 	for _, j := range o.queue {
 		if j.state != jobActive {
@@ -213,13 +214,14 @@
 			byKey[key] = d
 			list = append(list, d)
 		}
-		o.addDemand(d, j)
+		o.addDemand(d, j, counted)
 	}
 	return list
 }
 
-// addDemand adds what runs and what waits of a job.
-func (o *owner) addDemand(d *capacity.Demand, j *job) {
+// addDemand adds what runs and what waits of a job. Each job may use all that its team's limit
+// leaves, but all of them together may use it once only.
+func (o *owner) addDemand(d *capacity.Demand, j *job, counted map[string]sched.Resources) {
 	d.MaxWait = min(d.MaxWait, o.waitLimit(j))
 	for _, a := range j.attempts {
 		if !a.freed {
@@ -233,6 +235,10 @@
 	tasks := min(j.pending, o.withinTeam(j, sched.Resources{}))
 	if tasks > 0 && o.c.now+soonRetried >= j.notUntil {
 		o.addWaitingWork(d, j, tasks)
+		once := min(tasks, o.withinTeam(j, counted[j.Team]))
+		counted[j.Team] = counted[j.Team].Add(j.Need.Times(once))
+		d.Room += float64(once) * capacity.TaskCPUs(j.Job)
+		d.Limited = d.Limited || once < j.pending
 	}
 }
 
--- a/internal/capacity/demand.go
+++ b/internal/capacity/demand.go
@@ -18,6 +18,8 @@
 	Waiting  float64                   // work that is not placed, in processor seconds
 	Low      float64                   // the part of it that has the lowest priority
 	LowWait  micros.Micros             // which may wait for so long
+	Limited  bool                      // its teams' limits leave out some of it
+	Room     float64                   // processors that its teams' limits leave to it, each counted once
 	Capacity float64                   // processors of machines that are up, boot or are asked for
 	Used     float64                   // those in use
 	On       map[Offer]sched.Resources // in use by this work
@@ -41,6 +43,17 @@
 	return cpus
 }
 
+// withinLimits bounds what the work is short of by what its teams' limits leave to it, less
+// what is free on the machines there are. Where the limits leave out nothing, it is not bounded:
+// some of the machines may never come up.
+func (d *Demand) withinLimits(short float64) float64 {
+	if !d.Limited {
+		return short
+	}
+	free := max(d.Capacity-d.Used, 0)
+	return min(short, d.Room-free)
+}
+
 // waitingTasks counts the tasks of the gangs that wait.
 func (d *Demand) waitingTasks() int {
 	n := 0
--- a/internal/capacity/planner_test.go
+++ b/internal/capacity/planner_test.go
@@ -324,3 +324,29 @@
 
 // waitingGangless is the demand of a gang that runs.
 func waitingGangless(g *sched.Job) *Demand { return NewDemand(g, micros.Minute) }
+
+// TestRentWithinLimits guards against machines for more than the teams' limits leave: the
+// limits are shared by all jobs that wait, and what is free already is used first.
+func TestRentWithinLimits(t *testing.T) {
+	job := array("j", 1)
+	for _, c := range []struct {
+		name       string
+		limited    bool
+		room, used float64
+		rents      bool
+	}{
+		{"nothing is left", true, 0, 8, false},
+		{"some is left, machines are full", true, 8, 8, true},
+		{"some is left, as much is free", true, 8, 0, false},
+		{"nothing is left out", false, 8, 0, true},
+	} {
+		p := testPlanner(job)
+		p.addMachines(Offer{Type: "small", Zone: "a"}, "m1")
+		p.Machines[0].Used = sched.NewResources(c.used, 0, 0)
+		d := waitingArray(job, 1e6)
+		d.Limited, d.Room = c.limited, c.room
+		if rents := len(p.Plan([]*Demand{d}).Requests) > 0; rents != c.rents {
+			t.Errorf("%s: rents %t", c.name, rents)
+		}
+	}
+}
--- a/internal/capacity/scale_up.go
+++ b/internal/capacity/scale_up.go
@@ -31,7 +31,7 @@
 
 // scaleUpArrays rents machines for tasks that may start one by one.
 func (p *Planner) scaleUpArrays(d *Demand) {
-	short := d.Waiting/p.targetSeconds() - d.Capacity
+	short := d.withinLimits(d.Waiting/p.targetSeconds() - d.Capacity)
 	for short > 0 && p.mayAsk() {
 		best, least := p.cheapest(d.First, p.notAsked), p.cheapest(d.First, anyOffer)
 		if best == nil || best.price > least.price*similarPrice {
@@ -58,7 +58,7 @@
 func (p *Planner) shortOfOrdinary(d *Demand, best *choice) float64 {
 	ratio := best.price / max(p.LowestPrice(d.First, true), best.price/maxPriceRatio)
 	wait := basePatience * ratio * ratio * p.targetSeconds()
-	return (d.Waiting-d.Low)/wait + d.Low/max(wait, d.LowWait.Seconds()) - d.Capacity
+	return d.withinLimits((d.Waiting-d.Low)/wait + d.Low/max(wait, d.LowWait.Seconds()) - d.Capacity)
 }
 
 // scaleUpGangs rents machines for gangs that no machines will take in time, each gang's in
