--- a/config/config.go
+++ b/config/config.go
@@ -131,6 +131,7 @@
 	leastOps   = 4
 )
 
+// file is the form of the platform's file.
 type file struct {
 	Node          string `toml:"node"`
 	Zone          string `toml:"zone"`
@@ -212,8 +213,10 @@
 	return s, nil
 }
 
+// checker reads values and keeps the first error.
 type checker struct{ err error }
 
+// require notes an error unless a value is as it must be.
 func (c *checker) require(ok bool, key, what string) {
 	if !ok && c.err == nil {
 		c.err = fmt.Errorf("%s: %s", key, what)
@@ -311,39 +314,61 @@
 	c.next(s, &p.State.Next)
 	c.require(s.Sockets >= 32, "params.quota.sockets", "must be at least 32")
 	c.require(s.Lease > s.ReportEvery, "params.workers.lease_s", "must be above params.workers.report_s")
+	s.Siblings = c.siblings(&f)
+	s.Teams = c.teams(&f)
+	s.Objectives = c.objectives(&f)
+	if c.err != nil {
+		return nil, c.err
+	}
+	return s, nil
+}
+
+// siblings reads the other controllers, whose names must be unique.
+func (c *checker) siblings(f *file) []Sibling {
+	var siblings []Sibling
 	names := map[string]bool{f.Node: true}
 	for i, b := range f.Siblings {
 		key := fmt.Sprintf("siblings[%d].", i)
 		c.require(!names[b.Node], key+"node", "must be unique")
 		names[b.Node] = true
-		s.Siblings = append(s.Siblings, Sibling{c.text(key+"node", b.Node), b.Zone, c.addr(key+"endpoint", b.Endpoint)})
+		siblings = append(siblings, Sibling{c.text(key+"node", b.Node), b.Zone, c.addr(key+"endpoint", b.Endpoint)})
 	}
-	c.require(len(p.Teams) > 0, "params.teams", "missing")
-	teams := map[string]bool{}
-	for i, t := range p.Teams {
+	return siblings
+}
+
+// teams reads the teams with their guarantees and limits.
+func (c *checker) teams(f *file) []Team {
+	c.require(len(f.Params.Teams) > 0, "params.teams", "missing")
+	var teams []Team
+	names := map[string]bool{}
+	for i, t := range f.Params.Teams {
 		key := fmt.Sprintf("params.teams[%d].", i)
-		c.require(!teams[t.Name], key+"name", "must be unique")
-		teams[t.Name] = true
-		s.Teams = append(s.Teams, Team{
+		c.require(!names[t.Name], key+"name", "must be unique")
+		names[t.Name] = true
+		teams = append(teams, Team{
 			Name:      c.text(key+"name", t.Name),
 			Guarantee: sched.NewResources(c.atLeastZero(key+"cpus", t.CPUs), c.atLeastZero(key+"gpus", t.GPUs), 0),
 			Limit:     sched.NewResources(c.atLeastZero(key+"cpus_max", t.CPUsMax), c.atLeastZero(key+"gpus_max", t.GPUsMax), 0),
 		})
 	}
-	for i, o := range p.Objectives {
+	return teams
+}
+
+// objectives reads the users' service level objectives.
+func (c *checker) objectives(f *file) []Objective {
+	var objectives []Objective
+	for i, o := range f.Params.Objectives {
 		key := fmt.Sprintf("params.objectives[%d].", i)
-		s.Objectives = append(s.Objectives, Objective{
+		objectives = append(objectives, Objective{
 			ObjectiveKind(c.text(key+"kind", o.Kind)), o.Class,
 			micros.FromSeconds(c.atLeastZero(key+"within_s", o.WithinS)),
 			c.atLeastZero(key+"share", o.Share),
 		})
 	}
-	if c.err != nil {
-		return nil, c.err
-	}
-	return s, nil
+	return objectives
 }
 
+// joinKey writes a key of nested tables with dots.
 func joinKey(key []string) string {
 	out := ""
 	for i, k := range key {
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -182,7 +182,7 @@
 func (o *owner) forget(m *machine) {
 	o.dropMachine(m)
 	if m.pendingRequest != 0 {
-		o.c.refuse(m.pendingRequest, 503, "machine was returned")
+		o.c.refuse(m.pendingRequest, wire.StatusUnavailable, "machine was returned")
 		m.pendingRequest = 0
 	}
 	for _, a := range m.sorted() {
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -9,6 +9,7 @@
 	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/state"
+	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 	"tamarindlead/sched"
 )
@@ -158,7 +159,7 @@
 func (o *owner) refusePending() {
 	for _, m := range o.list {
 		if m.pendingRequest != 0 {
-			o.c.refuse(m.pendingRequest, 503, "ownership lost")
+			o.c.refuse(m.pendingRequest, wire.StatusUnavailable, "ownership lost")
 			m.pendingRequest = 0
 		}
 	}
