--- /dev/null
+++ b/controller/eviction_test.go
@@ -0,0 +1,95 @@
+package controller
+
+import (
+	"testing"
+
+	"tamarindlead/internal/record"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// evictionOwner is an owner with one machine, on which a low array of two tasks runs, and a
+// gang that fits only in its place. The first task has run for 20 s of 30 s.
+func evictionOwner(checkpoint micros.Micros) (o *owner, gang, array *job) {
+	o = testOwner()
+	o.c.types.list[0].Zones = nil // nothing can be rented
+	array = addTestJob(o, 1, &sched.Job{
+		Tasks: 2, Priority: sched.Low, Need: sched.NewResources(14, 0, 14), Estimate: 30 * micros.Second, Checkpoint: checkpoint, Save: micros.Second,
+	})
+	gang = addTestJob(o, 2, &sched.Job{
+		Tasks: 1, Gang: true, Priority: sched.High, Need: sched.NewResources(28, 0, 28), Estimate: 30 * micros.Second,
+	})
+	m := o.newMachine(machineInfo{name: "m-000001", kind: "mid", zone: "a", endpoint: "worker"})
+	m.token, m.session, m.synced, m.heard, m.state = 7, 1, true, o.c.now, machineUp
+	for i := range array.Tasks {
+		o.attach(array, i, 9, m, attemptLive).running = o.c.now - 20*micros.Second
+	}
+	return o, gang, array
+}
+
+func addTestJob(o *owner, n int, spec *sched.Job) *job {
+	spec.ID, spec.Class, spec.Team, spec.Image = jobName(n), "work", "red", "img"
+	o.loadJob(record.ActiveKey(spec.ID), wire.Encode(record.NewJob(spec, o.c.wallClock)), uint64(n))
+	return o.jobs[spec.ID]
+}
+
+// TestEvictionInVainBacksOff guards against a gang that evicts again on every retry although
+// it never starts: each hold in vain doubles the pause before the next eviction.
+func TestEvictionInVainBacksOff(t *testing.T) {
+	o, gang, _ := evictionOwner(0)
+	wait := o.c.cfg.Tuning.HoldWait
+	for n := range 3 {
+		if !o.makeRoom(gang) {
+			t.Fatalf("hold %d: no room is made", n)
+		}
+		h := o.holds[gang.ID]
+		h.stop = nil // what was to be stopped goes on, so that the next hold finds the same
+		o.setHold(h, holdWaiting, "test")
+		o.c.now = h.until + 1
+		o.machines["m-000001"].heard = o.c.now
+		o.tickHolds()
+		if h.state != holdOver {
+			t.Fatalf("hold %d is not over after its wait", n)
+		}
+		delete(o.holds, gang.ID)
+		pause := wait << n
+		o.c.now += pause - 1
+		o.machines["m-000001"].heard = o.c.now
+		if o.makeRoom(gang) {
+			t.Fatalf("after %d holds in vain work is stopped again before %v", n+1, pause)
+		}
+		o.c.now++
+		o.machines["m-000001"].heard = o.c.now
+	}
+}
+
+// TestVictimsAboutToEnd guards against stopping what is about to end, since a stop would not be
+// faster: its room counts as free soon.
+func TestVictimsAboutToEnd(t *testing.T) {
+	o, gang, array := evictionOwner(0)
+	if n := len(o.victims(gang.Job, sched.Preempt, nil)); n != 1 {
+		t.Fatalf("%d victims 10 s before the array's end", n)
+	}
+	o.c.now += 8 * micros.Second
+	if list := o.victims(gang.Job, sched.Preempt, nil); len(list) != 0 {
+		t.Errorf("%d tasks are to be stopped 2 s before their end", len(list[0].Tasks))
+	}
+	for _, a := range array.sorted() {
+		if !o.leavingSoon(a) {
+			t.Errorf("task %d does not count as leaving", a.index)
+		}
+	}
+}
+
+// TestLostWorkOfVictims guards the order in which machines are tried: what can save loses the
+// time for saving only, what cannot loses all of its run.
+func TestLostWorkOfVictims(t *testing.T) {
+	for checkpoint, want := range map[micros.Micros]float64{0: 14 * 20, 15 * micros.Second: 14 * 1} {
+		o, gang, _ := evictionOwner(checkpoint)
+		list := o.victims(gang.Job, sched.Preempt, nil)
+		if len(list) != 1 || list[0].Tasks[0].Lost != want {
+			t.Errorf("checkpoints every %v: victims %+v, lost should be %g", checkpoint, list, want)
+		}
+	}
+}
