--- a/controller/faults_state_test.go
+++ b/controller/faults_state_test.go
@@ -26,10 +26,17 @@
 	peerSpare bool          // but not what they say once a second, nor what they pass on
 	lateDone  int           // transactions that were carried out late and held
 	lostDone  int           // transactions that were carried out, their answer lost
+
+	unevenState unevenDelay // of the answers of the state service
+	unevenPeers unevenDelay // of those of other controllers
 }
 
 func newStateFaults(seed uint64) stateFaults {
-	return stateFaults{rng: rand.New(rand.NewPCG(seed, 2))}
+	return stateFaults{
+		rng:         rand.New(rand.NewPCG(seed, 2)),
+		unevenState: newUnevenDelay(seed, unevenStateStream),
+		unevenPeers: newUnevenDelay(seed, unevenPeersStream),
+	}
 }
 
 // Transactions without an answer are carried out within these times.
@@ -41,7 +48,7 @@
 // stateCall brings a call to the state service, with the troubles of the moment.
 func (w *world) stateCall(n *simNode, c Call, answer func(standin.Reply)) {
 	f := &w.faults
-	whole := answer
+	whole := f.unevenState.hold(w, n, answer)
 	answer = func(r standin.Reply) {
 		if !n.alone { // the cut holds answers too, those of open watches among them
 			whole(r)
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -247,7 +247,7 @@
 		if out, ok := stateVerb(t, w, d, node, during); ok {
 			return out
 		}
-		if limitVerb(t, w, d) {
+		if unevenVerb(t, w, d, during) || limitVerb(t, w, d) {
 			return ""
 		}
 		if out, ok := userVerb(t, w, d); ok {
@@ -449,9 +449,10 @@
 		return fmt.Sprint(w.crowd.startsAfterCancel)
 	case "cancelled-at-end":
 		return fmt.Sprint(w.crowd.cancelledAtEnd)
-	case "looks", "odd-requests", "late-writes", "lost-answers", "answers", "refused-429", "refused-503": // how often a meeting came about
+	case "looks", "odd-requests", "late-writes", "lost-answers", "held-answers", "answers", "refused-429", "refused-503": // how often a meeting came about
 		n := map[string]int{"looks": w.crowd.closeLooks, "odd-requests": w.crowd.oddRequestsSent, "late-writes": w.faults.lateDone, "lost-answers": w.faults.lostDone,
-			"answers": w.crowd.answers[arg(t, d, "job", "")], "refused-429": w.crowd.refusals[429], "refused-503": w.crowd.refusals[503]}[what]
+			"held-answers": w.faults.unevenState.held + w.faults.unevenPeers.held,
+			"answers":      w.crowd.answers[arg(t, d, "job", "")], "refused-429": w.crowd.refusals[429], "refused-503": w.crowd.refusals[503]}[what]
 		if least := arg(t, d, "least", 0); least > 0 && n >= least {
 			return "enough"
 		}
--- a/controller/world_network_test.go
+++ b/controller/world_network_test.go
@@ -176,6 +176,7 @@
 		i, _ := strconv.Atoi(strings.TrimPrefix(c.Addr, "peer:"))
 		to := w.nodes[i]
 		w.noteMessage(c.Body)
+		answer = w.faults.unevenPeers.hold(w, n, answer)
 		w.ask(to, Request{Peer: true, Method: c.Method, Path: c.Target, Body: c.Body}, c.Timeout, func(r Respond) {
 			w.noteMessage(r.Body)
 			if r.Status != 0 && !w.peerLost(c, true) {
