--- a/controller/faults_uneven_test.go
+++ b/controller/faults_uneven_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
@@ -71,3 +73,17 @@
 	}
 	return true
 }
+
+// setUnevenOnDemand lets answers be uneven in any scenario: SCENARIO_UNEVEN=0.3 holds back that
+// share of the answers of the state service.
+func (w *world) setUnevenOnDemand(t *testing.T) {
+	text := os.Getenv("SCENARIO_UNEVEN")
+	if text == "" {
+		return
+	}
+	share, err := strconv.ParseFloat(text, 64)
+	if err != nil || share < 0 || share > 1 {
+		t.Fatalf("SCENARIO_UNEVEN=%s: want a share from 0 to 1", text)
+	}
+	w.faults.unevenState.share, w.faults.unevenState.most = share, 300*micros.Millisecond
+}
--- a/controller/pairs_test.go
+++ b/controller/pairs_test.go
@@ -183,9 +183,11 @@
 		p.troubles++
 		w.after(when, func() { p.begin(kinds[i]) })
 	}
+	p.drawUnevenAnswers()
 	for p.troubles > 0 && len(w.broken) == 0 {
 		w.run(micros.Second)
 	}
+	w.faults.unevenState.share, w.faults.unevenPeers.share = 0, 0
 	w.calm = w.now
 	p.note("troubles are over")
 	for end := w.now + pairsServed; w.now < end && len(p.open()) > 0 && len(w.broken) == 0; {
--- a/controller/pairs_troubles_test.go
+++ b/controller/pairs_troubles_test.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 
@@ -30,6 +32,28 @@
 	return kinds
 }
 
+// unevenStream is the source of what drawUnevenAnswers draws, so that the troubles of a seed stay
+// the same.
+const unevenStream = 9
+
+// drawUnevenAnswers lets some answers of the state service, or of other controllers, or both come
+// late in three of four runs, until the troubles are over.
+func (p *pairs) drawUnevenAnswers() {
+	rng := rand.New(rand.NewPCG(p.seed, unevenStream))
+	kind := rng.IntN(4)
+	set := func(name string, u *unevenDelay) {
+		u.share = 0.1 + 0.4*rng.Float64()
+		u.most = micros.FromMillis(50 + 450*rng.Float64())
+		p.note("%s of the %s come late, each by up to %v", fmt.Sprintf("%.0f%%", 100*u.share), name, u.most)
+	}
+	if kind&1 != 0 {
+		set("answers of the state service", &p.w.faults.unevenState)
+	}
+	if kind&2 != 0 {
+		set("answers of other controllers", &p.w.faults.unevenPeers)
+	}
+}
+
 // victim picks a node: mostly one that owns, and of those the owner of a job that is to be
 // cancelled.
 func (p *pairs) victim() *simNode {
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -84,6 +84,7 @@
 	cfg.Tuning.SpreadTeams = d.HasArg("spread")
 	w := newWorld(scenarioSeed(t, d), cfg)
 	w.next = nextLimitsOf(t, d)
+	w.setUnevenOnDemand(t)
 	w.cloud.Now = w.now
 	bigZones := zones[arg(t, d, "no-big-in", 0):] // the first zones may lack the big type
 	w.cloud.Types = []wire.MachineType{
