Stand-ins: the gang rules of workers move from the scenario world to standin.Fleet

Need: the fault soak plays the same workers over real connections and must not repeat the protocol. A cloud's machine knows its worker's address, so that it can be a real one.

--- a/controller/dump_test.go
+++ b/controller/dump_test.go
@@ -107,6 +107,7 @@
 	}
 	for _, m := range d.Machines {
 		cm := m.CloudMachine
+		cm.Endpoint = standin.Endpoint(cm.Name) // dumps do not hold it
 		w.cloud.Machines[cm.Name] = &cm
 		if !m.Worker {
 			continue
--- a/controller/faults_workers_test.go
+++ b/controller/faults_workers_test.go
@@ -45,18 +45,6 @@
 	}
 }
 
-// gangTold tells when the first task of a gang's attempt was told to save, and whether all
-// were.
-func (w *world) gangTold(task string, attempt uint64) (first micros.Micros, all bool) {
-	all = w.gangCount(task, attempt, func(_ *standin.Worker, t *standin.Task) bool {
-		if t.Told != 0 && (first == 0 || t.Told < first) {
-			first = t.Told
-		}
-		return t.Told != 0 && (t.Phase == wire.PhaseSaving || t.Cause == wire.CauseStopped)
-	})
-	return first, all
-}
-
 // between draws a time.
 func (w *world) between(low, high micros.Micros) micros.Micros {
 	return low + micros.Micros(w.rng.Int64N(int64(max(1, high-low))))
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -26,7 +26,8 @@
 	nodes   []*simNode
 	state   *standin.State
 	cloud   *standin.Cloud
-	workers map[string]*standin.Worker
+	fleet   *standin.Fleet
+	workers map[string]*standin.Worker // of the fleet
 	queue   deliveries
 	seq     int
 	loss    float64 // a message gets lost
@@ -90,13 +91,16 @@
 func newWorld(seed uint64, cfg *config.Settings) *world {
 	w := &world{
 		now: micros.Hour, rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg,
-		state: standin.NewState(), cloud: standin.NewCloud(), workers: map[string]*standin.Worker{},
+		state: standin.NewState(), cloud: standin.NewCloud(),
 		infos: map[string]standin.TaskInfo{}, submitted: map[string]*sched.Job{}, asked: map[string]micros.Micros{}, bodies: map[string][]byte{},
 		told: map[string]wire.JobPhase{}, accepted: map[string]bool{}, cancelled: map[string]micros.Micros{},
-		wantsEnd: map[string]bool{}, done: map[string]bool{}, running: map[string]string{},
+		wantsEnd: map[string]bool{}, running: map[string]string{},
 		faults: newStateFaults(seed), crowd: newCrowd(seed), pipelines: newPipelines(seed),
 		stops: map[string]int{}, answered: map[string]micros.Micros{}, began: map[string]micros.Micros{},
 	}
+	w.fleet = standin.NewFleet(standin.FleetTimes{Lease: cfg.Lease, GangPeer: cfg.GangPeer, GangWait: cfg.GangWait})
+	w.fleet.Info, w.fleet.OnStart, w.fleet.OnExit, w.fleet.OnDone = w.info, w.onStart, w.onExit, w.onDone
+	w.workers, w.done = w.fleet.Workers, w.fleet.Done
 	w.state.Ops, w.state.Value = cfg.TxnOps, cfg.ValueBytes
 	w.cloud.Lag = cfg.ListLag
 	for i := range len(cfg.Siblings) + 1 {
--- a/controller/world_workers_test.go
+++ b/controller/world_workers_test.go
@@ -30,16 +30,7 @@
 }
 
 func (w *world) bootWorker(m *standin.CloudMachine, t wire.MachineType) *standin.Worker {
-	k := &standin.Worker{
-		Machine: m, CPU: t.CPUs, Mem: t.MemGB, Session: 1, Tasks: map[string]*standin.Task{},
-		Lease: w.cfg.Lease, LastSent: w.now, Changed: true,
-		Node: w.rng.IntN(len(w.nodes)), NextAt: w.now,
-		Info:    func(task string) (standin.TaskInfo, bool) { return w.info(task) },
-		OnStart: w.onStart, OnExit: w.onExit, GangReady: w.gangReady, GangWhole: w.gangWhole, GangPeer: w.cfg.GangPeer,
-		GangTold: w.gangTold, GangWait: w.cfg.GangWait, Completed: func(task string) bool { return w.done[task] },
-	}
-	w.workers[m.Name] = k
-	return k
+	return w.fleet.Boot(m, t, w.rng.IntN(len(w.nodes)), w.now)
 }
 
 func (w *world) typeOf(name string) wire.MachineType {
@@ -104,53 +95,12 @@
 	if w.running[task] == k.Machine.Name {
 		delete(w.running, task)
 	}
-	if cause != wire.CauseDone {
-		return
-	}
-	w.done[task] = true
-	id, _, _ := wire.SplitTaskName(task)
-	w.jobEnded(id)
-	w.noteTaskDone(id)
-	if !w.infos[id].Gang {
-		return
-	}
-	for _, name := range w.workerNames() {
-		mate := w.workers[name]
-		for i := range w.infos[id].Tasks {
-			if t := mate.Tasks[wire.TaskName(id, i)]; t != nil && !mate.Machine.Gone && t.Phase == wire.PhaseRunning && t.Attempt == k.Tasks[task].Attempt {
-				mate.Complete(t)
-			}
-		}
-	}
 }
 
-func (w *world) gangReady(task string, attempt uint64) bool {
-	return w.gangCount(task, attempt, func(k *standin.Worker, t *standin.Task) bool {
-		return t.Phase == wire.PhaseWaiting || t.Phase == wire.PhaseRunning
-	})
-}
-
-func (w *world) gangWhole(task string, attempt uint64) bool {
-	return w.gangCount(task, attempt, func(k *standin.Worker, t *standin.Task) bool {
-		return !k.Hung && (t.Phase == wire.PhaseRunning || t.Phase == wire.PhaseSaving || t.Cause == wire.CauseDone)
-	})
-}
-
-// gangCount tells whether all tasks of a gang's attempt are as asked.
-func (w *world) gangCount(task string, attempt uint64, is func(*standin.Worker, *standin.Task) bool) bool {
+func (w *world) onDone(task string) {
 	id, _, _ := wire.SplitTaskName(task)
-	n := 0
-	for _, k := range w.workers {
-		if k.Machine.Gone {
-			continue
-		}
-		for name, t := range k.Tasks {
-			if o, _, _ := wire.SplitTaskName(name); o == id && t.Attempt == attempt && is(k, t) {
-				n++
-			}
-		}
-	}
-	return n == w.infos[id].Tasks
+	w.jobEnded(id)
+	w.noteTaskDone(id)
 }
 
 func (w *world) stepWorker(k *standin.Worker) {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -18,6 +18,7 @@
 	Capacity map[string]int                          // "type zone spot" -> how many more
 	NeverUp  int                                     // so many of the next machines never come up
 	Boot     func(usual micros.Micros) micros.Micros // how long a machine boots; nil: as usual
+	Endpoint func(machine string) string             // the address of a machine's worker
 	Machines map[string]*CloudMachine
 	grants   map[string][]string
 	next     int
@@ -25,27 +26,29 @@
 
 // CloudMachine is a machine as the cloud sees it.
 type CloudMachine struct {
-	Name    string
-	Type    string
-	Zone    string
-	Spot    bool
-	Rented  micros.Micros
-	UpAt    micros.Micros // 0: never
-	Gone    bool
-	GoneAt  micros.Micros
-	Started bool
+	Name     string
+	Endpoint string // address of its worker
+	Type     string
+	Zone     string
+	Spot     bool
+	Rented   micros.Micros
+	UpAt     micros.Micros // 0: never
+	Gone     bool
+	GoneAt   micros.Micros
+	Started  bool
 }
 
 // NewCloud returns a cloud without machines.
 func NewCloud() *Cloud {
-	return &Cloud{Capacity: map[string]int{}, Machines: map[string]*CloudMachine{}, grants: map[string][]string{}}
+	return &Cloud{Endpoint: Endpoint, Capacity: map[string]int{}, Machines: map[string]*CloudMachine{}, grants: map[string][]string{}}
 }
 
 func offerKey(kind, zone string, spot bool) string { return fmt.Sprintf("%s %s %t", kind, zone, spot) }
 
 // Add creates a machine outside of any rental.
 func (c *Cloud) Add(kind, zone string, spot bool, boot micros.Micros) *CloudMachine {
-	m := &CloudMachine{Name: fmt.Sprintf("m-%06d", c.next), Type: kind, Zone: zone, Spot: spot, Rented: c.Now}
+	name := fmt.Sprintf("m-%06d", c.next)
+	m := &CloudMachine{Name: name, Endpoint: c.Endpoint(name), Type: kind, Zone: zone, Spot: spot, Rented: c.Now}
 	c.next++
 	m.UpAt = c.Now + boot
 	if c.NeverUp > 0 {
@@ -66,7 +69,8 @@
 	return names
 }
 
-func (c *Cloud) typeOf(name string) *wire.MachineType {
+// TypeOf returns the machine type of a name, or nil.
+func (c *Cloud) TypeOf(name string) *wire.MachineType {
 	for i := range c.Types {
 		if c.Types[i].Name == name {
 			return &c.Types[i]
@@ -124,7 +128,7 @@
 	}
 	key := offerKey(req.Type, req.Zone, req.Spot)
 	n := min(req.Number, c.Capacity[key])
-	t := c.typeOf(req.Type)
+	t := c.TypeOf(req.Type)
 	if n == 0 || t == nil {
 		return reply(503, wire.Problem{Error: "no capacity"})
 	}
@@ -154,12 +158,12 @@
 			status = wire.ListRunning
 		}
 		list.Machines = append(list.Machines, wire.ListedMachine{
-			Name: n, Endpoint: Endpoint(n), Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+			Name: n, Endpoint: m.Endpoint, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
 			Status: status, AgeS: (at - m.Rented).Seconds(),
 		})
 	}
 	return reply(200, list)
 }
 
-// Endpoint is a machine's address.
+// Endpoint is the address of a machine's worker where there is no network.
 func Endpoint(name string) string { return "worker:" + name }
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,143 @@
+package standin
+
+import (
+	"slices"
+
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// FleetTimes are the times of the workers of a deployment.
+type FleetTimes struct {
+	Lease    micros.Micros
+	GangPeer micros.Micros
+	GangWait micros.Micros
+}
+
+// Fleet is the workers of a deployment. It knows which tasks completed, and has the tasks of a
+// gang start and complete together.
+type Fleet struct {
+	Times   FleetTimes
+	Workers map[string]*Worker
+	Done    map[string]bool // tasks that completed
+	// Info tells what users uploaded about a task.
+	Info func(task string) (TaskInfo, bool)
+	// OnStart is called when a worker starts a task, OnExit when a task has left its machine,
+	// and OnDone when a task has completed.
+	OnStart func(w *Worker, task string, attempt uint64)
+	OnExit  func(w *Worker, task string, cause wire.Cause)
+	OnDone  func(task string)
+}
+
+// NewFleet returns a fleet without workers. Its functions must be set before a worker boots.
+func NewFleet(times FleetTimes) *Fleet {
+	return &Fleet{Times: times, Workers: map[string]*Worker{}, Done: map[string]bool{}}
+}
+
+// Boot adds the worker of a machine that is up. It reports first to the given controller.
+func (f *Fleet) Boot(m *CloudMachine, t wire.MachineType, node int, now micros.Micros) *Worker {
+	w := &Worker{
+		Machine: m, CPU: t.CPUs, Mem: t.MemGB, Session: 1, Tasks: map[string]*Task{},
+		Lease: f.Times.Lease, LastSent: now, Changed: true, Node: node, NextAt: now,
+		Info: f.Info, OnStart: f.OnStart, OnExit: f.exited,
+		GangReady: f.gangReady, GangWhole: f.gangWhole, GangTold: f.gangTold,
+		GangPeer: f.Times.GangPeer, GangWait: f.Times.GangWait,
+		Completed: func(task string) bool { return f.Done[task] },
+	}
+	f.Workers[m.Name] = w
+	return w
+}
+
+// Names returns the names of all workers in order.
+func (f *Fleet) Names() []string {
+	names := make([]string, 0, len(f.Workers))
+	for name := range f.Workers {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// exited notes that a task has left its machine. If one task of a gang is done, all are.
+func (f *Fleet) exited(w *Worker, task string, cause wire.Cause) {
+	f.OnExit(w, task, cause)
+	if cause != wire.CauseDone {
+		return
+	}
+	f.Done[task] = true
+	f.OnDone(task)
+	if info, _ := f.Info(task); info.Gang {
+		f.completeMates(task, w.Tasks[task].Attempt)
+	}
+}
+
+// completeMates completes the running tasks of the gang that a task belongs to.
+func (f *Fleet) completeMates(task string, attempt uint64) {
+	id, _, _ := wire.SplitTaskName(task)
+	info, _ := f.Info(task)
+	for _, name := range f.Names() {
+		mate := f.Workers[name]
+		if mate.Machine.Gone {
+			continue
+		}
+		for i := range info.Tasks {
+			t := mate.Tasks[wire.TaskName(id, i)]
+			if t != nil && t.Phase == wire.PhaseRunning && t.Attempt == attempt {
+				mate.Complete(t)
+			}
+		}
+	}
+}
+
+// gangReady tells whether all tasks of a gang's attempt have their image.
+func (f *Fleet) gangReady(task string, attempt uint64) bool {
+	return f.gangIs(task, attempt, func(_ *Worker, t *Task) bool {
+		return t.Phase == wire.PhaseWaiting || t.Phase == wire.PhaseRunning
+	})
+}
+
+// gangWhole tells whether all tasks of a gang's attempt make progress, save or are done.
+func (f *Fleet) gangWhole(task string, attempt uint64) bool {
+	return f.gangIs(task, attempt, func(w *Worker, t *Task) bool {
+		return !w.Hung && (t.Phase == wire.PhaseRunning || t.Phase == wire.PhaseSaving || t.Cause == wire.CauseDone)
+	})
+}
+
+// gangIs tells whether something holds for all tasks of a gang's attempt.
+func (f *Fleet) gangIs(task string, attempt uint64, holds func(*Worker, *Task) bool) bool {
+	info, _ := f.Info(task)
+	n := 0
+	f.eachOfGang(task, attempt, func(w *Worker, t *Task) {
+		if holds(w, t) {
+			n++
+		}
+	})
+	return n == info.Tasks
+}
+
+// gangTold tells when the first task of a gang's attempt was told to stop and save, and whether
+// all were.
+func (f *Fleet) gangTold(task string, attempt uint64) (first micros.Micros, all bool) {
+	all = f.gangIs(task, attempt, func(_ *Worker, t *Task) bool {
+		if t.Told != 0 && (first == 0 || t.Told < first) {
+			first = t.Told
+		}
+		return t.Told != 0 && (t.Phase == wire.PhaseSaving || t.Cause == wire.CauseStopped)
+	})
+	return first, all
+}
+
+// eachOfGang visits the tasks of a gang's attempt that are on machines.
+func (f *Fleet) eachOfGang(task string, attempt uint64, visit func(*Worker, *Task)) {
+	id, _, _ := wire.SplitTaskName(task)
+	for _, w := range f.Workers {
+		if w.Machine.Gone {
+			continue
+		}
+		for name, t := range w.Tasks {
+			if other, _, _ := wire.SplitTaskName(name); other == id && t.Attempt == attempt {
+				visit(w, t)
+			}
+		}
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -76,7 +76,7 @@
 func (w *Worker) Report() wire.Report {
 	w.Seq++
 	r := wire.Report{
-		Machine: w.Machine.Name, Endpoint: Endpoint(w.Machine.Name), Type: w.Machine.Type,
+		Machine: w.Machine.Name, Endpoint: w.Machine.Endpoint, Type: w.Machine.Type,
 		Zone: w.Machine.Zone, Spot: w.Machine.Spot, Session: w.Session, Seq: w.Seq, Token: w.Token,
 		NoticeS: w.Notice, Tasks: []wire.TaskReport{},
 	}
