--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -43,7 +43,8 @@
 	return &Cloud{Endpoint: Endpoint, Capacity: map[string]int{}, Machines: map[string]*CloudMachine{}, grants: map[string][]string{}}
 }
 
-func offerKey(kind, zone string, spot bool) string { return fmt.Sprintf("%s %s %t", kind, zone, spot) }
+// OfferKey is how Capacity names machines of a type in a zone.
+func OfferKey(kind, zone string, spot bool) string { return fmt.Sprintf("%s %s %t", kind, zone, spot) }
 
 // Add creates a machine outside of any rental.
 func (c *Cloud) Add(kind, zone string, spot bool, boot micros.Micros) *CloudMachine {
@@ -112,7 +113,7 @@
 
 func (c *Cloud) take(m *CloudMachine) {
 	m.Gone, m.GoneAt = true, c.Now
-	c.Capacity[offerKey(m.Type, m.Zone, m.Spot)]++
+	c.Capacity[OfferKey(m.Type, m.Zone, m.Spot)]++
 }
 
 // Take makes a machine vanish, as the cloud does with spot machines.
@@ -126,7 +127,7 @@
 	if names, ok := c.grants[req.Hire]; ok {
 		return reply(200, wire.MachineNames{Machines: names})
 	}
-	key := offerKey(req.Type, req.Zone, req.Spot)
+	key := OfferKey(req.Type, req.Zone, req.Spot)
 	n := min(req.Number, c.Capacity[key])
 	t := c.TypeOf(req.Type)
 	if n == 0 || t == nil {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -51,6 +51,8 @@
 	Value   int                                            // bytes of a value in JSON, 0 for no limit
 	Invalid int                                            // commits that were refused for their size
 	OnPut   func(key string, value []byte, version uint64) // is shown what is written
+	// OnCommit is told when all changes of a transaction were made.
+	OnCommit func(revision uint64)
 	// Requests and changes a second, with bursts of one second's worth; 0 for no limit.
 	Rate, WriteRate  float64
 	Limited          int // requests that were refused for these
@@ -347,5 +349,8 @@
 			s.apply(w.Delete, true, nil, 0)
 		}
 	}
+	if s.OnCommit != nil {
+		s.OnCommit(s.revision)
+	}
 	return reply(200, map[string]any{"ledger": s.revision})
 }
