Actions on machines assert what they rest on; tokens and terms in more log lines

Found by reading: a refusal that an awaited job was never accepted rests on the read of that job, which is older than the lookup of the job itself. A repeat that joined in between could be refused for good although the awaited job had been accepted meanwhile. It is now answered 503, and looked up when sent again. No user does that who names only accepted jobs.

--- a/controller/acceptance.go
+++ b/controller/acceptance.go
@@ -152,7 +152,7 @@
 }
 
 func (s *submissions) answerAccepted(sub *submission, evidence freshness.Evidence) {
-	s.answer(sub, evidence, unavailable(reasonStoreSilent), func(r userRequest) {
+	s.answer(sub, evidence, func(r userRequest) {
 		s.c.answerSubmission(r, wire.StatusAccepted, sub.job.ID, sub.status, evidence)
 	})
 }
--- a/controller/commands.go
+++ b/controller/commands.go
@@ -32,6 +32,9 @@
 	if !m.synced {
 		return nil // it learns the token first
 	}
+	if !o.mayCommand(m, "any") {
+		return nil
+	}
 	reported, commands := o.commandsForReported(m)
 	for _, a := range m.sorted() {
 		if a.state == attemptOrdered && a.job.state == jobEnded {
@@ -41,7 +44,7 @@
 		case a.state == attemptStopping && !a.seen:
 			// Its start may be on its way, so the stop must follow it.
 			commands = append(commands, stopCommand(a.task(), a.number, a.grace))
-		case a.state == attemptRecorded && !reported[a.key()] && a.mayStart():
+		case a.state == attemptRecorded && !reported[a.key()] && a.mayStart() && o.mayOrderStart(a):
 			a.startSeq = m.seq
 			o.setAttempt(a, attemptOrdered)
 			commands = append(commands, wire.Command{Verb: wire.VerbStart, Task: a.task(), Attempt: a.number})
--- /dev/null
+++ b/controller/entitlement.go
@@ -0,0 +1,51 @@
+package controller
+
+// This file states what an owner's actions on machines rest on, and asserts it at the moment of
+// each action: if it does not hold, the action is left out, and the violation is logged and
+// counted. docs/design.md has the table of all actions with their guards.
+
+// isEntitled tells that this owner has read its records and has not been replaced, as far as
+// this node knows. Whether others know better is decided by tokens and guards.
+func (o *owner) isEntitled() bool { return !o.superseded() && o.state == ownerActive }
+
+// mayCommand asserts that a machine may be commanded: it is claimed by a record of this owner,
+// whose token it has shown, and is not to be deleted.
+func (o *owner) mayCommand(m *machine, verb string) bool {
+	if o.isEntitled() && m.token != 0 && m.synced && m.state < machineCondemned {
+		return true
+	}
+	o.c.violated("a command without a claim", "verb", verb, "machine", m.name, "token", m.token, "synced", m.synced,
+		"machine_state", m.state.String(), "owner_state", o.state.String(), "superseded", o.superseded())
+	return false
+}
+
+// mayOrderStart asserts that an attempt may be started: its place is recorded, and its job is not
+// known to be over.
+func (o *owner) mayOrderStart(a *attempt) bool {
+	if a.state == attemptRecorded && a.machine.recorded && !o.c.cancellations.Ended(a.job.ID) {
+		return o.mayCommand(a.machine, "start")
+	}
+	o.c.violated("a start without a recorded placement", "task", a.task(), "try", a.number, "machine", a.machine.name,
+		"state", a.state.String(), "recorded", a.machine.recorded, "ended", o.c.cancellations.Ended(a.job.ID))
+	return false
+}
+
+// mayRelease asserts that the cloud may be asked to delete a machine: that is recorded, or there
+// is no time left for that.
+func (o *owner) mayRelease(m *machine) bool {
+	overdue := m.state == machineCondemned && o.overdue(m, overdueReleaseShare)
+	if o.isEntitled() && (m.state == machineReleasing || overdue) {
+		return true
+	}
+	o.c.violated("a release without a record", "machine", m.name, "machine_state", m.state.String(), "owner_state", o.state.String())
+	return false
+}
+
+// mayRent asserts that the cloud may be asked for a rental: its name is recorded.
+func (o *owner) mayRent(r *rental) bool {
+	if o.isEntitled() && r.state == rentalAsking {
+		return true
+	}
+	o.c.violated("a rental without a record", "name", r.name, "rental_state", r.state.String(), "owner_state", o.state.String())
+	return false
+}
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -150,8 +150,10 @@
 
 // setState is the one place where the state changes.
 func (o *owner) setState(s ownerState) {
-	o.c.log.Info("owner", "from", o.state.String(), "to", s.String(),
-		"jobs", len(o.jobs), "machines", len(o.machines))
+	leader, term := o.c.node.Leader()
+	o.c.log.Info("owner", "from", o.state.String(), "to", s.String(), "jobs", len(o.jobs), "machines", len(o.machines),
+		"teams", len(o.teams), "member_version", o.c.node.RecordVersion(), "leader", leader, "term", term,
+		"jobs_revision", o.watchRev, "read_ago_us", int64(o.c.now-o.cancellationsKnownUntil))
 	o.state = s
 }
 
@@ -174,7 +176,7 @@
 	if o.superseded() {
 		return
 	}
-	o.c.log.Warn("reading all records again", "why", why)
+	o.c.log.Warn("reading all records again", "why", why, "member_version", o.c.node.RecordVersion())
 	records := map[string]cluster.Team{}
 	for name, t := range o.teams {
 		records[name] = t.record
--- a/controller/rentals.go
+++ b/controller/rentals.go
@@ -131,7 +131,7 @@
 
 // ask asks the cloud for the machines of a rental; asked again, it gives the same answer.
 func (o *owner) ask(r *rental) {
-	if r.asking || o.c.now < r.next || !o.c.cloudRate.AllowN(o.c.now.Time(), 1) {
+	if r.asking || o.c.now < r.next || !o.mayRent(r) || !o.c.cloudRate.AllowN(o.c.now.Time(), 1) {
 		return
 	}
 	r.asking = true
@@ -220,7 +220,7 @@
 	for _, name := range sortedKeys(o.machines) {
 		m := o.machines[name]
 		due := m.state == machineReleasing || m.state == machineCondemned && o.overdue(m, overdueReleaseShare)
-		if due && len(names) < maxReleased {
+		if due && len(names) < maxReleased && o.mayRelease(m) {
 			names = append(names, name)
 		}
 	}
--- a/controller/submissions.go
+++ b/controller/submissions.go
@@ -34,6 +34,8 @@
 	requests   []userRequest
 	receivedAt micros.Micros
 	writes     int // that its records take
+	// dependenciesAsked is when the jobs that it awaits were last looked up, 0: they were not.
+	dependenciesAsked micros.Micros
 	// status is what users are told once it is accepted. It may be cancelled already, with a
 	// job before it, the root.
 	status        wire.JobPhase
@@ -156,6 +158,7 @@
 		return
 	}
 	s.checking++
+	sub.dependenciesAsked = c.now
 	c.checkDependencies(sub.job.Awaits, c.now+acceptWithin, func(result dependencyResult) {
 		s.checking--
 		s.awaitedChecked(sub, result)
@@ -186,14 +189,18 @@
 			s.finish(sub, answer)
 			return
 		}
-		s.answer(sub, result.evidence, refused, answer)
+		evidence := result.evidence
+		if result.outcome == lookupNotFound && sub.dependenciesAsked != 0 { // the refusal rests on them too
+			evidence.SentAt = min(evidence.SentAt, sub.dependenciesAsked)
+		}
+		s.answer(sub, evidence, answer)
 	})
 }
 
 // answer ends a submission whose requests are answered by what the evidence shows. Requests
 // that joined it too late for that, after the read or commit was sent, are looked up by
 // themselves: meanwhile another node may have told users something newer.
-func (s *submissions) answer(sub *submission, evidence freshness.Evidence, refused *refusal, answer func(r userRequest)) {
+func (s *submissions) answer(sub *submission, evidence freshness.Evidence, answer func(r userRequest)) {
 	job := sub.job.ID
 	var late []userRequest
 	s.finish(sub, func(r userRequest) {
@@ -208,7 +215,7 @@
 	}
 	s.c.lookup(job, func(result lookupResult) {
 		for _, r := range late {
-			s.c.answerLookedUp(r, job, result, refused)
+			s.c.answerLookedUp(r, job, result, unavailable(reasonStoreSilent))
 		}
 	})
 }
--- a/internal/cluster/assign.go
+++ b/internal/cluster/assign.go
@@ -92,7 +92,7 @@
 			guards[memberGuard.Key] = memberGuard.Version
 			guards[record.TeamKey(name)] = n.view.teams[name].Version
 			writes = append(writes, state.Write{Put: record.TeamKey(name), Value: n.assignedRecord(name, successor)})
-			n.log.Info("team assigned", "team", name, "to", successor, "from", lostOwner)
+			n.log.Info("team assigned", "team", name, "to", successor, "from", lostOwner, "term", n.leadership.term)
 		}
 	}
 	return guards, writes
--- a/internal/cluster/membership.go
+++ b/internal/cluster/membership.go
@@ -56,7 +56,8 @@
 	if m.state == to {
 		return
 	}
-	n.log.Info("membership", "from", m.state.String(), "to", to.String(), "why", why)
+	n.log.Info("membership", "from", m.state.String(), "to", to.String(), "why", why, "incarnation", n.incarnation,
+		"lease", m.lease, "version", m.version)
 	m.state = to
 	if to == memberOut {
 		n.stopLeading(now)
