Soak: a machine may be in two blocks of one owner, not of two

An owner moves a machine between its own blocks in two commits so that no revision lacks it (TestMergeTransferred); the newer record holds, and both are that owner's. What the check is about, two owners, it finds as before: now it compares the owners.

--- a/internal/soak/records.go
+++ b/internal/soak/records.go
@@ -11,15 +11,21 @@
 // This file checks the history of the state service: each machine has one owner, and final
 // records never change.
 
-// blockOwners tells which machines the blocks hold.
+// blockOwners tells which machines the blocks hold, and whose the blocks are.
 type blockOwners struct {
 	changed  bool
 	values   map[string][]byte
-	machines map[string][]string // by block
+	contents map[string]blockContent // by block
+}
+
+// blockContent is what the check needs of a block.
+type blockContent struct {
+	owner    record.OwnerID
+	machines []string
 }
 
 func newBlockOwners() blockOwners {
-	return blockOwners{values: map[string][]byte{}, machines: map[string][]string{}}
+	return blockOwners{values: map[string][]byte{}, contents: map[string]blockContent{}}
 }
 
 // recordWritten takes a record that was written. Others of the same transaction may follow.
@@ -46,20 +52,23 @@
 	c.finals[job] = status
 }
 
-// committed checks the records after a transaction.
+// committed checks the records after a transaction. An owner that moves a machine from one of its
+// blocks to another may leave it in both for a while: the newer holds.
 func (c *checker) committed(revision uint64) {
 	if !c.blocks.changed {
 		return
 	}
 	c.blocks.changed = false
 	c.readBlocks()
-	owner := map[string]string{}
-	for block, machines := range c.blocks.machines {
-		for _, machine := range machines {
-			if other, ok := owner[machine]; ok {
-				c.broke(RuleOwnedTwice, "%s is in the blocks %s and %s at revision %d", machine, other, block, revision)
+	blockOf := map[string]string{}
+	for block, content := range c.blocks.contents {
+		for _, machine := range content.machines {
+			other, found := blockOf[machine]
+			if found && c.blocks.contents[other].owner != content.owner {
+				c.broke(RuleOwnedTwice, "%s is in the blocks %s of %s and %s of %s at revision %d",
+					machine, other, c.blocks.contents[other].owner, block, content.owner, revision)
 			}
-			owner[machine] = block
+			blockOf[machine] = block
 		}
 	}
 }
@@ -73,33 +82,33 @@
 		if bytes.Equal(value, c.blocks.values[key]) {
 			continue
 		}
-		machines, err := machinesOf(value)
+		content, err := contentOf(value)
 		if err != nil {
 			c.broke(RuleOwnedTwice, "block %s cannot be read: %v", key, err)
 		}
-		c.blocks.machines[key] = machines
+		c.blocks.contents[key] = content
 	}
 	for key := range c.blocks.values {
 		if now[key] == nil {
-			delete(c.blocks.machines, key)
+			delete(c.blocks.contents, key)
 		}
 	}
 	c.blocks.values = now
 }
 
-// machinesOf lists the machines of a block.
-func machinesOf(value []byte) ([]string, error) {
+// contentOf reads a block.
+func contentOf(value []byte) (blockContent, error) {
 	var block record.Block
 	if err := wire.Decode(value, &block); err != nil {
-		return nil, err
+		return blockContent{}, err
 	}
 	data, err := block.Decode()
 	if err != nil {
-		return nil, err
+		return blockContent{}, err
 	}
-	var machines []string
+	content := blockContent{owner: block.Owner}
 	for _, m := range data.Machines {
-		machines = append(machines, m.Name)
+		content.machines = append(content.machines, m.Name)
 	}
-	return machines, nil
+	return content, nil
 }
