--- a/cmd/faultsoak/main.go
+++ b/cmd/faultsoak/main.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -37,6 +38,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	log.SetOutput(io.Discard) // the standard library tells of refused connections there
 	os.Exit(exitStatus(command(os.Stdout).ExecuteContext(ctx)))
 }
 
@@ -78,6 +80,8 @@
 	flags.IntVar(&o.Controllers, "controllers", 3, "number of controllers")
 	flags.IntVar(&o.Machines, "machines", 40, "most machines at a time")
 	flags.Float64Var(&o.JobRate, "job-rate", 3, "jobs that users submit, a second")
+	flags.IntVar(&o.Sockets, "sockets", 1200, "connections that a controller may have")
+	flags.BoolVar(&o.Calm, "calm", false, "leave out all faults")
 	flags.StringVar(&o.Binary, "binary", "", "the service's program (default: it is built)")
 	flags.StringVar(&o.Dir, "dir", "", "folder for settings and logs (default: a new one, kept after violations)")
 	flags.BoolVar(&quiet, "quiet", false, "print only the result")
@@ -137,8 +141,8 @@
 
 // repeatCommand is the command that repeats a run.
 func repeatCommand(o soak.Options) string {
-	return fmt.Sprintf("go run ./cmd/faultsoak --seed %d --duration %v --controllers %d --machines %d --job-rate %g",
-		o.Seed, o.Duration, o.Controllers, o.Machines, o.JobRate)
+	return fmt.Sprintf("go run ./cmd/faultsoak --seed %d --duration %v --controllers %d --machines %d --job-rate %g --sockets %d --calm=%t",
+		o.Seed, o.Duration, o.Controllers, o.Machines, o.JobRate, o.Sockets, o.Calm)
 }
 
 func printResult(out io.Writer, o soak.Options, r *soak.Result) {
@@ -150,7 +154,7 @@
 	}
 	f := r.Figures
 	fmt.Fprintf(out, "seed %d: %d violations; %d faults, %d kills; %d jobs, %d accepted, %d done, %d cancelled, %d open; "+
-		"%d answers, %d refused, %d without answer; %d starts, %d after a cancellation; %d histories undecided\n",
+		"%d answers, %d refused, %d without answer; %d starts, %d after a cancellation; %d machines given up; %d histories undecided\n",
 		o.Seed, len(r.Violations)+r.More, f.Faults, f.Kills, f.Jobs, f.Accepted, f.Done, f.Cancelled, f.Open,
-		f.Answers, f.Refused, f.Unanswered, f.Starts, f.StartsAfterCancel, f.Undecided)
+		f.Answers, f.Refused, f.Unanswered, f.Starts, f.StartsAfterCancel, f.GivenUp, f.Undecided)
 }
--- a/cmd/faultsoak/main_test.go
+++ b/cmd/faultsoak/main_test.go
@@ -12,7 +12,7 @@
 func TestBadInput(t *testing.T) {
 	for _, args := range [][]string{
 		{"--duration", "1s"}, {"--duration", "soon"}, {"--controllers", "0"}, {"--machines", "1"},
-		{"--job-rate", "-1"}, {"--seed", "-1"}, {"--settle", "-1s"}, {"--unknown"}, {"argument"},
+		{"--job-rate", "-1"}, {"--sockets", "1"}, {"--seed", "-1"}, {"--settle", "-1s"}, {"--unknown"}, {"argument"},
 	} {
 		c := command(&bytes.Buffer{})
 		c.SetArgs(args)
@@ -31,7 +31,7 @@
 	if status := exitStatus(c.Execute()); status != exitHeld {
 		t.Fatalf("status %d", status)
 	}
-	for _, word := range []string{"--seed", "--duration", "--settle", "--controllers", "--machines", "--job-rate", "--binary", "--dir", "--quiet", "Exit status"} {
+	for _, word := range []string{"--seed", "--duration", "--settle", "--controllers", "--machines", "--job-rate", "--binary", "--dir", "--quiet", "--sockets", "--calm", "Exit status"} {
 		if !strings.Contains(out.String(), word) {
 			t.Errorf("the help lacks %s", word)
 		}
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -29,6 +29,7 @@
 	RuleProcessEnded Rule = "process_ended"
 	RuleInvariant    Rule = "invariant"
 	RuleRefusal      Rule = "refused_without_retry_after"
+	RuleGivenUp      Rule = "machine_given_up"
 	// RuleHarness is a fault of the soak itself: such a run shows nothing.
 	RuleHarness Rule = "harness"
 )
@@ -85,6 +86,7 @@
 	Starts, StartsAfterCancel, Faults, Kills                      int
 	Open                                                          int // accepted, not cancelled and not over at the end
 	Undecided                                                     int // histories that the linearizability check gave up
+	GivenUp                                                       int // machines that controllers took for lost
 }
 
 func newChecker(s *site) *checker {
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -22,7 +22,6 @@
 	txnOps       = 16
 	cloudRPS     = 10
 	listLag      = 2 * micros.Second
-	nodeSockets  = 1200
 	nodeMemoryMB = 250
 	clockBoundMS = 100
 	machineCPUs  = 8
@@ -137,7 +136,7 @@
 	line("[params.state]\nrps = %.1f\nwrite_rps = %.1f\nvalue_kb = %d.0\ntxn_ops = %d",
 		limits.rps, limits.writes, valueBytes>>10, txnOps)
 	line("[params.cloud]\nrps = %d.0\nlist_lag_s = %g", cloudRPS, listLag.Seconds())
-	line("[params.quota]\ncores = 1.0\nram_mb = %d.0\nsockets = %d", nodeMemoryMB, nodeSockets)
+	line("[params.quota]\ncores = 1.0\nram_mb = %d.0\nsockets = %d", nodeMemoryMB, o.Sockets)
 	return b.String()
 }
 
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -19,6 +19,8 @@
 	maxControllers = 9
 	minMachines    = 3
 	maxMachines    = 2000
+	minSockets     = 32
+	maxSockets     = 10000
 	minDuration    = 5 * time.Second
 	maxDuration    = 12 * time.Hour
 )
@@ -35,6 +37,10 @@
 	Machines    int
 	// JobRate is how many jobs users submit a second.
 	JobRate float64
+	// Sockets is how many connections a controller may have, a quarter of them outbound.
+	Sockets int
+	// Calm leaves out all faults: then no machine may be given up either.
+	Calm bool
 	// Binary is the service's program.
 	Binary string
 	// Dir is the folder for settings and logs; it must exist.
@@ -65,6 +71,8 @@
 		return &OptionError{"machines", fmt.Sprintf("must be from %d to %d", minMachines, maxMachines)}
 	case !(o.JobRate > 0 && o.JobRate <= 100):
 		return &OptionError{"job-rate", "must be above 0 and at most 100 a second"}
+	case o.Sockets < minSockets || o.Sockets > maxSockets:
+		return &OptionError{"sockets", fmt.Sprintf("must be from %d to %d", minSockets, maxSockets)}
 	case o.Binary == "":
 		return &OptionError{"binary", "missing"}
 	case o.Dir == "":
--- a/internal/soak/options_test.go
+++ b/internal/soak/options_test.go
@@ -9,7 +9,7 @@
 )
 
 func goodOptions() Options {
-	return Options{Seed: 1, Duration: time.Minute, Controllers: 3, Machines: 10, JobRate: 3, Binary: "b", Dir: "d"}
+	return Options{Seed: 1, Duration: time.Minute, Controllers: 3, Machines: 10, JobRate: 3, Sockets: 400, Binary: "b", Dir: "d"}
 }
 
 // TestValidate sees that each option is checked, and named if it is out of range.
@@ -24,6 +24,7 @@
 		"controllers": func(o *Options) { o.Controllers = 10 },
 		"machines":    func(o *Options) { o.Machines = 2 },
 		"job-rate":    func(o *Options) { o.JobRate = 0 },
+		"sockets":     func(o *Options) { o.Sockets = 1 },
 		"binary":      func(o *Options) { o.Binary = "" },
 		"dir":         func(o *Options) { o.Dir = "" },
 	} {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -53,7 +54,11 @@
 	if !s.sleep(warmUp) {
 		return nil, run.Err()
 	}
-	s.runFaults(load)
+	if o.Calm {
+		<-load.Done()
+	} else {
+		s.runFaults(load)
+	}
 	s.progress("faults are over")
 	s.settle()
 	stop()
@@ -158,12 +163,27 @@
 		return err
 	}
 	defer file.Close()
+	givenUp := 0
 	lines := bufio.NewScanner(file)
 	lines.Buffer(nil, maxMessage)
 	for lines.Scan() {
 		if line := lines.Text(); strings.Contains(line, invariantLine) || strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") {
 			c.broke(RuleInvariant, "%s: %s", controller.name, line)
+		} else if isGivenUp(line) {
+			givenUp++
 		}
 	}
+	if c.figures.GivenUp += givenUp; givenUp > 0 && c.site.options.Calm && c.stalled == 0 {
+		c.broke(RuleGivenUp, "%s gave up %d machines, though all are well", controller.name, givenUp)
+	}
 	return lines.Err()
 }
+
+// givenUpReasons are the reasons for which a controller takes a machine for lost.
+var givenUpReasons = []string{`why="is silent"`, `why="reports, but hears nothing"`, `why="is not listed any more"`}
+
+// isGivenUp tells that a log line says that a machine was taken for lost.
+func isGivenUp(line string) bool {
+	return strings.Contains(line, "msg=machine ") && strings.Contains(line, "to=condemned") &&
+		slices.ContainsFunc(givenUpReasons, func(why string) bool { return strings.Contains(line, why) })
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,36 +16,59 @@
 // TestShortSoak plays short runs on real processes. What is checked are rules; how much was done
 // is only bounded so far that the run cannot have been empty.
 func TestShortSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "tamarindlead")
-	build := exec.Command("go", "build", "-o", binary, "tamarindlead/cmd/tamarindlead")
-	if output, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, output)
-	}
+	binary := buildService(t)
 	for _, seed := range shortSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			dir := t.TempDir()
-			var progress strings.Builder
-			result, err := Run(t.Context(), Options{
+			playShort(t, Options{
 				Seed: seed, Duration: 20 * time.Second, Settle: 15 * time.Second,
-				Controllers: 3, Machines: 12, JobRate: 4, Binary: binary, Dir: dir, Progress: &progress,
+				Controllers: 3, Machines: 12, JobRate: 4, Sockets: 1200, Binary: binary,
 			})
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("%+v", result.Figures)
-			for _, v := range result.Violations {
-				t.Error(v)
-			}
-			if f := result.Figures; f.Accepted == 0 || f.Answers == 0 || f.Starts == 0 {
-				t.Errorf("nothing happened: %+v", f)
-			}
-			if t.Failed() {
-				t.Log(progress.String())
-				logLastLines(t, dir)
-			}
 		})
 	}
+	// More workers than their owner has connections for: none of them is taken for lost, and
+	// users are served.
+	t.Run("no connection free", func(t *testing.T) {
+		t.Parallel()
+		playShort(t, Options{
+			Seed: 1, Duration: 20 * time.Second, Settle: 15 * time.Second,
+			Controllers: 3, Machines: 160, JobRate: 4, Sockets: 64, Calm: true, Binary: binary,
+		})
+	})
+}
+
+// buildService builds the service's program.
+func buildService(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "tamarindlead")
+	build := exec.Command("go", "build", "-o", binary, "tamarindlead/cmd/tamarindlead")
+	if output, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, output)
+	}
+	return binary
+}
+
+// playShort plays a run in which no rule may break and something must happen.
+func playShort(t *testing.T, o Options) {
+	t.Helper()
+	o.Dir = t.TempDir()
+	var progress strings.Builder
+	o.Progress = &progress
+	result, err := Run(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v", result.Figures)
+	for _, v := range result.Violations {
+		t.Error(v)
+	}
+	if f := result.Figures; f.Accepted == 0 || f.Answers == 0 || f.Starts == 0 {
+		t.Errorf("nothing happened: %+v", f)
+	}
+	if t.Failed() {
+		t.Log(progress.String())
+		logLastLines(t, o.Dir)
+	}
 }
 
 // logLastLines shows the end of the controllers' logs, which are gone after the test.
--- a/internal/soak/users.go
+++ b/internal/soak/users.go
@@ -19,6 +19,8 @@
 	retryPause    = time.Second
 	givesUpAfter  = time.Minute
 	pollEvery     = 3 * time.Second
+	// impatientUsers: one user in so many submits a job several times at once.
+	impatientUsers = 3
 	// repeatsAround is over which time a user repeats requests around a cancellation, and
 	// repeatEvery how often.
 	repeatsAround = 500 * time.Millisecond
@@ -118,6 +120,11 @@
 
 // live submits the job, asks for it until it is over, and perhaps cancels it.
 func (u *user) live() {
+	if u.rng.IntN(impatientUsers) == 0 {
+		for range 2 {
+			go u.site.ask(opSubmit, u.id(), u.truth.body, u.node())
+		}
+	}
 	if !u.submit() {
 		return
 	}
