--- a/controller/answers_test.go
+++ b/controller/answers_test.go
@@ -98,3 +98,34 @@
 		Need: sched.NewResources(1, 0, 1), Image: "img", ImageGB: 1, Estimate: 10 * micros.Second,
 	}
 }
+
+// TestRefusalRestsOnDependencies sees that a refusal because of an awaited job answers only
+// requests that came before that job was looked up, though the job itself is looked up later.
+func TestRefusalRestsOnDependencies(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		cameAt micros.Micros // from the look at the awaited job
+		status int           // 0: it is looked up again
+	}{
+		{"came before", -1, wire.StatusNeverRuns},
+		{"joined after", 1, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core := answeringCore()
+			asked := core.now - micros.Second
+			sub := &submission{job: answeringJob(), requests: []userRequest{{1, asked + c.cameAt}}, dependenciesAsked: asked}
+			core.submissions.byJob[sub.job.ID] = sub
+			core.submissions.answerKnownOr(sub, neverRuns(reasonAwaitsUnaccepted))
+			lookup := core.lookups.waiting[0]
+			core.lookups.waiting = nil
+			core.out = nil
+			lookup.done(lookupResult{outcome: lookupNotFound, evidence: freshness.Evidence{Basis: freshness.Read, SentAt: core.now}})
+			if status := respondedWith(t, core.out); status != c.status || core.Violations() != 0 {
+				t.Errorf("answered %d with %d violations, want %d", status, core.Violations(), c.status)
+			}
+			if again := len(core.lookups.waiting); again != 1 && c.status == 0 {
+				t.Errorf("%d lookups follow, want 1", again)
+			}
+		})
+	}
+}
