--- a/controller/effects_test.go
+++ b/controller/effects_test.go
@@ -68,14 +68,8 @@
 // playRecorded plays a scenario and digests what its nodes took and returned.
 func playRecorded(t *testing.T, scenario string) *effectRecord {
 	record := newEffectRecord()
-	var w *world
-	datadriven.RunTest(t, filepath.Join("testdata", scenario+".txt"), func(t *testing.T, d *datadriven.TestData) string {
-		if d.Cmd == "world" {
-			w = scenarioWorld(t, d)
-			w.onEffects = func(n *simNode, ev Event, effects []Effect) { record.note(n.index, w.now-micros.Hour, ev, effects) }
-			return ""
-		}
-		return scenarioCommand(t, w, d)
+	playScenario(t, filepath.Join("testdata", scenario+".txt"), func(*datadriven.TestData) {}, func(w *world) {
+		w.onEffects = func(n *simNode, ev Event, effects []Effect) { record.note(n.index, w.now-micros.Hour, ev, effects) }
 	})
 	return record
 }
--- /dev/null
+++ b/controller/scenario_jobs_test.go
@@ -0,0 +1,123 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"tamarindlead/internal/standin"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// This file plays what users do with jobs.
+
+// jobArg is the job that a command names.
+func jobArg(t *testing.T, d *datadriven.TestData) string { return arg(t, d, "job", "req-000001") }
+
+// jobVerb plays the commands of users; ok is false for any other.
+func jobVerb(t *testing.T, w *world, d *datadriven.TestData) (out string, ok bool) {
+	switch d.Cmd {
+	case "submit":
+		return submitCommand(t, w, d, jobArg(t, d)), true
+	case "jobs":
+		submitMany(t, w, d)
+	case "again":
+		w.submit(jobArg(t, d), arg(t, d, "to", 0))
+	case "cancel":
+		w.cancel(jobArg(t, d), arg(t, d, "to", 0))
+	default:
+		return "", false
+	}
+	return "", true
+}
+
+// submitMany submits a row of jobs; the teams may take turns.
+func submitMany(t *testing.T, w *world, d *datadriven.TestData) {
+	for i := range arg(t, d, "count", 10) {
+		one := *d
+		if n := arg(t, d, "over", 0); n > 0 {
+			one.CmdArgs = append([]datadriven.CmdArg{{Key: "team", Vals: []string{teamName(i % n)}}}, d.CmdArgs...)
+		}
+		submitCommand(t, w, &one, fmt.Sprintf("req-%06d", arg(t, d, "from", 1)+i))
+	}
+}
+
+// atLeast tells whether something holds for enough of a row of jobs.
+func atLeast(t *testing.T, d *datadriven.TestData, holds func(id string) bool) string {
+	from, n := arg(t, d, "from", 1), 0
+	for i := range arg(t, d, "count", 10) {
+		if holds(fmt.Sprintf("req-%06d", from+i)) {
+			n++
+		}
+	}
+	if n >= arg(t, d, "least", 1) {
+		return "true"
+	}
+	return fmt.Sprint(n)
+}
+
+func submitCommand(t *testing.T, w *world, d *datadriven.TestData, id string) string {
+	run := argSeconds(t, d, "run", 10)
+	j := &sched.Job{
+		ID: id, Class: arg(t, d, "class", "work"), Team: arg(t, d, "team", "red"),
+		Gang: d.HasArg("gang"), Priority: sched.Priority(arg(t, d, "priority", 1)),
+		Tasks: arg(t, d, "tasks", 1),
+		Need:  sched.NewResources(argNumber(t, d, "cpus", 2), 0, argNumber(t, d, "mem", 2)),
+		Image: "img", ImageGB: 1, OneZone: d.HasArg("one-zone"), Spread: d.HasArg("spread"), Spot: d.HasArg("spot"),
+		Estimate: argSeconds(t, d, "estimate", run.Seconds()), Checkpoint: argSeconds(t, d, "checkpoint", 0), Save: argSeconds(t, d, "save", 0),
+		Zone: arg(t, d, "zone", ""), Deadline: argSeconds(t, d, "due", 0),
+	}
+	for i := range arg(t, d, "types", 0) { // so many names of types, of which one is on offer
+		j.Types = append(j.Types, fmt.Sprintf("type-of-machine-%04d", i))
+	}
+	if j.Types != nil {
+		j.Types[0] = "small"
+	}
+	w.submitted[id], w.asked[id] = j, w.now
+	w.bodies[id] = wire.Encode(wire.FromJob(j))
+	w.infos[id] = standin.TaskInfo{
+		CPU: j.Need.CPUs(), Mem: argNumber(t, d, "mem", 2), Run: run, Fetch: micros.Second, Save: j.Save,
+		Saves: j.Checkpoint > 0, Gang: j.Gang, Tasks: j.Tasks, Fails: d.HasArg("fails"),
+	}
+	w.noteApart(id, argSeconds(t, d, "apart", 0))
+	w.noteAwaits(id, awaitsArg(t, d))
+	if d.HasArg("check") {
+		status, state := -1, ""
+		sent := w.now
+		w.user(arg(t, d, "to", 0), "POST", "/api/jobs", w.bodies[id], func(r Respond) {
+			w.checkAnswer(id, r, sent)
+			status, state = r.Status, answerState(r)
+		})
+		for end := w.now + 6*micros.Second; status < 0 && w.now < end; {
+			w.run(worldStep)
+		}
+		if w.accepted[id] && len(w.pipelines.awaits[id]) > 0 {
+			w.poll(id, 0)
+		}
+		if d.HasArg("state") {
+			return fmt.Sprint(status, " ", state)
+		}
+		return fmt.Sprint(status)
+	}
+	if len(w.pipelines.awaits[id]) > 0 && !d.HasArg("at-once") {
+		w.submitAwaiting(id, arg(t, d, "to", 0), d.HasArg("over"))
+		return ""
+	}
+	w.submit(id, arg(t, d, "to", 0))
+	w.after(2*micros.Second, func() { w.poll(id, 0) })
+	return ""
+}
+
+// unfinished lists accepted or submitted jobs whose users were told no final state.
+func unfinished(w *world) []string {
+	var left []string
+	for _, id := range sortedKeys(w.submitted) {
+		if w.told[id] == "" {
+			left = append(left, id)
+		}
+	}
+	return left
+}
--- a/controller/scenario_seeds_test.go
+++ b/controller/scenario_seeds_test.go
@@ -56,17 +56,7 @@
 
 // playWithSeed plays a scenario in a world with the given seed.
 func playWithSeed(t *testing.T, scenario string, seed int) {
-	var w *world
-	datadriven.RunTest(t, filepath.Join("testdata", scenario+".txt"), func(t *testing.T, d *datadriven.TestData) string {
-		if d.Cmd == "world" {
-			d.CmdArgs = append(d.CmdArgs, datadriven.CmdArg{Key: seedOverride, Vals: []string{strconv.Itoa(seed)}})
-			w = scenarioWorld(t, d)
-			return ""
-		}
-		out := scenarioCommand(t, w, d)
-		if len(w.broken) > 0 {
-			t.Fatalf("%s: rules broken:\n%s", filepath.Base(d.Pos), strings.Join(w.broken, "\n"))
-		}
-		return out
-	})
+	override := datadriven.CmdArg{Key: seedOverride, Vals: []string{strconv.Itoa(seed)}}
+	prepare := func(d *datadriven.TestData) { d.CmdArgs = append(d.CmdArgs, override) }
+	playScenario(t, filepath.Join("testdata", scenario+".txt"), prepare, func(*world) {})
 }
--- /dev/null
+++ b/controller/scenario_setup_test.go
@@ -0,0 +1,74 @@
+package controller
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"tamarindlead/config"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+	"tamarindlead/sched"
+)
+
+// This file makes the worlds of scenarios.
+
+// scenarioWorld makes zones, two machine types and a few machines.
+func scenarioWorld(t *testing.T, d *datadriven.TestData) *world {
+	team := func(name string) config.Team {
+		return config.Team{
+			Name:      name,
+			Guarantee: sched.NewResources(argNumber(t, d, "guarantee", 0), 0, 0),
+			Limit:     sched.NewResources(argNumber(t, d, "limit", 0), 0, 0),
+		}
+	}
+	zones := []string{"a", "b", "c"}[:arg(t, d, "zones", 2)]
+	cfg := &config.Settings{
+		Zone: "a", StateAddr: "state", CloudAddr: "cloud", Zones: zones,
+		Siblings:    make([]config.Sibling, arg(t, d, "nodes", 3)-1),
+		Teams:       []config.Team{team("red"), team("blue")},
+		ReportEvery: argSeconds(t, d, "report", 3), Lease: argSeconds(t, d, "lease", 15), GangWait: 30 * micros.Second,
+		GangPeer: 5 * micros.Second, CancelIn: argSeconds(t, d, "cancel", 45),
+		Sockets:  arg(t, d, "sockets", 400),
+		StateRPS: argNumber(t, d, "rps", 150), WriteRPS: argNumber(t, d, "writes", 40),
+		ValueBytes: arg(t, d, "value", 8<<10), TxnOps: arg(t, d, "ops", 12), CloudRPS: 5, ListLag: 6 * micros.Second,
+		Tuning: config.DefaultTuning(),
+	}
+	for i := range arg(t, d, "teams", 0) {
+		cfg.Teams = append(cfg.Teams, team(teamName(i)))
+	}
+	cfg.Tuning.MaxMachines = arg(t, d, "most", 0)
+	cfg.Tuning.SpreadTeams = d.HasArg("spread")
+	w := newWorld(scenarioSeed(t, d), cfg)
+	w.next = nextLimitsOf(t, d)
+	w.setUnevenOnDemand(t)
+	w.cloud.Now = w.now
+	bigZones := zones[arg(t, d, "no-big-in", 0):] // the first zones may lack the big type
+	w.cloud.Types = []wire.MachineType{
+		{Name: "small", CPUs: 8, MemGB: 32, LocalGB: 50, FetchGBPerS: 1, Hourly: 1, MarketPrice: 0.3, BootS: 10, Halls: zones},
+		{Name: "big", CPUs: 32, MemGB: 128, LocalGB: 50, FetchGBPerS: 1, Hourly: 4, MarketPrice: 1.2, BootS: 15, Halls: bigZones},
+	}
+	for _, typ := range []string{"small", "big"} {
+		for _, z := range zones {
+			if typ == "big" && !slices.Contains(bigZones, z) {
+				continue
+			}
+			w.cloud.Capacity[typ+" "+z+" false"] = arg(t, d, "capacity", 10)
+			w.cloud.Capacity[typ+" "+z+" true"] = arg(t, d, "spots", 0)
+		}
+	}
+	for i := range arg(t, d, "machines", 4) {
+		w.cloud.Add(arg(t, d, "type", "small"), zones[i%len(zones)], false, 0)
+	}
+	w.loss, w.late, w.dup = argNumber(t, d, "loss", 0), argNumber(t, d, "late", 0), argNumber(t, d, "dup", 0)
+	if n := arg(t, d, "production", -1); n >= 0 { // so many nodes begin with that version
+		w.beginOld(t, n)
+	}
+	return w
+}
+
+func jobName(i int) string { return fmt.Sprintf("req-%06d", i) }
+
+func teamName(i int) string { return fmt.Sprintf("team-%02d", i) }
