Soak: machines adopted though another owner has them are a rule of their own

It is the fault of TestLoadKeepsAttemptsOfAdoptedMachines, so it has a name of its own; two owners' blocks otherwise stay machine_owned_twice. Both are violations.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -24,6 +24,7 @@
 	RuleWentBack     Rule = "went_back"
 	RuleNotLinear    Rule = "not_linearizable"
 	RuleOwnedTwice   Rule = "machine_owned_twice"
+	RuleAdopted      Rule = "adopted_though_recorded"
 	RuleFinalChanged Rule = "final_record_changed"
 	RuleLimits       Rule = "state_service_limits"
 	RuleProcessEnded Rule = "process_ended"
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -176,6 +176,7 @@
 		{"all is well", [][2]any{{"m/a", block(first, "m-000001")}, {"m/b", block(second, "m-000002")}, {"f/req-000001", final(record.StatusDone)}, {"f/req-000001", final(record.StatusDone)}}, nil},
 		{"a machine in two blocks of one owner", [][2]any{{"m/a", block(first, "m-000001")}, {"m/b", block(first, "m-000001")}}, nil},
 		{"a machine in blocks of two owners", [][2]any{{"m/a", block(first, "m-000001")}, {"m/b", block(second, "m-000001")}}, []Rule{RuleOwnedTwice}},
+		{"a machine that is adopted though another owner has it", [][2]any{{"m/a", block(first, "m-000001")}, {"m/x-m-000001", block(second, "m-000001")}}, []Rule{RuleAdopted}},
 		{"a final record changes", [][2]any{{"f/req-000001", final(record.StatusDone)}, {"f/req-000001", final(record.StatusCancelled)}}, []Rule{RuleFinalChanged}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/soak/records.go
+++ b/internal/soak/records.go
@@ -65,7 +65,11 @@
 		for _, machine := range content.machines {
 			other, found := blockOf[machine]
 			if found && c.blocks.contents[other].owner != content.owner {
-				c.broke(RuleOwnedTwice, "%s is in the blocks %s of %s and %s of %s at revision %d",
+				rule := RuleOwnedTwice
+				if isAdopted(block) || isAdopted(other) {
+					rule = RuleAdopted
+				}
+				c.broke(rule, "%s is in the blocks %s of %s and %s of %s at revision %d",
 					machine, other, c.blocks.contents[other].owner, block, content.owner, revision)
 			}
 			blockOf[machine] = block
@@ -73,6 +77,11 @@
 	}
 }
 
+// adoptedPrefix begins the names of blocks by which owners adopt machines that nobody seems to own.
+const adoptedPrefix = record.BlockPrefix + "x-"
+
+func isAdopted(block string) bool { return strings.HasPrefix(block, adoptedPrefix) }
+
 // readBlocks reads the blocks that have changed.
 func (c *checker) readBlocks() {
 	now := map[string][]byte{}
