--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -25,6 +25,7 @@
 	site *site
 	rng  *rand.Rand
 	busy map[int]bool // controllers that are away or frozen
+	open []openFault
 }
 
 // seconds draws a time.
@@ -45,46 +46,63 @@
 	return 0, false
 }
 
+// openFault is a fault that lasts.
+type openFault struct {
+	name string
+	ends time.Time
+	end  func()
+}
+
+// faultStep is how often it is looked whether faults begin or end.
+const faultStep = 20 * time.Millisecond
+
 // runFaults lets faults happen until load ends, and then ends all that last.
 func (s *site) runFaults(load context.Context) {
 	f := &faultRun{site: s, rng: rand.New(rand.NewPCG(s.options.Seed, streamFaults)), busy: map[int]bool{}}
 	f.setBackground()
-	type ending struct {
-		at   time.Time
-		name string
-		end  func()
-	}
-	var open []ending
 	gap := faultGaps[f.rng.IntN(len(faultGaps))]
 	next := time.Now().Add(f.seconds(1, 3))
-	for pause(load, 20*time.Millisecond) {
+	for pause(load, faultStep) {
 		now := time.Now()
-		for i := 0; i < len(open); i++ {
-			if now.After(open[i].at) {
-				s.progress("ends: %s", open[i].name)
-				open[i].end()
-				open = append(open[:i], open[i+1:]...)
-				i--
-			}
-		}
-		if now.Before(next) {
-			continue
-		}
-		next = now.Add(time.Duration(f.rng.ExpFloat64() * float64(gap)))
-		kind := faults[f.rng.IntN(len(faults))]
-		if about, lasts, end := kind.begin(f); end != nil {
-			name := kind.name + " " + about
-			s.progress("fault: %s for %v", name, lasts.Round(time.Millisecond))
-			s.countFault()
-			open = append(open, ending{now.Add(lasts), name, end})
+		f.endDue(now)
+		if now.After(next) {
+			next = now.Add(time.Duration(f.rng.ExpFloat64() * float64(gap)))
+			f.beginOne(now)
 		}
 	}
-	for _, e := range open {
-		e.end()
+	for _, open := range f.open {
+		open.end()
 	}
 	s.endBackground()
 }
 
+// beginOne draws a fault and lets it begin, unless there is nothing that it could befall.
+func (f *faultRun) beginOne(now time.Time) {
+	kind := faults[f.rng.IntN(len(faults))]
+	about, lasts, end := kind.begin(f)
+	if end == nil {
+		return
+	}
+	name := kind.name + " " + about
+	f.site.progress("fault: %s for %v", name, lasts.Round(time.Millisecond))
+	f.site.countFault()
+	f.open = append(f.open, openFault{name, now.Add(lasts), end})
+}
+
+// endDue ends the faults whose time is over.
+func (f *faultRun) endDue(now time.Time) {
+	var lasting []openFault
+	for _, open := range f.open {
+		if now.Before(open.ends) {
+			lasting = append(lasting, open)
+			continue
+		}
+		f.site.progress("ends: %s", open.name)
+		open.end()
+	}
+	f.open = lasting
+}
+
 func (s *site) countFault() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -266,6 +284,9 @@
 	}),
 	{"messages in one direction lost:", func(f *faultRun) (string, time.Duration, func()) {
 		i, j := f.rng.IntN(len(f.site.controllers)), f.rng.IntN(len(f.site.controllers))
+		if i == j {
+			j = (j + 1) % len(f.site.controllers)
+		}
 		_, undo := f.cut(f.site.peerLinks[i][j])
 		return f.site.peerLinks[i][j].name, f.seconds(0.5, 15), undo
 	}},
