--- a/controller/scenario_seeds_test.go
+++ b/controller/scenario_seeds_test.go
@@ -13,7 +13,7 @@
 
 // seededScenarios are the scenarios of which TestScenarioSeeds plays several seeds: what they
 // guard against depends on which answer overtakes which.
-var seededScenarios = []string{"uneven_looks", "uneven_first_accept"}
+var seededScenarios = []string{"uneven_looks", "uneven_first_accept", "uneven_peers"}
 
 // fixedScenarioSeeds is how many seeds are played always. More are played on demand:
 // SCENARIO_SEEDS=200 plays the seeds 1 to 200 of them, and with SCENARIOS=close_looks,boot_dead of
