--- /dev/null
+++ b/controller/adoption_interleavings_test.go
@@ -0,0 +1,123 @@
+package controller
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"tamarindlead/internal/record"
+	"tamarindlead/internal/wire"
+)
+
+// TestAdoptionInterleavings plays adoptions of a machine that another owner has recorded with tasks,
+// each ended at another moment.
+//
+// What happens: the teams have several owners. Node 1 is not heard by its peers for some seconds, and
+// its workers cannot reach it (or it crashes), so they send their heartbeats to another owner, which
+// adopts their machines. That owner crashes or reads its records again within milliseconds of writing
+// the machine's block; in some cases node 1 crashes too, so that one successor recovers both blocks.
+//
+// Why it was a fault: the block of the adopter was written before the other blocks were read. A
+// successor trusted the newer block, which has no attempts, and the attempts in the block of node 1
+// were forgotten. Seen with the machine out of reach and other machines free:
+//
+//	msg="machine adopted" node=n2 machine=m-000000
+//	msg="owned teams changed" node=n0 teams=8
+//	msg="attempt state changed" task=req-000003/0 attempt=3145734 machine=m-000000 from=assumed to=recorded
+//	ran_twice: req-000003/0 starts on m-000004 while on m-000000
+//
+// and with the machine in reach, where its tasks were stopped and begun again:
+//
+//	3 tasks were stopped
+func TestAdoptionInterleavings(t *testing.T) {
+	for _, ownerFault := range []string{"deafen-node node=1 for=8", "crash node=1 for=20"} {
+		for _, interruption := range []string{
+			"restart-only", "for=0.2", "for=4", "for=4 times=2", "for=20 also=1", "for=4 also=1 cut=12 spare=3",
+		} {
+			for _, after := range []float64{0, 0.005, 0.02, 0.3} {
+				adopter := fmt.Sprintf("crash-adopter after=%g %s", after, interruption)
+				t.Run(ownerFault+", "+adopter, func(t *testing.T) {
+					t.Parallel()
+					playAdoption(t, ownerFault, adopter)
+				})
+			}
+		}
+	}
+}
+
+// playAdoption plays one adoption: jobs run on rented machines of all owners, among them a gang, a job
+// that is cancelled as the faults begin, and teams near their limits.
+func playAdoption(t *testing.T, ownerFault, adopter string) {
+	t.Helper()
+	sim := playSteps(t, []string{
+		"world machines=0 most=12 teams=6 limit=6 spread",
+		"run s=6",
+		"jobs from=1 count=12 over=6 tasks=1 cpus=2.5 run=60",
+		"submit job=req-000013 gang tasks=2 cpus=2.5 run=60 team=red",
+		"run s=30",
+		adopter,
+		"lose-peer-messages share=1 for=12",
+		ownerFault,
+		"run s=5",
+		"cancel job=req-000003",
+		"run s=7",
+		"calm",
+		"until-done s=400",
+	})
+	const cancelledTasks = 1
+	if n := sim.exitsByCause["stopped"]; n > cancelledTasks {
+		t.Errorf("%d tasks were stopped", n)
+	}
+}
+
+// playSteps plays commands of scenarios. No machine may be in blocks of two owners meanwhile, and the
+// last command must print that all jobs are done.
+func playSteps(t *testing.T, steps []string) *simulation {
+	t.Helper()
+	var sim *simulation
+	out := ""
+	for _, step := range steps {
+		name, args, err := datadriven.ParseLine(step)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d := &datadriven.TestData{Pos: step, Cmd: name, CmdArgs: args}
+		if sim == nil {
+			sim = newScenarioSimulation(t, d)
+			sim.kvStore.OnCommit = func(uint64) { sim.checkBlockOwners() }
+			continue
+		}
+		out = runScenarioCommand(t, sim, d)
+	}
+	if out != "done" {
+		t.Error(out)
+	}
+	return sim
+}
+
+// checkBlockOwners checks that no machine has entries in the blocks of two owners.
+func (sim *simulation) checkBlockOwners() {
+	owners := map[string]record.OwnerID{}
+	for _, key := range sim.kvStore.Keys(record.BlockPrefix) {
+		value, _ := sim.kvStore.Get(key)
+		var block record.Block
+		if err := wire.Decode(value, &block); err != nil {
+			sim.reportViolation("block %s: %v", key, err)
+			continue
+		}
+		data, err := block.Decode()
+		if err != nil {
+			sim.reportViolation("block %s: %v", key, err)
+			continue
+		}
+		for _, machine := range data.Machines {
+			if other, found := owners[machine.Name]; found && other != block.Owner {
+				sim.reportViolation("machine_owned_twice: %s is in blocks of %s and %s (%s)",
+					machine.Name, other, block.Owner, strings.TrimPrefix(key, record.BlockPrefix))
+			}
+			owners[machine.Name] = block.Owner
+		}
+	}
+}
--- /dev/null
+++ b/controller/faults_adoption_test.go
@@ -0,0 +1,69 @@
+package controller
+
+import (
+	"strings"
+
+	"tamarindlead/internal/inventory"
+	"tamarindlead/internal/record"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// adoptedKeyPrefix is the prefix of the blocks by which owners adopt machines.
+const adoptedKeyPrefix = record.BlockPrefix + inventory.AdoptedPrefix
+
+// adoptionCommands cause faults at the moment at which an owner adopts a machine.
+var adoptionCommands = commandTable{
+	// crash-adopter crashes the next owners that write the block of an adopted machine, "times" of
+	// them, each some time "after" its write. With "restart-only" they reread their records instead.
+	// With "also" that node crashes at the same moment, with "cut" the machine is partitioned for some
+	// time, and with "spare" that many machines of a late rental appear.
+	"crash-adopter": silent(func(c *command) {
+		left, after, down := c.integer("times", 1), c.seconds("after", 0), c.downtime()
+		c.sim.onBlockPut(func(key string, owner record.OwnerID) {
+			i, known := c.sim.nodeIndex(owner.Node())
+			if !strings.HasPrefix(key, adoptedKeyPrefix) || left == 0 || !known {
+				return
+			}
+			left--
+			node, worker := c.sim.nodes[i], c.sim.workers[strings.TrimPrefix(key, adoptedKeyPrefix)]
+			c.sim.after(after, func() {
+				c.sim.interruptAdopter(node, c.HasArg("restart-only"), down)
+				if c.HasArg("also") {
+					c.sim.crash(c.sim.nodes[c.integer("also", 0)], down)
+				}
+				for range c.integer("spare", 0) {
+					c.sim.cloud.Add(worker.Machine.Type, worker.Machine.Zone, false, 0)
+				}
+				if c.HasArg("cut") {
+					worker.Partitioned = true
+					c.sim.after(c.seconds("cut", 0), func() { worker.Partitioned = false })
+				}
+			})
+		})
+	}),
+}
+
+// interruptAdopter crashes a node, or has it reread its records.
+func (sim *simulation) interruptAdopter(node *simNode, restartOnly bool, down micros.Micros) {
+	switch {
+	case !restartOnly:
+		sim.crash(node, down)
+	case node.up && node.core != nil && node.core.owner != nil:
+		node.core.owner.restartRecovery("test")
+	}
+}
+
+// onBlockPut calls do with the key and the owner of each block that is written from now on.
+func (sim *simulation) onBlockPut(do func(key string, owner record.OwnerID)) {
+	next := sim.kvStore.OnPut
+	sim.kvStore.OnPut = func(key string, value []byte, version uint64) {
+		if next != nil {
+			next(key, value, version)
+		}
+		var block record.Block
+		if strings.HasPrefix(key, record.BlockPrefix) && wire.Decode(value, &block) == nil {
+			do(key, block.Owner)
+		}
+	}
+}
--- a/controller/scenario_commands_test.go
+++ b/controller/scenario_commands_test.go
@@ -24,7 +24,7 @@
 // scenarioCommands holds the commands of all scenario files.
 var scenarioCommands = mergeCommands(
 	timeCommands, jobCommands, queryCommands, nodeCommands, machineCommands, kvFaultCommands,
-	responseDelayCommands, userCommands, pipelineCommands, productionCommands, workerFaultCommands,
+	responseDelayCommands, userCommands, pipelineCommands, productionCommands, workerFaultCommands, adoptionCommands,
 )
 
 func mergeCommands(tables ...commandTable) commandTable {
--- /dev/null
+++ b/internal/commit/adoption_test.go
@@ -0,0 +1,253 @@
+package commit
+
+import (
+	"errors"
+	"slices"
+	"testing"
+
+	"tamarindlead/config"
+	"tamarindlead/internal/inventory"
+	"tamarindlead/internal/kv"
+	"tamarindlead/internal/record"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+// The tests in this file cover the adoption of a machine while there are other owners.
+//
+// What happens: an owner hears from a machine that no live peer claims, though another owner has it
+// with tasks. Why it was a fault: the adopter wrote the machine's entry first and read the other
+// blocks afterwards, so an end in between left two entries, of which a successor trusted the newer
+// one, without attempts (TestAdoptionInterleavings in package controller has the log lines). Now the
+// first write takes only the block's name, without an entry, and the entry follows once the other
+// blocks were read.
+
+const adoptedMachine = "m-9"
+
+// maxVerificationPause bounds the pause before the blocks are read again.
+const maxVerificationPause = 2 * micros.Second
+
+// newAdopter returns one of several owners, and a machine that it adopts.
+func newAdopter(t *testing.T) (*testOwner, *inventory.Machine) {
+	t.Helper()
+	o := newSmallOwner(t)
+	o.settings.Teams = append(o.settings.Teams, config.Team{Name: "of another owner"})
+	b := o.NewBlock(inventory.AdoptedPrefix + adoptedMachine)
+	return o, o.addMachine(b, inventory.MachineInfo{Name: adoptedMachine, Type: "mid", Zone: "a"}, 0)
+}
+
+// newRecoveredAdopter returns one of several owners that has recovered the block of an adopted machine
+// with a task, which must be verified again.
+func newRecoveredAdopter(t *testing.T) (*testOwner, *inventory.Machine) {
+	t.Helper()
+	o, m := newAdopter(t)
+	m.Recorded, m.Block.Version = true, 6
+	o.inv.AddAttempt(o.addJob("req-000001", 1, 2), 0, 5, m, inventory.AttemptStarting)
+	return o, m
+}
+
+// sentTransaction is the body of a transaction.
+type sentTransaction struct {
+	Writes []struct {
+		Put    string       `cbor:"put"`
+		Delete string       `cbor:"delete"`
+		Value  record.Block `cbor:"data"`
+	} `cbor:"writes"`
+}
+
+// flushBlock sends a transaction and returns the content of a block in it, which must be written.
+func (o *testOwner) flushBlock(t *testing.T, name string) *record.BlockData {
+	t.Helper()
+	o.now += flushInterval
+	o.Flush()
+	if len(o.calls) == 0 {
+		t.Fatal("nothing is sent")
+	}
+	var sent sentTransaction
+	if err := wire.Decode(o.calls[0].request.Body, &sent); err != nil {
+		t.Fatal(err)
+	}
+	for _, w := range sent.Writes {
+		if w.Put == record.BlockKey(name) {
+			data, err := w.Value.Decode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			return data
+		}
+	}
+	t.Fatalf("the transaction does not put %s: %+v", name, sent.Writes)
+	return nil
+}
+
+// blockOf returns the record of another owner's block with one machine.
+func blockOf(machine string) kv.Entry {
+	data := &record.BlockData{
+		MachineTypes: []record.BlockMachineType{{Type: "mid", Zone: "a"}},
+		Machines:     []record.BlockMachine{{Name: machine}},
+	}
+	return kv.Entry{Key: record.BlockKey("other"), Value: wire.Encode(data.Block("n1"))}
+}
+
+// TestAdoptionIsAnnouncedFirst checks that the entry of an adopted machine is written only after the
+// other blocks were read, and holds the fencing token of the first write.
+func TestAdoptionIsAnnouncedFirst(t *testing.T) {
+	o, m := newAdopter(t)
+	if data := o.flushBlock(t, m.Block.Name); len(data.Machines) != 0 {
+		t.Fatalf("the entry is written before the other blocks are read: %+v", data.Machines)
+	}
+	o.answer(t, kv.OK, kv.TransactionResult{Revision: 8})
+	if m.Recorded {
+		t.Error("the machine counts as recorded")
+	}
+	o.nextCall(t).listed(kv.Listing{Entries: []kv.Entry{blockOf("m-8")}}, nil)
+	data := o.flushBlock(t, m.Block.Name)
+	if len(data.Machines) != 1 || data.Machines[0].Name != adoptedMachine || data.Machines[0].FencingToken != 8 {
+		t.Errorf("entries %+v, want one of %s with token 8", data.Machines, adoptedMachine)
+	}
+	o.answer(t, kv.OK, kv.TransactionResult{Revision: 9})
+	if !m.Recorded || m.FencingToken != 8 || m.Block.Version != 9 || m.Block.Dirty {
+		t.Errorf("recorded %v, token %d, block %+v", m.Recorded, m.FencingToken, m.Block)
+	}
+}
+
+// TestAdoptionIsNotRecordedUnverified checks that a machine that falls silent while the other blocks
+// are read is neither recorded nor written again and again.
+func TestAdoptionIsNotRecordedUnverified(t *testing.T) {
+	o, m := newAdopter(t)
+	o.flushBlock(t, m.Block.Name)
+	o.answer(t, kv.OK, kv.TransactionResult{Revision: 8})
+	o.inv.SetMachineState(m, inventory.MachineDecommissioning, "silent")
+	if data := o.flushBlock(t, m.Block.Name); len(data.Machines) != 0 {
+		t.Errorf("an unverified machine is recorded: %+v", data.Machines)
+	}
+}
+
+// TestAdoptionWaitsForReadableBlocks checks that a block that cannot be read may hold the machine: it
+// is not claimed, and the blocks are read again after a pause.
+func TestAdoptionWaitsForReadableBlocks(t *testing.T) {
+	for _, unreadable := range []kv.Entry{
+		{Key: record.BlockKey("damaged"), Value: []byte{0xff}},
+		{Key: record.BlockKey("damaged"), Value: wire.Encode(record.Block{Owner: "n1", Data: "?"})},
+	} {
+		o, m := newAdopter(t)
+		o.flushBlock(t, m.Block.Name)
+		o.answer(t, kv.OK, kv.TransactionResult{Revision: 8})
+		o.nextCall(t).listed(kv.Listing{Entries: []kv.Entry{unreadable, blockOf("m-8")}}, nil)
+		if m.FencingToken != 0 || m.Verifying {
+			t.Fatalf("token %d, verifying %v", m.FencingToken, m.Verifying)
+		}
+		if o.Flush(); len(o.calls) > 0 {
+			t.Fatal("tried again without a pause")
+		}
+		o.now += maxVerificationPause
+		o.flushBlock(t, m.Block.Name)
+		o.answer(t, kv.OK, kv.TransactionResult{Revision: 10})
+		o.nextCall(t).listed(kv.Listing{Entries: []kv.Entry{blockOf("m-8")}}, nil)
+		if m.FencingToken != 10 {
+			t.Errorf("token %d after the blocks could be read", m.FencingToken)
+		}
+	}
+}
+
+// TestAdoptionReadsChangesBetweenPages checks that a machine is found that its owner moved from a
+// block on a later page to one on an earlier page while the pages were read.
+func TestAdoptionReadsChangesBetweenPages(t *testing.T) {
+	change := func(e kv.Entry) kv.WatchResult {
+		return kv.WatchResult{Revision: 12, Events: []kv.Change{{Put: e.Key, Value: e.Value, Version: 11}}}
+	}
+	for _, c := range []struct {
+		name    string
+		outcome kv.Outcome
+		changes kv.WatchResult
+		claimed bool
+		want    []string
+	}{
+		{"moved", kv.OK, change(blockOf(adoptedMachine)), false, []string{"m-9 owned elsewhere in other"}},
+		{"others changed", kv.OK, change(blockOf("m-8")), true, []string{"claimed m-9"}},
+		{"own announcement", kv.OK, kv.WatchResult{Revision: 12}, true, []string{"claimed m-9"}},
+		{"not known any more", kv.Compacted, kv.WatchResult{}, false, nil},
+		{"no response", kv.Unknown, kv.WatchResult{}, false, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			o, m := newAdopter(t)
+			o.flushBlock(t, m.Block.Name)
+			o.answer(t, kv.OK, kv.TransactionResult{Revision: 8})
+			o.nextCall(t).listed(kv.Listing{Revision: 9, LastRevision: 11}, nil)
+			if m.FencingToken != 0 {
+				t.Fatal("claimed before the changes between the pages were read")
+			}
+			read := o.nextCall(t)
+			if want := kv.Watch(record.BlockPrefix, 9, 0); read.request.Target != want.Target {
+				t.Errorf("target %s, want %s", read.request.Target, want.Target)
+			}
+			read.done(kv.Result{Outcome: c.outcome, Body: wire.Encode(c.changes)})
+			if claimed := m.FencingToken == 8; claimed != c.claimed || m.Verifying || !slices.Equal(o.reactions, c.want) {
+				t.Errorf("token %d, verifying %v, reactions %q", m.FencingToken, m.Verifying, o.reactions)
+			}
+		})
+	}
+}
+
+// TestAdoptedWithTasksElsewhere checks that the attempts of a recovered adopted machine are not
+// forgotten if another owner has it too: the machine is terminated first.
+func TestAdoptedWithTasksElsewhere(t *testing.T) {
+	o, m := newRecoveredAdopter(t)
+	o.flushBlock(t, m.Block.Name)
+	o.answer(t, kv.OK, kv.TransactionResult{Revision: 8})
+	o.nextCall(t).listed(kv.Listing{Entries: []kv.Entry{blockOf(adoptedMachine)}}, nil)
+	if len(o.reactions) > 0 || len(m.Attempts) != 1 || o.IsObsolete(record.BlockKey(m.Block.Name)) {
+		t.Fatalf("reactions %q, %d attempts: the task is forgotten", o.reactions, len(m.Attempts))
+	}
+	data := o.flushBlock(t, m.Block.Name)
+	if len(data.Machines) != 1 || !data.Machines[0].Decommissioning || len(data.Machines[0].Tasks) == 0 {
+		t.Fatalf("entries %+v, want one of a machine that is terminated, with its task", data.Machines)
+	}
+	o.answer(t, kv.OK, kv.TransactionResult{Revision: 9})
+	if m.State != inventory.MachineTerminating || m.FencingToken != 0 {
+		t.Errorf("machine is %v, token %d", m.State, m.FencingToken)
+	}
+}
+
+// TestRecoveredAdoptionIsVerified checks that an entry that was recovered stays recorded while it is
+// verified again, and that the machine has no fencing token until then.
+func TestRecoveredAdoptionIsVerified(t *testing.T) {
+	o, m := newRecoveredAdopter(t)
+	if data := o.flushBlock(t, m.Block.Name); len(data.Machines) != 1 || len(data.Machines[0].Tasks) == 0 {
+		t.Fatalf("entries %+v: the recorded task is lost", data.Machines)
+	}
+	o.answer(t, kv.OK, kv.TransactionResult{Revision: 8})
+	o.nextCall(t).listed(kv.Listing{}, errors.New("unavailable"))
+	if m.FencingToken != 0 || m.Verifying || !m.Block.Dirty {
+		t.Errorf("token %d, verifying %v, block %+v", m.FencingToken, m.Verifying, m.Block)
+	}
+}
+
+// TestTwoAdopters checks that the owner that comes second drops the machine and goes on: the record
+// of the first one is none of its own. Without that it reread all its records for each such machine:
+//
+//	msg="recovery restarted" node=n0 reason="an own record was changed: m/x-m-000002"
+func TestTwoAdopters(t *testing.T) {
+	o, m := newAdopter(t)
+	o.flushBlock(t, m.Block.Name)
+	o.answer(t, kv.PreconditionFailed, kv.TransactionResult{FailedPreconditions: []string{record.BlockKey(m.Block.Name)}})
+	if want := []string{"m-9 owned elsewhere in x-m-9"}; !slices.Equal(o.reactions, want) {
+		t.Fatalf("reactions %q, want %q", o.reactions, want)
+	}
+	o.now += flushInterval
+	if o.Flush(); len(o.calls) > 0 {
+		t.Errorf("writes to the block of the other adopter: %s", o.calls[0].request.Body)
+	}
+}
+
+// TestOwnAdoptedBlockChanged checks that an owner whose own block of an adopted machine has changed
+// reads its records again, rather than taking it for another owner's: the block has a task.
+func TestOwnAdoptedBlockChanged(t *testing.T) {
+	o, m := newRecoveredAdopter(t)
+	key := record.BlockKey(m.Block.Name)
+	o.flushBlock(t, m.Block.Name)
+	o.answer(t, kv.PreconditionFailed, kv.TransactionResult{FailedPreconditions: []string{key}})
+	if want := []string{"recovery restarted: an own record was changed: " + key}; !slices.Equal(o.reactions, want) {
+		t.Errorf("reactions %q, want %q", o.reactions, want)
+	}
+}
--- a/internal/kv/list.go
+++ b/internal/kv/list.go
@@ -7,10 +7,11 @@
 )
 
 // Listing is the result of ListAll. Revision is that of the first page, so that a watch from
-// there misses no change.
+// there misses no change. LastRevision is that of the last page: if it is another one, entries may
+// have changed between the pages.
 type Listing struct {
-	Entries  []Entry
-	Revision uint64
+	Entries                []Entry
+	Revision, LastRevision uint64
 }
 
 // listRequest is a ListAll call in progress.
@@ -48,6 +49,7 @@
 	if l.listing.Revision == 0 {
 		l.listing.Revision = page.Revision
 	}
+	l.listing.LastRevision = page.Revision
 	l.listing.Entries = append(l.listing.Entries, page.Entries...)
 	if page.More && len(page.Entries) > 0 {
 		l.readPage(page.Entries[len(page.Entries)-1].Key)
