--- a/controller/adoption_interleavings_test.go
+++ b/controller/adoption_interleavings_test.go
@@ -23,25 +23,30 @@
 // successor trusted the newer block, which has no attempts, and the attempts in the block of node 1
 // were forgotten. Seen with the machine out of reach and other machines free:
 //
-//	msg="machine adopted" node=n2 machine=m-000000
-//	msg="owned teams changed" node=n0 teams=8
-//	msg="attempt state changed" task=req-000003/0 attempt=3145734 machine=m-000000 from=assumed to=recorded
-//	ran_twice: req-000003/0 starts on m-000004 while on m-000000
+//	time=17.06s msg="attempt state changed" node=n1 task=req-000006/0 attempt=2097156 machine=m-000000 from=assumed to=recorded
+//	time=41.56s msg="machine adopted" node=n2 machine=m-000000
+//	time=44.62s msg="owner state changed" node=n0 from=recovering to=active jobs=12 machines=6 teams=8
+//	time=45.17s msg="attempt state changed" node=n0 task=req-000006/0 attempt=3145738 machine=m-000005 from=assumed to=recorded
+//	48.09s: ran_twice: req-000006/0 starts on m-000005 while on m-000000
 //
 // and with the machine in reach, where its tasks were stopped and begun again:
 //
 //	3 tasks were stopped
+//
+// One seed is always played; SCENARIO_SEEDS=20 plays the seeds 1 to 20.
 func TestAdoptionInterleavings(t *testing.T) {
-	for _, ownerFault := range []string{"deafen-node node=1 for=8", "crash node=1 for=20"} {
-		for _, interruption := range []string{
-			"restart-only", "for=0.2", "for=4", "for=4 times=2", "for=20 also=1", "for=4 also=1 cut=12 spare=3",
-		} {
-			for _, after := range []float64{0, 0.005, 0.02, 0.3} {
-				adopter := fmt.Sprintf("crash-adopter after=%g %s", after, interruption)
-				t.Run(ownerFault+", "+adopter, func(t *testing.T) {
-					t.Parallel()
-					playAdoption(t, ownerFault, adopter)
-				})
+	for seed := 1; seed <= seedsOnDemand(t, 1); seed++ {
+		for _, ownerFault := range []string{"deafen-node node=1 for=8", "crash node=1 for=20"} {
+			for _, interruption := range []string{
+				"restart-only", "for=0.2", "for=4", "for=4 times=2", "for=20 also=1", "for=4 also=1 cut=12 spare=3",
+			} {
+				for _, after := range []float64{0, 0.005, 0.02, 0.3} {
+					adopter := fmt.Sprintf("crash-adopter after=%g %s", after, interruption)
+					t.Run(fmt.Sprintf("%d, %s, %s", seed, ownerFault, adopter), func(t *testing.T) {
+						t.Parallel()
+						playAdoption(t, seed, ownerFault, adopter)
+					})
+				}
 			}
 		}
 	}
@@ -49,10 +54,10 @@
 
 // playAdoption plays one adoption: jobs run on rented machines of all owners, among them a gang, a job
 // that is cancelled as the faults begin, and teams near their limits.
-func playAdoption(t *testing.T, ownerFault, adopter string) {
+func playAdoption(t *testing.T, seed int, ownerFault, adopter string) {
 	t.Helper()
 	sim := playSteps(t, []string{
-		"world machines=0 most=12 teams=6 limit=6 spread",
+		fmt.Sprintf("world machines=0 most=12 teams=6 limit=6 spread seed=%d", seed),
 		"run s=6",
 		"jobs from=1 count=12 over=6 tasks=1 cpus=2.5 run=60",
 		"submit job=req-000013 gang tasks=2 cpus=2.5 run=60 team=red",
--- a/controller/scenario_seeds_test.go
+++ b/controller/scenario_seeds_test.go
@@ -34,16 +34,10 @@
 // TestScenarioSeeds plays scenarios with other seeds than their own. The rules must hold with each,
 // and the scenario must print the same.
 func TestScenarioSeeds(t *testing.T) {
-	scenarios, seeds := seededScenarios, fixedScenarioSeeds
+	scenarios, seeds := seededScenarios, seedsOnDemand(t, fixedScenarioSeeds)
 	if text := os.Getenv("SCENARIOS"); text != "" {
 		scenarios = strings.Split(text, ",")
 	}
-	if text := os.Getenv("SCENARIO_SEEDS"); text != "" {
-		var err error
-		if seeds, err = strconv.Atoi(text); err != nil || seeds < 1 {
-			t.Fatalf("SCENARIO_SEEDS=%s: want a number from 1", text)
-		}
-	}
 	for _, scenario := range scenarios {
 		for seed := 1; seed <= seeds; seed++ {
 			t.Run(fmt.Sprintf("%s/%d", scenario, seed), func(t *testing.T) {
@@ -54,6 +48,20 @@
 	}
 }
 
+// seedsOnDemand returns how many seeds the environment asks for, or the number that is always played.
+func seedsOnDemand(t *testing.T, always int) int {
+	t.Helper()
+	text := os.Getenv("SCENARIO_SEEDS")
+	if text == "" {
+		return always
+	}
+	seeds, err := strconv.Atoi(text)
+	if err != nil || seeds < 1 {
+		t.Fatalf("SCENARIO_SEEDS=%s: want a number from 1", text)
+	}
+	return seeds
+}
+
 // runWithSeed plays a scenario with the given seed.
 func runWithSeed(t *testing.T, scenario string, seed int) {
 	override := datadriven.CmdArg{Key: seedOverride, Vals: []string{strconv.Itoa(seed)}}
