An adoption is announced and verified before the machine's entry is written, and yields at recovery

Cause: the entry of an adopted machine was written before the other blocks were read, and recovery trusted the newest entry of a machine; an end of the adopter in between hid the other owner's attempts. Change: the first write takes the block's name only; the entry follows after all blocks, and the changes between pages, were read. An adopted block yields to any other at recovery, the attempts of both are kept, and it is deleted after the other is written. Two adopters of one machine no longer reread their records. The deletion of an abandoned block has its version as precondition. dropOwnedElsewhere asserts that no task is dropped. A row of TestVerifyAdopted took an unreadable block for one without the machine. That is wrong: its tasks would be stopped while its owner counts on them. The row is now two: without such a block the machine is claimed, with one it is not, and TestAdoptionWaitsForReadableBlocks has the rest.

--- /dev/null
+++ b/controller/adoption_test.go
@@ -0,0 +1,60 @@
+package controller
+
+import (
+	"testing"
+
+	"tamarindlead/internal/cluster"
+	"tamarindlead/internal/inventory"
+	"tamarindlead/internal/kv"
+	"tamarindlead/internal/record"
+	"tamarindlead/internal/wire"
+)
+
+// TestMachinesWithTasksAreNotDropped checks the assertion that a machine with recorded tasks is not
+// left to another owner, by which they would be forgotten.
+func TestMachinesWithTasksAreNotDropped(t *testing.T) {
+	o, a := activeOwner()
+	o.dropOwnedElsewhere(a.Machine, "other")
+	if o.c.Violations() != 1 || o.Machines[a.Machine.Name] == nil || a.State != inventory.AttemptRecorded {
+		t.Errorf("%d violations, attempt %v", o.c.Violations(), a.State)
+	}
+	o.SetAttemptState(a, inventory.AttemptClosed)
+	o.dropOwnedElsewhere(a.Machine, "other")
+	if o.c.Violations() != 1 || o.Machines[a.Machine.Name] != nil {
+		t.Errorf("%d violations, a machine without tasks is kept", o.c.Violations())
+	}
+}
+
+// TestLateAdoptedBlock checks that an owner reads its records again when its own block of an adopted
+// machine was written late, and not when the block is another owner's or known.
+func TestLateAdoptedBlock(t *testing.T) {
+	const name = inventory.AdoptedPrefix + "m-000009"
+	for _, c := range []struct {
+		name       string
+		own, known bool
+		recovers   bool
+	}{
+		{"own, late", true, false, true},
+		{"own, known", true, true, false},
+		{"of another owner", false, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core := newRespondingCore()
+			o := newOwner(core, map[string]cluster.Team{})
+			core.setOwner(o)
+			o.setState(ownerActive)
+			if c.known {
+				o.commits.NewBlock(name).Version = 8
+			}
+			by := record.OwnerID("n1/7")
+			if c.own {
+				by = core.node.ID()
+			}
+			empty := record.BlockData{}
+			o.checkAdoptedBlock(kv.Entry{Key: record.BlockKey(name), Value: wire.Encode(empty.Block(by)), Version: 8})
+			if recovers := core.owner.state == ownerRecovering; recovers != c.recovers {
+				t.Errorf("recovery restarted %v, want %v", recovers, c.recovers)
+			}
+		})
+	}
+}
--- a/controller/commit_adapter.go
+++ b/controller/commit_adapter.go
@@ -132,8 +132,14 @@
 const ownedElsewhereRetention = 10 * micros.Second
 
 // dropOwnedElsewhere removes an adopted machine that has an entry in another block: of another owner,
-// or of this one if the machine was transferred to it.
+// or of this one if the machine was transferred to it. It asserts that nothing is recorded there by
+// this owner: those tasks would be forgotten, and placed elsewhere while they run.
 func (o *owner) dropOwnedElsewhere(m *inventory.Machine, block string) {
+	if len(m.Attempts) > 0 {
+		o.c.reportViolation("a machine with tasks is left to another owner",
+			"machine", m.Name, "block", block, "own_block", m.Block.Name, "tasks", len(m.Attempts))
+		return
+	}
 	o.markOwnedElsewhere(m.Name)
 	o.forgetMachine(m)
 	o.receiveTransfer(block)
--- a/controller/fleet_adapter.go
+++ b/controller/fleet_adapter.go
@@ -56,12 +56,12 @@
 }
 
 // NewAdoptedMachine gives the machine a block of its own while other owners exist: one may have
-// it without this owner's knowledge (see verifyAdopted).
+// it without this owner's knowledge (see internal/commit/adoption.go).
 func (h fleetOwnership) NewAdoptedMachine(info inventory.MachineInfo) *inventory.Machine {
 	if h.o.commits.OwnsAllTeams() {
 		return h.o.newMachine(info)
 	}
-	return h.o.addMachine(h.o.commits.NewBlock(inventory.AdoptedPrefix+info.Name), info)
+	return h.o.addMachine(h.o.commits.AdoptedBlock(info.Name), info)
 }
 
 // fleetCloud implements fleet.Cloud.
--- a/controller/machine_transfers.go
+++ b/controller/machine_transfers.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"strings"
+
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/inventory"
 	"tamarindlead/internal/kv"
@@ -138,12 +140,25 @@
 		if o.superseded() || outcome != kv.OK {
 			return
 		}
+		if strings.HasPrefix(blockName, inventory.AdoptedPrefix) {
+			o.checkAdoptedBlock(entry)
+			return
+		}
 		if data := o.decodeTransfer(entry); data != nil {
 			o.acceptTransfer(blockName, entry.Version, data)
 		}
 	})
 }
 
+// checkAdoptedBlock handles the block by which a machine was adopted already. If it is this owner's
+// own, from a transaction that was executed after recovery had read the records, they are read again.
+func (o *owner) checkAdoptedBlock(entry kv.Entry) {
+	var block record.Block
+	if wire.Decode(entry.Value, &block) == nil && block.Owner == o.c.node.ID() && !o.commits.HasBlock(entry.Key) {
+		o.restartRecovery("a block of an adopted machine was written late: " + entry.Key)
+	}
+}
+
 // decodeTransfer returns the content of a block by which a machine is transferred to this node, or
 // nil if the block is another one or the machine was taken over before.
 func (o *owner) decodeTransfer(entry kv.Entry) *record.BlockData {
--- a/internal/commit/adoption_test.go
+++ b/internal/commit/adoption_test.go
@@ -27,6 +27,9 @@
 // maxVerificationPause bounds the pause before the blocks are read again.
 const maxVerificationPause = 2 * micros.Second
 
+// ownMember is the precondition that the owner's member record is unchanged.
+var ownMember = (&testOwner{}).OwnPrecondition()
+
 // newAdopter returns one of several owners, and a machine that it adopts.
 func newAdopter(t *testing.T) (*testOwner, *inventory.Machine) {
 	t.Helper()
@@ -117,10 +120,21 @@
 	o, m := newAdopter(t)
 	o.flushBlock(t, m.Block.Name)
 	o.answer(t, kv.OK, kv.TransactionResult{Revision: 8})
+	read := o.nextCall(t)
 	o.inv.SetMachineState(m, inventory.MachineDecommissioning, "silent")
 	if data := o.flushBlock(t, m.Block.Name); len(data.Machines) != 0 {
 		t.Errorf("an unverified machine is recorded: %+v", data.Machines)
 	}
+	o.answer(t, kv.OK, kv.TransactionResult{Revision: 9})
+	o.now += flushInterval
+	if o.Flush(); len(o.calls) > 0 {
+		t.Fatal("the block is written, or the others are read, again and again")
+	}
+	read.listed(kv.Listing{}, nil)
+	data := o.flushBlock(t, m.Block.Name)
+	if len(data.Machines) != 1 || !data.Machines[0].Decommissioning || data.Machines[0].FencingToken != 8 {
+		t.Errorf("entries %+v once it is verified", data.Machines)
+	}
 }
 
 // TestAdoptionWaitsForReadableBlocks checks that a block that cannot be read may hold the machine: it
@@ -223,6 +237,40 @@
 	}
 }
 
+// TestAbandonedAdoptionIsDeleted checks that the block of an adoption that is abandoned is deleted on
+// condition of its version, and written again rather than twice if the machine is adopted once more
+// before that: a deletion that is executed late must not hit the block of the next adoption.
+func TestAbandonedAdoptionIsDeleted(t *testing.T) {
+	abandoned := func() *testOwner {
+		o, m := newAdopter(t)
+		o.flushBlock(t, m.Block.Name)
+		o.answer(t, kv.OK, kv.TransactionResult{Revision: 8})
+		o.nextCall(t).listed(kv.Listing{Entries: []kv.Entry{blockOf(adoptedMachine)}}, nil)
+		o.now += flushInterval
+		return o
+	}
+	key := record.BlockKey(inventory.AdoptedPrefix + adoptedMachine)
+	preconditions := []kv.Precondition{ownMember, {Key: key, Version: 8}}
+
+	o := abandoned()
+	o.Flush()
+	want := kv.Transaction(preconditions, []kv.Write{{Delete: key}})
+	if got := o.calls[0].request.Body; !slices.Equal(got, want.Body) {
+		t.Errorf("sent %q, want %q", got, want.Body)
+	}
+	o.answer(t, kv.OK, kv.TransactionResult{Revision: 9})
+	if o.HasBlock(key) {
+		t.Error("the block is kept")
+	}
+
+	o = abandoned()
+	b := o.AdoptedBlock(adoptedMachine)
+	o.addMachine(b, inventory.MachineInfo{Name: adoptedMachine, Type: "mid", Zone: "a"}, 0)
+	if data := o.flushBlock(t, b.Name); b.Version != 8 || len(data.Machines) > 0 {
+		t.Errorf("block %+v with entries %+v, want the announcement in the block of version 8", b, data.Machines)
+	}
+}
+
 // TestTwoAdopters checks that the owner that comes second drops the machine and goes on: the record
 // of the first one is none of its own. Without that it reread all its records for each such machine:
 //
--- a/internal/commit/block_result.go
+++ b/internal/commit/block_result.go
@@ -44,11 +44,16 @@
 	}
 	for _, m := range w.claimed {
 		if w.block.IsAdopted() && m.FencingToken == 0 && !p.OwnsAllTeams() {
-			p.verifyAdopted(m, revision)
+			p.verifyAdoption(m, revision)
 			continue
 		}
 		p.setFencingToken(m, revision)
 	}
+	for _, m := range w.announced {
+		if !m.Verifying {
+			p.verifyAdoption(m, revision)
+		}
+	}
 	for _, a := range w.removing {
 		p.inv.SetAttemptState(a, inventory.AttemptClosed)
 	}
--- a/internal/commit/block_write.go
+++ b/internal/commit/block_write.go
@@ -26,9 +26,10 @@
 	// maxTransfers is how many machines may be transferred: each takes a write of its own.
 	maxTransfers int
 
-	stored  []*inventory.Machine // those with an entry in the record
-	tasks   int                  // in these entries
-	sources []*inventory.Block   // see inventory.Block.Sources
+	stored    []*inventory.Machine // those with an entry in the record
+	announced []*inventory.Machine // adopted ones whose entry must wait, see adoption.go
+	tasks     int                  // in the entries
+	sources   []*inventory.Block   // see inventory.Block.Sources
 
 	claimed         []*inventory.Machine
 	decommissioning []*inventory.Machine
@@ -89,13 +90,17 @@
 	return n < blockPreconditionsPerOp*w.pipeline.settings.MaxTransactionOps
 }
 
-// addMachine adds a machine's entry, unless the machine is terminated, is transferred or must wait
-// for the next write.
+// addMachine adds a machine's entry, unless the machine is terminated, is transferred, or its entry
+// must wait for a later write.
 func (w *blockWrite) addMachine(m *inventory.Machine) {
 	if m.State == inventory.MachineTerminated {
 		w.terminated = append(w.terminated, m)
 		return
 	}
+	if w.announces(m) {
+		w.announced = append(w.announced, m)
+		return
+	}
 	if w.transfer(m) {
 		return
 	}
@@ -185,7 +190,7 @@
 	b.Writing, b.Dirty = true, false
 	w.sources, b.Sources = b.Sources, nil
 	key := record.BlockKey(b.Name)
-	if len(w.stored) == 0 {
+	if len(w.stored) == 0 && len(w.announced) == 0 {
 		t.Delete(key)
 	} else {
 		t.putSized(key, value, value.Size())
@@ -193,6 +198,9 @@
 	for _, m := range w.stored {
 		m.Dirty = false
 	}
+	for _, m := range w.announced {
+		m.Dirty = false
+	}
 	for _, m := range w.transferred {
 		w.pipeline.transfers.AddTo(t, m)
 	}
--- a/internal/commit/blocks.go
+++ b/internal/commit/blocks.go
@@ -11,6 +11,11 @@
 // Blocks returns the blocks sorted by name. The caller must not change the list.
 func (p *Pipeline) Blocks() []*inventory.Block { return p.blocks }
 
+// HasBlock reports whether a key is that of a block that this owner has written or read.
+func (p *Pipeline) HasBlock(key string) bool {
+	return slices.ContainsFunc(p.blocks, func(b *inventory.Block) bool { return b.Version > 0 && record.BlockKey(b.Name) == key })
+}
+
 // BlockFor returns the block to which the entry of a new machine is added. Machines of one type and
 // zone share blocks, so that a gang is recorded by few writes.
 func (p *Pipeline) BlockFor(machineType, zone string) *inventory.Block {
--- a/internal/commit/obsolete_keys.go
+++ b/internal/commit/obsolete_keys.go
@@ -6,6 +6,7 @@
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/inventory"
 	"tamarindlead/internal/kv"
+	"tamarindlead/internal/record"
 	"tamarindlead/micros"
 )
 
@@ -18,7 +19,12 @@
 func (p *Pipeline) DeleteLater(keys ...string) { p.obsoleteKeys = append(p.obsoleteKeys, keys...) }
 
 // IsObsolete reports whether a key waits to be deleted.
-func (p *Pipeline) IsObsolete(key string) bool { return slices.Contains(p.obsoleteKeys, key) }
+func (p *Pipeline) IsObsolete(key string) bool {
+	emptied := func(b *inventory.Block) bool {
+		return b.Dirty && len(b.Machines) == 0 && record.BlockKey(b.Name) == key
+	}
+	return slices.Contains(p.obsoleteKeys, key) || slices.ContainsFunc(p.blocks, emptied)
+}
 
 // addOverdueDeletion adds the deletion of an obsolete key if other writes have delayed it for long.
 func (p *Pipeline) addOverdueDeletion(t *Transaction, full func() bool) {
--- a/internal/commit/result.go
+++ b/internal/commit/result.go
@@ -5,7 +5,6 @@
 	"strings"
 
 	"tamarindlead/internal/budget"
-	"tamarindlead/internal/inventory"
 	"tamarindlead/internal/kv"
 	"tamarindlead/internal/record"
 )
@@ -120,18 +119,3 @@
 	p.host.JobRecordChanged(id)
 	return true
 }
-
-// handleAdoptedElsewhere handles the failed first claim of a machine that another owner has adopted,
-// and reports whether the key is that of such a claim.
-func (p *Pipeline) handleAdoptedElsewhere(key string) bool {
-	name, isAdopted := strings.CutPrefix(key, record.BlockPrefix+inventory.AdoptedPrefix)
-	if !isAdopted {
-		return false
-	}
-	m := p.inv.Machines[name]
-	if m == nil || m.FencingToken != 0 {
-		return false
-	}
-	p.host.MachineOwnedElsewhere(m, inventory.AdoptedPrefix+name)
-	return true
-}
--- a/internal/commit/result_test.go
+++ b/internal/commit/result_test.go
@@ -245,7 +245,8 @@
 		want    []string // reactions
 		dirty   bool     // it is claimed again
 	}{
-		{"nobody has it", []kv.Entry{other("m-8"), {Key: record.BlockKey("damaged"), Value: []byte{0xff}}}, nil, []string{"claimed m-9"}, false},
+		{"nobody has it", []kv.Entry{other("m-8")}, nil, []string{"claimed m-9"}, false},
+		{"a block cannot be read", []kv.Entry{other("m-8"), {Key: record.BlockKey("damaged"), Value: []byte{0xff}}}, nil, nil, true},
 		{"another owner has it", []kv.Entry{other("m-9")}, nil, []string{"m-9 owned elsewhere in other"}, false},
 		{"the list cannot be read", nil, errors.New("unavailable"), nil, true},
 	}
--- a/internal/inventory/machine.go
+++ b/internal/inventory/machine.go
@@ -217,8 +217,14 @@
 // IsUnclaimed reports whether the machine has no fencing token, and none is being verified.
 func (m *Machine) IsUnclaimed() bool { return m.FencingToken == 0 && !m.Verifying }
 
+// mayNotBeRecorded reports whether the machine is adopted and has no entry until that is verified.
+func (m *Machine) mayNotBeRecorded() bool { return m.Verifying && !m.Recorded }
+
 // NeedsWrite reports whether the machine's state or an attempt on it waits for the record.
 func (m *Machine) NeedsWrite() bool {
+	if m.mayNotBeRecorded() {
+		return false
+	}
 	for _, a := range m.Attempts {
 		if a.State == AttemptAssumed || a.State == AttemptRemoving {
 			return true
--- a/internal/recovery/blocks.go
+++ b/internal/recovery/blocks.go
@@ -18,10 +18,7 @@
 // RecoverBlocks adds the machines and attempts of the blocks of this owner. Jobs and completion
 // segments must have been recovered.
 func (r *Recovery) RecoverBlocks(entries []kv.Entry) {
-	// A machine that was moved to another block may be in both: the newer record counts.
-	newestFirst := slices.Clone(entries)
-	slices.SortStableFunc(newestFirst, func(a, b kv.Entry) int { return cmp.Compare(b.Version, a.Version) })
-	for _, e := range newestFirst {
+	for _, e := range inOrderOfPrecedence(entries) {
 		if err := r.recoverBlock(e); err != nil {
 			r.log.Error("record cannot be read", "key", e.Key, "error", err)
 		}
@@ -29,6 +26,24 @@
 	r.checkJobs()
 }
 
+// inOrderOfPrecedence returns the blocks in the order in which their entries hold. A machine that was
+// moved to another block may be in both: the newer record counts. The block of an adopted machine
+// yields to any other, since its owner may not have known that another one has the machine.
+func inOrderOfPrecedence(entries []kv.Entry) []kv.Entry {
+	var adopted, others []kv.Entry
+	for _, e := range entries {
+		if strings.HasPrefix(e.Key, record.BlockKey(inventory.AdoptedPrefix)) {
+			adopted = append(adopted, e)
+		} else {
+			others = append(others, e)
+		}
+	}
+	newestFirst := func(a, b kv.Entry) int { return cmp.Compare(b.Version, a.Version) }
+	slices.SortStableFunc(adopted, newestFirst)
+	slices.SortStableFunc(others, newestFirst)
+	return append(others, adopted...)
+}
+
 // recoverBlock adds a block, if this owner takes over the records of the block's owner.
 func (r *Recovery) recoverBlock(e kv.Entry) error {
 	var rec record.Block
@@ -52,10 +67,13 @@
 }
 
 // RecoverMachine adds a machine of a block that was read, and the attempts on it. A machine that this
-// owner has already is left unchanged.
+// owner has already is in a newer block; it gains something only by the block of an adopter.
 func (r *Recovery) RecoverMachine(b *inventory.Block, data *record.BlockData, entry *record.BlockMachine) {
-	if r.inv.Machines[entry.Name] != nil {
-		return // it is in a newer block
+	if m := r.inv.Machines[entry.Name]; m != nil {
+		if b.IsAdopted() {
+			r.mergeAdopted(m, b, data, entry)
+		}
+		return
 	}
 	machineType := data.MachineTypes[entry.MachineType]
 	m := r.host.AddMachine(b, inventory.MachineInfo{
@@ -63,6 +81,20 @@
 	})
 	m.ProvisionedAt = micros.Micros(entry.LaunchedAt + data.LaunchTimeBase)
 	m.Recorded = true
+	r.recoverEntry(m, b, data, entry)
+}
+
+// mergeAdopted adds to a machine what the block of an owner that adopted it has: that owner may have
+// started tasks there. The block is written again, which deletes it, once the machine's own has been.
+func (r *Recovery) mergeAdopted(m *inventory.Machine, b *inventory.Block, data *record.BlockData, entry *record.BlockMachine) {
+	r.log.Warn("machine was adopted though another owner had it", "machine", m.Name, "block", m.Block.Name, "adopted_block", b.Name)
+	m.Endpoint = cmp.Or(m.Endpoint, entry.Endpoint)
+	m.Block.AddSource(b)
+	r.recoverEntry(m, b, data, entry)
+}
+
+// recoverEntry applies a machine's entry: whether its termination is decided, and the attempts.
+func (r *Recovery) recoverEntry(m *inventory.Machine, b *inventory.Block, data *record.BlockData, entry *record.BlockMachine) {
 	if entry.Decommissioning {
 		r.inv.SetMachineState(m, inventory.MachineTerminating, "decommissioned by an earlier owner")
 	}
