--- a/controller/scenario_nodes_test.go
+++ b/controller/scenario_nodes_test.go
@@ -57,6 +57,11 @@
 		node.workersUnreachable = true
 		c.revertLater(func() { node.workersUnreachable = false })
 	}),
+	"cut-cloud": silent(func(c *command) {
+		node := c.node()
+		node.cloudUnreachable = true
+		c.revertLater(func() { node.cloudUnreachable = false })
+	}),
 	"refuse-node": silent(func(c *command) {
 		name := nodeName(c.node().index)
 		c.sim.kvStore.RefusedCallers[name] = true
--- a/controller/simulation_network_test.go
+++ b/controller/simulation_network_test.go
@@ -180,7 +180,7 @@
 			sim.afterCommitDelay(call, func() { sim.callKVStore(node, call, respond) })
 		}
 	case call.Addr == sim.cfg.CloudAddr:
-		if !sim.zonesPartitioned(sim.nodeZone(node.index), "") {
+		if !node.cloudUnreachable && !sim.zonesPartitioned(sim.nodeZone(node.index), "") {
 			sim.cloud.Now = sim.now
 			respond(sim.cloud.Handle(call.Method, call.Target, call.Body))
 			sim.forgetDeletedMachines()
--- a/controller/simulation_nodes_test.go
+++ b/controller/simulation_nodes_test.go
@@ -25,6 +25,7 @@
 	delaysOutbound       bool // calls of a partitioned node are delivered afterwards
 	workersUnreachable   bool // in both directions
 	onlyWorkersReachable bool // neither the state service nor siblings are
+	cloudUnreachable     bool
 	nextTimer            micros.Micros
 	pending              map[uint64]func(Respond)
 	nextID               uint64
--- a/internal/fake/cloud.go
+++ b/internal/fake/cloud.go
@@ -19,6 +19,7 @@
 	Unavailable bool          // all requests get status 503
 	ListDelay   micros.Micros // age of the state that the list of machines shows
 	Types       []wire.MachineType
+	OmitTypes   bool                                       // the list of machine types is empty
 	Capacity    map[string]int                             // machines that may still be created, by CapacityKey
 	FailedBoots int                                        // number of machines, from the next one on, that never boot
 	BootTime    func(standard micros.Micros) micros.Micros // boot time of a machine; nil: the standard time of its type
@@ -96,6 +97,9 @@
 	}
 	switch method + " " + u.Path {
 	case "GET " + wire.PathMachineTypes:
+		if c.OmitTypes {
+			return newResponse(wire.StatusOK, wire.MachineTypes{Entries: []wire.MachineType{}})
+		}
 		return newResponse(wire.StatusOK, wire.MachineTypes{Entries: c.Types})
 	case "POST " + wire.PathRentals:
 		return c.scaleOut(body)
