Machine types are read by every node, and no job is refused for good by an old list

Symptom: a node without teams accepted jobs that fit only a type withdrawn long ago, and all nodes answered 422, which is final, to jobs that fit a type offered since they had read the types. Cause: only an active owner read the types periodically; the copy in the key-value store was written once by each process that owned teams and did not say when it was read; a refusal did not ask how old the list was. Change: every node reads the types every 30 s. The copy has the time of its read, is renewed by owners, by other members if it is old, and taken by a node that does not reach the cloud if it is newer. A refusal rests on a read that was sent after the request arrived; what cannot be read is 503. Source and age are in the log and in msg=status.

--- a/controller/core.go
+++ b/controller/core.go
@@ -104,7 +104,7 @@
 		Requests: cfg.KVRequestRate, Writes: cfg.KVWriteRate, MinWriteBurst: frontend.CancellationWrites + 1,
 	}, len(cfg.Siblings)+1)
 	c.store = kv.New(kvHost{c}, c.budget, record.LeaderKey, log)
-	c.types = newMachineTypes(c)
+	c.types = newMachineTypes(c, log)
 	c.jobView = newJobView(c)
 	c.graph = c.jobView.Graph()
 	c.frontend = newFrontend(c, log)
--- a/controller/frontend_adapter.go
+++ b/controller/frontend_adapter.go
@@ -36,6 +36,13 @@
 
 func (h frontendHost) MachineTypes() []sched.MachineType { return h.c.types.List() }
 
+func (h frontendHost) ConfirmMachineTypes(done func(confirmed bool)) { h.c.types.Confirm(done) }
+
+func (h frontendHost) MachineTypesOrigin() (source string, age micros.Micros) {
+	from, age := h.c.types.Origin()
+	return from.String(), age
+}
+
 func (h frontendHost) ReportViolation(what string, args ...any) { h.c.reportViolation(what, args...) }
 
 // frontendResponses implements the frontend's responses as effects.
--- a/controller/status.go
+++ b/controller/status.go
@@ -29,9 +29,11 @@
 		return
 	}
 	usage := c.store.TakeUsage()
+	typesSource, typesAge := c.types.Origin()
 	c.log.Info("status", "events", n.events, "heartbeats", n.heartbeats, "lookups", c.frontend.TakeLookupCount(), "calls", n.calls,
 		"open_calls", len(c.calls.pending), "kv_requests", usage.Requests, "kv_writes", usage.Writes, "refused", n.refused,
-		"dropped", n.dropped, "pending_submissions", c.frontend.PendingSubmissions(), "violations", c.violations)
+		"dropped", n.dropped, "pending_submissions", c.frontend.PendingSubmissions(), "violations", c.violations,
+		"types_source", typesSource.String(), "types_age_s", math.Round(typesAge.Seconds()))
 	*n = counters{loggedAt: c.now}
 	if c.owner != nil && c.owner.state == ownerActive {
 		c.owner.logMachineCounts()
--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -24,13 +24,40 @@
 		return
 	}
 	writes, size := record.JobWrites(job, f.node.Host.WallClock(), f.node.Settings.MaxValueBytes)
-	if refused := f.node.checkAdmission(job, writes, size); refused != nil {
+	refused := f.node.checkAdmission(job, writes, size)
+	if refused.restsOnMachineTypes() {
+		f.confirmRefusal(request, job, writes, size)
+		return
+	}
+	f.acceptOrRefuse(request, job, writes, refused)
+}
+
+// acceptOrRefuse continues with a submission that was checked.
+func (f *Frontend) acceptOrRefuse(request userRequest, job *sched.Job, writes []kv.Write, refused *refusal) {
+	if refused != nil {
 		f.refuseUnlessKnown(request, job.ID, refused)
 		return
 	}
 	f.submissions.add(request, job, len(writes))
 }
 
+// confirmRefusal checks a submission again that no known machine type fits, by the types that the cloud
+// offers now: a refusal is final, so it rests on a read that was sent after the request arrived. If they
+// cannot be read, the submission is refused for now.
+func (f *Frontend) confirmRefusal(request userRequest, job *sched.Job, writes []kv.Write, size int) {
+	f.node.Host.ConfirmMachineTypes(func(confirmed bool) {
+		refused := f.node.checkAdmission(job, writes, size)
+		if refused.restsOnMachineTypes() {
+			source, age := f.node.Host.MachineTypesOrigin()
+			f.node.Log.Info("submission fits no machine type", "job", job.ID, "confirmed", confirmed, "source", source, "age_us", int64(age))
+			if !confirmed {
+				refused = temporaryRefusal(reasonTypesUnread)
+			}
+		}
+		f.acceptOrRefuse(request, job, writes, refused)
+	})
+}
+
 // refuseUnlessKnown refuses a submission for good, unless its job is known: the machine types on
 // offer and the limits may have changed since it was accepted.
 func (f *Frontend) refuseUnlessKnown(request userRequest, job string, refused *refusal) {
--- a/internal/frontend/fixture_test.go
+++ b/internal/frontend/fixture_test.go
@@ -52,9 +52,11 @@
 	t        *testing.T
 	frontend *Frontend
 
-	time       micros.Micros
-	isolated   bool
-	types      []sched.MachineType
+	time     micros.Micros
+	isolated bool
+	types    []sched.MachineType
+	// confirm answers a confirmation of the machine types; nil: they are as they were.
+	confirm    func(done func(confirmed bool))
 	violations int
 	responses  []response
 
@@ -161,6 +163,18 @@
 // MachineTypes implements Host.
 func (f *fixture) MachineTypes() []sched.MachineType { return f.types }
 
+// ConfirmMachineTypes implements Host.
+func (f *fixture) ConfirmMachineTypes(done func(confirmed bool)) {
+	if f.confirm == nil {
+		done(true)
+		return
+	}
+	f.confirm(done)
+}
+
+// MachineTypesOrigin implements Host.
+func (f *fixture) MachineTypesOrigin() (source string, age micros.Micros) { return "cloud", 0 }
+
 // ReportViolation implements Host.
 func (f *fixture) ReportViolation(string, ...any) { f.violations++ }
 
--- a/internal/frontend/services.go
+++ b/internal/frontend/services.go
@@ -33,6 +33,11 @@
 	IsIsolated() bool
 	// MachineTypes returns the machine types on offer, none while they are unknown.
 	MachineTypes() []sched.MachineType
+	// ConfirmMachineTypes calls done with true once MachineTypes shows what the cloud offers as of a
+	// request sent after this call, or with false if that cannot be read soon.
+	ConfirmMachineTypes(done func(confirmed bool))
+	// MachineTypesOrigin returns from where the machine types are and how old, for logs.
+	MachineTypesOrigin() (source string, age micros.Micros)
 	// ReportViolation reports that an invariant of the program does not hold.
 	ReportViolation(what string, args ...any)
 }
--- a/internal/frontend/submissions_test.go
+++ b/internal/frontend/submissions_test.go
@@ -247,3 +247,50 @@
 		})
 	}
 }
+
+// TestRefusalRestsOnPresentTypes checks that a job is refused for good because no machine type fits only
+// by types that were read after the request arrived. If they cannot be read, it is refused for now, unless
+// it was accepted before.
+func TestRefusalRestsOnPresentTypes(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		confirmed bool
+		offered   float64 // CPUs of the type that the read finds
+		answer    func(f *fixture)
+		status    wire.Status
+		reason    wire.RefusalReason
+	}{
+		{"fits none", true, 28, (*fixture).neverAccepted, wire.StatusUnprocessable, reasonFitsNoType},
+		{"fits a new one", true, 64, func(f *fixture) {
+			f.flush()
+			f.answer(commitTarget, kv.OK, nil)
+		}, wire.StatusAccepted, ""},
+		{"cannot be read", false, 28, (*fixture).neverAccepted, wire.StatusUnavailable, reasonTypesUnread},
+		{"cannot be read, but accepted before", false, 28, func(f *fixture) {
+			f.flush()
+			f.answer(activeTarget, kv.OK, activeEntry())
+		}, wire.StatusOK, ""},
+		{"cannot be read, but a copy has a new one", false, 64, func(f *fixture) {
+			f.flush()
+			f.answer(commitTarget, kv.OK, nil)
+		}, wire.StatusAccepted, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			var confirm func(bool)
+			f.confirm = func(done func(bool)) { confirm = done }
+			job := newSmallJob()
+			job.Need = sched.NewResources(30, 0, 1)
+			f.frontend.node.Settings.Teams[0].QuotaLimit = sched.Resources{}
+			f.submit(job)
+			f.flush()
+			if confirm == nil || len(f.calls) > 0 || len(f.responses) > 0 {
+				t.Fatalf("%d calls, responses %+v before the types are read", len(f.calls), f.responses)
+			}
+			f.types[0].Size = sched.NewResources(c.offered, 0, 112)
+			confirm(c.confirmed)
+			c.answer(f)
+			f.checkResponse(c.status, c.reason)
+		})
+	}
+}
--- /dev/null
+++ b/internal/machinetypes/stored_copy.go
@@ -0,0 +1,123 @@
+package machinetypes
+
+import (
+	"slices"
+
+	"tamarindlead/internal/budget"
+	"tamarindlead/internal/kv"
+	"tamarindlead/internal/record"
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
+
+const (
+	// copyReadInterval is the least time between two reads of the copy while the cloud cannot be
+	// read.
+	copyReadInterval = 10 * micros.Second
+	// ownerCopyAge is the age of the copy at which an owner renews it, and otherCopyAge that at
+	// which any other node does: the owners seem not to reach the cloud.
+	ownerCopyAge = refreshInterval
+	otherCopyAge = refreshInterval * 3 / 2
+	// unknownCopyAge is the assumed age of a copy that does not tell when it was read: anything
+	// else is newer.
+	unknownCopyAge = 24 * micros.Hour
+)
+
+// storedCopy is what this node knows of the copy in the key-value store.
+type storedCopy struct {
+	reading    bool
+	nextReadAt micros.Micros
+	writing    bool
+	known      bool          // it was read or written by this node
+	asOf       micros.Micros // of the newest copy that is known
+	encoded    []byte        // its types
+}
+
+// readCopy reads the copy, takes its types if they are newer, and calls done if there was a response.
+func (t *Table) readCopy(done func()) {
+	c := &t.copy
+	if c.reading {
+		return
+	}
+	purpose := budget.Reads
+	if len(t.types) == 0 {
+		purpose = budget.Leadership
+	}
+	c.reading, c.nextReadAt = true, t.host.Now()+copyReadInterval
+	t.store.Get(purpose, record.MachineTypesKey, func(outcome kv.Outcome, entry kv.Entry) {
+		c.reading = false
+		if outcome == kv.OK {
+			t.applyCopy(entry.Value)
+		}
+		done()
+	})
+}
+
+// applyCopy takes the types of a copy if they are newer than those of the table.
+func (t *Table) applyCopy(value []byte) {
+	var stored record.MachineTypes
+	if err := wire.Decode(value, &stored); err != nil {
+		t.log.Error("record cannot be read", "key", record.MachineTypesKey, "error", err)
+		return
+	}
+	asOf := t.asOfCopy(stored)
+	if !t.copy.known || asOf > t.copy.asOf {
+		t.copy.known, t.copy.asOf, t.copy.encoded = true, asOf, wire.Encode(stored.MachineTypes)
+	}
+	types := stored.Types()
+	if len(types) > 0 && (len(t.types) == 0 || asOf > t.asOf) {
+		t.set(types, SourceCopy, asOf)
+	}
+}
+
+// asOfCopy returns the steady time at which the types of a copy were requested from the cloud.
+func (t *Table) asOfCopy(stored record.MachineTypes) micros.Micros {
+	age := unknownCopyAge
+	if stored.ReadAt != 0 {
+		age = max(0, t.host.WallClock()-stored.ReadAt) // clocks may differ
+	}
+	return t.host.Now() - age
+}
+
+// renewCopy writes the types that were just read from the cloud to the key-value store: an owner when
+// they have changed or the copy has become old; another node only after it has read the copy and found
+// that nobody renews it.
+func (t *Table) renewCopy(response wire.MachineTypes) {
+	if t.host.OwnsTeams() {
+		changed := !slices.Equal(t.copy.encoded, wire.Encode(response))
+		if changed || t.copyIsOlderThan(ownerCopyAge) {
+			t.writeCopy(response)
+		}
+		return
+	}
+	if t.copyIsOlderThan(otherCopyAge) {
+		t.readCopy(func() {
+			if t.source == SourceCloud && t.copyIsOlderThan(otherCopyAge) {
+				t.writeCopy(response)
+			}
+		})
+	}
+}
+
+// copyIsOlderThan reports whether the table is newer than the copy by a time.
+func (t *Table) copyIsOlderThan(age micros.Micros) bool {
+	return !t.copy.known || t.asOf-t.copy.asOf >= age
+}
+
+// writeCopy writes the types that the table has from the cloud, if they fit a value.
+func (t *Table) writeCopy(response wire.MachineTypes) {
+	preconditions, isMember := t.host.MemberPreconditions()
+	asOf := t.asOf
+	stored := record.MachineTypes{MachineTypes: response, ReadAt: t.host.WallClock() - (t.host.Now() - asOf)}
+	if !isMember || t.copy.writing || kv.EncodedSizeBound(stored) > t.maxValueBytes {
+		return
+	}
+	t.copy.writing = true
+	writes := []kv.Write{{Put: record.MachineTypesKey, Value: stored}}
+	t.store.Do(budget.TaskUpdates, kv.Transaction(preconditions, writes), func(result kv.Result) {
+		t.copy.writing = false
+		if result.Outcome == kv.OK {
+			t.copy.known, t.copy.asOf, t.copy.encoded = true, asOf, wire.Encode(response)
+		}
+	})
+}
--- a/internal/machinetypes/table.go
+++ b/internal/machinetypes/table.go
@@ -1,37 +1,73 @@
 package machinetypes
 
 import (
-	"tamarindlead/internal/budget"
-	"tamarindlead/internal/kv"
-	"tamarindlead/internal/record"
-	"tamarindlead/internal/wire"
+	"fmt"
+	"log/slog"
+	"slices"
+
+	"golang.org/x/time/rate"
+
 	"tamarindlead/micros"
 	"tamarindlead/sched"
 )
 
+// Source is from where a table of machine types was read.
+type Source int
+
+// The sources of a table.
 const (
-	// retryDelay is the pause after a read that did not succeed.
-	retryDelay = 2 * micros.Second
-	// refreshInterval is how often an owner reads the types again: prices may change.
-	refreshInterval = 30 * micros.Second
+	SourceNone  Source = iota // no types are known
+	SourceCloud               // the cloud
+	SourceCopy                // the copy in the key-value store
 )
 
-// Table is the table of machine types.
+// String returns the name of the source for logs.
+func (s Source) String() string {
+	switch s {
+	case SourceNone:
+		return "none"
+	case SourceCloud:
+		return "cloud"
+	case SourceCopy:
+		return "copy"
+	}
+	return fmt.Sprintf("Source(%d)", int(s))
+}
+
+// Table is the table of machine types of one node.
 type Table struct {
 	host          Host
 	store         Store
+	log           *slog.Logger
 	maxValueBytes int
 
-	types     []sched.MachineType
-	reading   bool // a read from the key-value store or the cloud is in flight
-	nextRead  micros.Micros
-	fromCloud bool
-	recorded  bool // in the key-value store, since this node started
+	types  []sched.MachineType
+	source Source
+	// asOf is the steady time at which the request to the cloud was sent that returned the types.
+	asOf micros.Micros
+
+	cloud cloudReads
+	copy  storedCopy
+
+	waiting           []confirmation
+	confirmationReads *rate.Limiter
+}
+
+// Settings are the limits that a table keeps to.
+type Settings struct {
+	// MaxValueBytes bounds the copy in the key-value store.
+	MaxValueBytes int
+	// ConfirmationRate is how many reads of the cloud per second confirmations may cause in the long
+	// run.
+	ConfirmationRate float64
 }
 
-// New returns an empty table. maxValueBytes bounds the copy in the key-value store.
-func New(host Host, store Store, maxValueBytes int) *Table {
-	return &Table{host: host, store: store, maxValueBytes: maxValueBytes}
+// New returns an empty table.
+func New(host Host, store Store, settings Settings, log *slog.Logger) *Table {
+	return &Table{
+		host: host, store: store, log: log, maxValueBytes: settings.MaxValueBytes,
+		confirmationReads: rate.NewLimiter(rate.Limit(settings.ConfirmationRate), confirmationBurst),
+	}
 }
 
 // List returns the known types. The caller must not change them.
@@ -47,6 +83,14 @@
 	return nil
 }
 
+// Origin returns from where the types are, and how long ago they were requested from the cloud.
+func (t *Table) Origin() (source Source, age micros.Micros) {
+	if t.source == SourceNone {
+		return SourceNone, 0
+	}
+	return t.source, t.host.Now() - t.asOf
+}
+
 // Fill sets the types of an empty table. It does nothing if types are known.
 func (t *Table) Fill(types []sched.MachineType) {
 	if len(t.types) == 0 {
@@ -55,65 +99,49 @@
 }
 
 // Refresh makes the next Tick read the types again.
-func (t *Table) Refresh() { t.nextRead = t.host.Now() }
+func (t *Table) Refresh() { t.cloud.nextAt = t.host.Now() }
 
-// Tick keeps the table up to date. An empty table is filled from the key-value store, or else from
-// the cloud. After that an owner fetches the types from the cloud periodically, another node once.
+// Tick keeps the table up to date. An empty table is filled from the copy, or else from the cloud. After
+// that every node reads the types from the cloud periodically, but for an owner that recovers: it does so
+// as soon as it is active.
 func (t *Table) Tick() {
-	if t.reading || t.host.Now() < t.nextRead {
-		return
-	}
-	t.nextRead = t.host.Now() + retryDelay
+	t.expireConfirmations()
 	switch {
+	case t.cloud.reading || t.host.Now() < t.cloud.nextAt:
 	case len(t.types) == 0:
-		t.readRecord()
-	case !t.host.OwnsTeams() && !t.fromCloud, t.host.IsActiveOwner():
-		t.fetch()
+		t.fillEmpty()
+	case !t.host.OwnsTeams() || t.host.IsActiveOwner():
+		t.readCloud()
 	}
 }
 
-// readRecord fills the empty table from the key-value store, or else from the cloud.
-func (t *Table) readRecord() {
-	t.reading = true
-	t.store.Get(budget.Leadership, record.MachineTypesKey, func(outcome kv.Outcome, entry kv.Entry) {
-		t.reading = false
-		var recorded wire.MachineTypes
-		if outcome == kv.OK && wire.Decode(entry.Value, &recorded) == nil {
-			t.Fill(recorded.Types())
-		}
-		if len(t.types) == 0 {
-			t.fetch()
+// fillEmpty fills the empty table from the copy, or else from the cloud.
+func (t *Table) fillEmpty() {
+	if t.copy.reading {
+		return
+	}
+	t.cloud.nextAt = t.host.Now() + retryDelay
+	t.readCopy(func() {
+		if len(t.types) == 0 && !t.cloud.reading {
+			t.readCloud()
 		}
 	})
 }
 
-// fetch reads the types from the cloud.
-func (t *Table) fetch() {
-	t.reading = true
-	t.host.FetchMachineTypes(func(status wire.Status, body []byte) {
-		t.reading = false
-		var response wire.MachineTypes
-		if status != wire.StatusOK || wire.Decode(body, &response) != nil {
-			return
+// set replaces the types. A change other than of prices is logged.
+func (t *Table) set(types []sched.MachineType, source Source, asOf micros.Micros) {
+	changed := !slices.EqualFunc(t.types, types, sameOffer)
+	t.types, t.source, t.asOf = types, source, asOf
+	if changed {
+		var names []string
+		for _, machineType := range types {
+			names = append(names, machineType.Name)
 		}
-		types := response.Types()
-		if len(types) == 0 {
-			return
-		}
-		t.types, t.fromCloud = types, true
-		t.nextRead = t.host.Now() + refreshInterval
-		t.record(response)
-	})
+		t.log.Info("machine types changed", "types", names, "source", source.String(), "age_us", int64(t.host.Now()-asOf))
+	}
 }
 
-// record writes the cloud's response to the key-value store, once per process, the
-// first time that this node owns teams.
-func (t *Table) record(response wire.MachineTypes) {
-	if !t.host.OwnsTeams() || t.recorded || kv.EncodedSizeBound(response) > t.maxValueBytes {
-		return
-	}
-	writes := []kv.Write{{Put: record.MachineTypesKey, Value: response}}
-	t.store.Do(budget.TaskUpdates, kv.Transaction(t.host.OwnerPreconditions(), writes), func(result kv.Result) {
-		t.recorded = t.recorded || result.Outcome == kv.OK
-	})
+// sameOffer reports whether two machine types are the same, but for prices and speed.
+func sameOffer(a, b sched.MachineType) bool {
+	return a.Name == b.Name && a.Size == b.Size && slices.Equal(a.Zones, b.Zones)
 }
