startGang queues the machines of a gang in the order of its tasks

Cause: the machines were queued in the order of a map of attempts. Change: in the order of the tasks.

--- a/internal/scheduler/assume.go
+++ b/internal/scheduler/assume.go
@@ -57,7 +57,7 @@
 	j.EverPlaced = true
 	s.log.Info("gang placed", "job", j.ID, "class", j.Class, "tasks", j.Tasks, "min_on_demand", j.MinOnDemandTasks,
 		"queued_s", math.Round((s.host.WallClock() - j.ReadyAt).Seconds()))
-	for _, a := range j.Attempts {
+	for _, a := range j.SortedAttempts() {
 		s.host.CommandsNeeded(a.Machine)
 	}
 }
