A status from 500 may have been executed; a changed predecessor is read; failed listings are logged

Symptom: as the failing tests say; failed listings of records and of the cloud left no trace. Cause: every status that the protocol does not list counted as a malformed request; setTeams compared the number of predecessors, which stays the same once the list is full. Change: statuses from 500, other than 503, are Unknown: the same transaction is sent again until it is certain. setTeams compares the lists. msg='records cannot be read', msg='machines of the cloud cannot be listed'.

--- a/controller/owner_teams.go
+++ b/controller/owner_teams.go
@@ -13,7 +13,7 @@
 	same := len(teams) == len(o.Teams)
 	for name, rec := range teams {
 		team := o.Teams[name]
-		if team == nil || len(team.Record.Predecessors) != len(rec.Predecessors) {
+		if team == nil || !slices.Equal(team.Record.Predecessors, rec.Predecessors) {
 			same = false
 			continue
 		}
--- a/internal/fleet/cloud_list.go
+++ b/internal/fleet/cloud_list.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"net/http"
 	"net/url"
@@ -26,6 +27,7 @@
 // cloudList is a reading of the cloud's list, page by page.
 type cloudList struct {
 	inProgress bool
+	failed     bool          // the last one was dropped
 	nextAt     micros.Micros // when the next reading may begin
 	machines   map[string]wire.ListedMachine
 }
@@ -61,7 +63,12 @@
 	l := &f.cloudListing
 	l.nextAt = f.now + max(f.settings.CloudListLag, minListInterval)
 	var page wire.MachineList
-	if status != wire.StatusOK || wire.Decode(body, &page) != nil {
+	err := decodePage(status, body, &page)
+	if err != nil && !l.failed {
+		f.log.Warn("machines of the cloud cannot be listed", "error", err)
+	}
+	l.failed = err != nil
+	if err != nil {
 		l.inProgress = false
 		return
 	}
@@ -76,6 +83,14 @@
 	f.applyCloudList(l.machines)
 }
 
+// decodePage decodes a page of the list.
+func decodePage(status wire.Status, body []byte, page *wire.MachineList) error {
+	if status != wire.StatusOK {
+		return fmt.Errorf("status %d", status)
+	}
+	return wire.Decode(body, page)
+}
+
 // applyCloudList compares the machines with the cloud's list, and adopts those that no owner
 // claims.
 func (f *Fleet) applyCloudList(list map[string]wire.ListedMachine) {
--- a/internal/kv/result.go
+++ b/internal/kv/result.go
@@ -109,5 +109,8 @@
 		}
 		return Unknown
 	}
+	if r.Status >= http.StatusInternalServerError { // nothing tells whether it was executed
+		return Unknown
+	}
 	return InvalidRequest
 }
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -137,6 +137,7 @@
 		switch {
 		case r.host.Superseded():
 		case err != nil:
+			r.log.Warn("records cannot be read", "prefix", prefix, "error", err)
 			r.reading, r.nextStart = false, r.host.Now()+r.retryDelay
 		default:
 			next(listing.Entries, listing.Revision)
