--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -30,6 +30,7 @@
 	changed   []string // machines whose entries changed
 	evicted   []string // tasks
 	requested []string // jobs for which machines were requested
+	commanded []string // machines that may need commands
 	inherited map[string]dag.Inheritance
 }
 
@@ -46,7 +47,7 @@
 
 func (h *fakeHost) EntryChanged(m *inventory.Machine) { h.changed = append(h.changed, m.Name) }
 
-func (h *fakeHost) CommandsNeeded(*inventory.Machine) {}
+func (h *fakeHost) CommandsNeeded(m *inventory.Machine) { h.commanded = append(h.commanded, m.Name) }
 
 func (h *fakeHost) CompletionUnrecorded(*inventory.Job, int) {}
 
