--- a/internal/recovery/adopted_machines_test.go
+++ b/internal/recovery/adopted_machines_test.go
@@ -11,6 +11,12 @@
 // on its machine: an owner adopted the machine in a block of its own, which has no attempts of its
 // tasks, and ended or restarted its recovery before it had seen that another owner's block has the
 // machine with a task.
+//
+// Why it was a fault: recovery took the entry of the newest block that names a machine. That of an
+// adopter had not been verified, so its version said nothing. Shown by this test ("the recorded attempt
+// of the task is forgotten") and, from outside, by TestAdoptionInterleavings in package controller:
+// "ran_twice: req-000006/0 starts on m-000005 while on m-000000". The version in production still writes
+// such blocks.
 func TestLoadKeepsAttemptsOfAdoptedMachines(t *testing.T) {
 	o := newTestOwner(t)
 	j := o.addJob("req-000001", 1, false)
