--- a/controller/faults_machine_types_test.go
+++ b/controller/faults_machine_types_test.go
@@ -1,9 +1,19 @@
 package controller
 
-import "slices"
+import (
+	"slices"
 
-// machineTypeCommands change what the cloud offers. The command types-without withdraws a type.
+	"tamarindlead/internal/wire"
+)
+
+// machineTypeCommands change what the cloud offers.
 var machineTypeCommands = commandTable{
+	// types-without withdraws a machine type.
+	"types-without": silent(func(c *command) {
+		name := c.text("name", "big")
+		withdrawn := func(machineType wire.MachineType) bool { return machineType.Name == name }
+		c.sim.cloud.Types = slices.DeleteFunc(slices.Clone(c.sim.cloud.Types), withdrawn)
+	}),
 	// types-with offers a machine type anew, of the size of the big one.
 	"types-with": silent(func(c *command) {
 		added := c.sim.cloud.Types[0]
--- a/controller/users_requests_test.go
+++ b/controller/users_requests_test.go
@@ -1,10 +1,7 @@
 package controller
 
 import (
-	"slices"
-
 	"tamarindlead/internal/ordered"
-	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
 )
 
@@ -64,10 +61,6 @@
 		c.sim.sendUnusualRequests()
 	}),
 	"burst": silent((*command).submitBurst),
-	"types-without": silent(func(c *command) { // a machine type is no longer offered
-		name := c.text("name", "big")
-		c.sim.cloud.Types = slices.DeleteFunc(slices.Clone(c.sim.cloud.Types), func(machineType wire.MachineType) bool { return machineType.Name == name })
-	}),
 	"end-of-day": silent(func(c *command) {
 		if c.sim.faultsEndedAt == 0 {
 			c.fail("a day ends after calm")
--- a/internal/kv/list_test.go
+++ b/internal/kv/list_test.go
@@ -40,6 +40,20 @@
 	}
 }
 
+// TestListingRevisions checks that a listing tells whether its pages were read at one revision.
+func TestListingRevisions(t *testing.T) {
+	for _, last := range []uint64{10, 20} {
+		client, host := newClient(100)
+		var listing Listing
+		client.ListAll("p/", func(l Listing, _ error) { listing = l })
+		host.respond(t, Response{Status: 200, Body: body(Page{Entries: []Entry{{Key: "p/1", Value: body(1)}}, More: true, Revision: 10})})
+		host.respond(t, Response{Status: 200, Body: body(Page{Entries: []Entry{{Key: "p/2", Value: body(1)}}, Revision: last})})
+		if listing.Revision != 10 || listing.LastRevision != last {
+			t.Errorf("revisions %d and %d, want 10 and %d", listing.Revision, listing.LastRevision, last)
+		}
+	}
+}
+
 func TestListAllFails(t *testing.T) {
 	client, host := newClient(100)
 	var err error
