--- a/internal/commit/adoption_test.go
+++ b/internal/commit/adoption_test.go
@@ -271,6 +271,31 @@
 	}
 }
 
+// TestAdoptedAgainDuringDeletion checks that a machine can be adopted while the deletion of its earlier
+// block is in flight, as after a recovery that found an announcement. Without that, the block kept the
+// revision of its deletion as its version, so the next announcement failed by its own precondition, and
+// the owner left the machine for ten seconds and reread its records: "version 9 of a record that is deleted".
+func TestAdoptedAgainDuringDeletion(t *testing.T) {
+	o := newSmallOwner(t)
+	o.settings.Teams = append(o.settings.Teams, config.Team{Name: "of another owner"})
+	b := o.NewBlock(inventory.AdoptedPrefix + adoptedMachine)
+	b.Version = 8
+	b.MarkDirty(o.now)
+	o.now += flushInterval
+	o.Flush()
+	o.addMachine(o.AdoptedBlock(adoptedMachine), inventory.MachineInfo{Name: adoptedMachine, Type: "mid", Zone: "a"}, 0)
+	o.answer(t, kv.OK, kv.TransactionResult{Revision: 9})
+	if b.Version != 0 {
+		t.Errorf("version %d of a record that is deleted", b.Version)
+	}
+	o.flushBlock(t, b.Name)
+	o.answer(t, kv.OK, kv.TransactionResult{Revision: 10})
+	o.nextCall(t).listed(kv.Listing{}, nil)
+	if m := o.inv.Machines[adoptedMachine]; m == nil || m.FencingToken != 10 {
+		t.Errorf("machine %+v, reactions %q", m, o.reactions)
+	}
+}
+
 // TestTwoAdopters checks that the owner that comes second drops the machine and goes on: the record
 // of the first one is none of its own. Without that it reread all its records for each such machine:
 //
