A block whose record is deleted has the version 0

Symptom: a machine that is adopted while the deletion of its earlier block is in flight, as after a recovery that found an announcement, is left for ten seconds, and its owner rereads all records. Change: the version is 0.

--- a/internal/commit/block_result.go
+++ b/internal/commit/block_result.go
@@ -12,6 +12,9 @@
 	}
 	now := w.pipeline.host.Now()
 	w.block.Version, w.block.Oversized = revision, false
+	if w.deletes() {
+		w.block.Version = 0
+	}
 	for _, m := range w.stored {
 		m.Recorded = true
 	}
--- a/internal/commit/block_write.go
+++ b/internal/commit/block_write.go
@@ -183,6 +183,9 @@
 	return true
 }
 
+// deletes reports whether the write deletes the record, since nothing is left in it.
+func (w *blockWrite) deletes() bool { return len(w.stored) == 0 && len(w.announced) == 0 }
+
 // addTo adds the write to a transaction.
 func (w *blockWrite) addTo(t *Transaction, value record.Block) {
 	b := w.block
@@ -190,7 +193,7 @@
 	b.Writing, b.Dirty = true, false
 	w.sources, b.Sources = b.Sources, nil
 	key := record.BlockKey(b.Name)
-	if len(w.stored) == 0 && len(w.announced) == 0 {
+	if w.deletes() {
 		t.Delete(key)
 	} else {
 		t.putSized(key, value, value.Size())
