--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -316,3 +316,15 @@
 		_ = os.RemoveAll(r.dir) // a temporary folder that stays does no harm
 	}
 }
+
+// CutMachines begins or ends a cut between all machines of a zone and everything else.
+func (r *Rig) CutMachines(zone string, on bool) {
+	r.Log("cut between the machines of %s and everything else: %t", zone, on)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range r.fleet.Workers {
+		if w.Machine.Zone == zone {
+			w.Partitioned = on
+		}
+	}
+}
--- a/review/rig/serve.go
+++ b/review/rig/serve.go
@@ -181,7 +181,7 @@
 	defer r.mu.Unlock()
 	w := r.fleet.Workers[machine]
 	switch {
-	case w == nil || w.Machine.Gone || len(r.cutFromWorkers) > 0:
+	case w == nil || w.Machine.Gone || w.Partitioned || len(r.cutFromWorkers) > 0:
 		return fake.Response{}, workerUnreachable
 	case w.Hung:
 		return fake.Response{}, workerHangs
@@ -202,7 +202,7 @@
 	}
 	w.HeartbeatSent(now, micros.FromSeconds(r.config.ReportS))
 	controller, epoch, body := w.Controller, w.AgentEpoch, wire.Encode(w.BuildHeartbeat())
-	cut := r.cutFromWorkers[controller]
+	cut := w.Partitioned || r.cutFromWorkers[controller]
 	go func() {
 		status, response := 0, []byte(nil)
 		if cut {
