--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -25,6 +26,7 @@
 // Main runs a case and exits with its verdict. machines adds the machines that are up at the start. do gets
 // a deployment whose controllers serve, and whether the disruption takes place.
 func Main(config Config, machines func(r *Rig, trouble bool), do func(r *Rig, trouble bool) int) {
+	runtime.LockOSThread() // see StartController
 	trouble := os.Getenv("TROUBLE") != "0"
 	r, err := New(config)
 	if err != nil {
--- a/review/rig/nodes.go
+++ b/review/rig/nodes.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 
 	"tamarindlead/internal/fake"
 )
@@ -127,6 +128,8 @@
 	defer func() { _ = logFile.Close() }() // the process keeps its own descriptor
 	n.command = exec.Command(r.runArgs[0], slices.Concat(r.runArgs[1:], []string{n.settings})...)
 	n.command.Stdout, n.command.Stderr = logFile, logFile
+	// The controller ends with the thread that starts it, which Main keeps until the end of the case.
+	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := n.command.Start(); err != nil {
 		return fmt.Errorf("controller: %w", err)
 	}
