--- a/review/rig/nodes.go
+++ b/review/rig/nodes.go
@@ -143,12 +143,6 @@
 	return nil
 }
 
-// KillController kills a controller and waits until it has ended.
-func (r *Rig) KillController(i int) {
-	r.Log("controller %s is killed", r.nodes[i].name)
-	r.nodes[i].kill()
-}
-
 func (n *node) kill() {
 	if n.command == nil {
 		return
--- a/review/rig/wait.go
+++ b/review/rig/wait.go
@@ -47,16 +47,6 @@
 	return result
 }
 
-// HasRoom reports whether a machine of a type that is up has room for one task of a job.
-func (r *Rig) HasRoom(job Job, machineType string) bool {
-	for _, room := range r.Rooms() {
-		if room.Type == machineType && room.FreeCPUs >= job.CPUs && room.FreeMem >= job.MemGB {
-			return true
-		}
-	}
-	return false
-}
-
 // WaitUntilDone polls a job until it is done, and reports whether it was done within the time.
 func (r *Rig) WaitUntilDone(job Job, within time.Duration) bool {
 	for begun, attempt := time.Now(), 0; time.Since(begun) < within; attempt++ {
