Log what a discarded owner leaves behind, and count tasks of cancelled jobs

Three explanations could not be told apart: 1. the owner drops the duty to terminate the machine together with its state; 2. the owner decides the termination, but the cloud is not asked; 3. the owner keeps its state, but does not take the machine for unresponsive.

Change: "owner discarded" with the cancelled tasks that may still be on machines, the age of the oldest of these cancellations and whether the key-value store is unavailable; "cancelled_tasks" in msg=work. After 1 the first line has cancelled_tasks above 0 and kv_unavailable=true; after 2 there is a line "machine state changed" with reason "cancellation overdue"; after 3 msg=work goes on with cancelled_tasks above 0.

--- a/controller/membership.go
+++ b/controller/membership.go
@@ -59,6 +59,7 @@
 func (c *Core) setOwner(o *owner) {
 	if c.owner != nil {
 		c.owner.workers.RefusePendingHeartbeats()
+		c.owner.logDiscarded(o != nil)
 	}
 	c.owner = o
 	c.updateRateLimits()
--- a/controller/status.go
+++ b/controller/status.go
@@ -107,5 +107,5 @@
 	lossesPerHour := o.c.spotRisk.PerSecond(o.c.cfg.Tuning.SpotLossesPerHour) * secondsPerHour
 	o.c.log.Info("work", "jobs", len(o.Queue), "pending_jobs", jobs, "pending_gangs", gangs, "pending_tasks", tasks,
 		"blocked_jobs", len(o.BlockedJobs), "assumed", o.Assumed, "blocks", len(o.commits.Blocks()), "segments", len(o.commits.Segments()),
-		"reservations", o.scheduler.ReservationCount(), "spot_losses_per_hour", math.Round(lossesPerHour*10)/10)
+		"reservations", o.scheduler.ReservationCount(), "cancelled_tasks", o.cancelledTasks().tasks, "spot_losses_per_hour", math.Round(lossesPerHour*10)/10)
 }
