A node leaves the cluster only once the store has confirmed it

Cause: an owner that workers cannot reach left the cluster at once, whatever became of the revocation of its lease. In an outage of the key-value store the revocation fails and no peer can take the teams over; the owner's state was dropped all the same, and with it the duty to have the hung machine deleted at 0.6 of cancel_s.

Change: the node remains a member until the store answers that the lease is gone, tries again every second, and does not leave unless another node is a member. If the revocation was executed without an answer, the next renewal shows it.

TestUnreachableNodeLeaves asserted that the node is absent as soon as it has sent the revocation, which is the fault; it now asserts that the node is a member until the confirmation and absent right after it, for both answers that confirm, and as before that it stays absent for leaveDuration.

--- a/internal/cluster/membership.go
+++ b/internal/cluster/membership.go
@@ -16,6 +16,8 @@
 	renewalsPerLease = 3
 	// renewRetryDelay is the delay before renewing again after a failure.
 	renewRetryDelay = 250 * micros.Millisecond
+	// leaveRetryDelay is the delay before the node tries again to leave.
+	leaveRetryDelay = micros.Second
 	// leaveDuration is how long a node stays absent after it left because workers cannot reach it.
 	leaveDuration = 20 * micros.Second
 )
@@ -53,6 +55,15 @@
 	renewing    bool   // a renewal is in flight
 	renewAt     micros.Micros
 	pausedUntil micros.Micros // earliest time to join
+	leaving     leaving
+}
+
+// leaving is the state of giving up membership because workers cannot reach the node.
+type leaving struct {
+	inFlight  bool          // the revocation of the lease is in flight
+	retryAt   micros.Micros // earliest time of the next revocation
+	requested bool          // a revocation was sent, and may be executed at any later time
+	failures  int           // revocations without a confirmation
 }
 
 // RecordVersion returns the last known version of this node's own record, or 0 if the node has
@@ -87,7 +98,7 @@
 		}
 	case memberJoined:
 		n.renew(now)
-		if n.host.UnreachableByWorkers() {
+		if n.host.UnreachableByWorkers() && n.view.hasMemberBesides(n.config.Node) {
 			n.leave(now)
 		}
 	case memberJoining: // the result of each call starts the next step
@@ -132,7 +143,7 @@
 			return
 		}
 		m := &n.membership
-		m.lease, m.version = lease, committed.Revision
+		m.lease, m.version, m.leaving = lease, committed.Revision, leaving{}
 		m.renewAt = now + n.renewInterval()
 		n.setMemberState(now, memberJoined, "joined")
 	})
@@ -162,7 +173,7 @@
 		case kv.OK:
 			m.renewAt = now + n.renewInterval()
 		case kv.NotFound:
-			n.setMemberState(now, memberAbsent, "lease expired")
+			n.handleLeaseGone(now)
 		default:
 			// During an outage of the key-value store, or if it refuses only this node's
 			// requests, the node does not know whether the lease has expired. It stays a
@@ -173,13 +184,49 @@
 	})
 }
 
+// handleLeaseGone ends membership because the key-value store has no lease of this node any more.
+func (n *Node) handleLeaseGone(now micros.Micros) {
+	if n.membership.leaving.requested && n.host.UnreachableByWorkers() {
+		n.endLeaving(now) // the revocation was executed, though its result did not arrive
+		return
+	}
+	n.setMemberState(now, memberAbsent, "lease expired")
+}
+
 // leave gives up membership, and thereby leadership and teams, so that a node that workers can
-// reach takes over.
+// reach takes over. A successor needs the key-value store, so the node remains a member until the
+// store has confirmed that its lease is gone: during an outage, nobody could take over what the
+// node has to do.
 func (n *Node) leave(now micros.Micros) {
-	n.log.Warn("leaving the cluster: workers reach a peer but not this node")
+	m := &n.membership
+	if m.leaving.inFlight || now < m.leaving.retryAt {
+		return
+	}
+	if !m.leaving.requested {
+		n.log.Warn("leaving the cluster: workers reach a peer but not this node")
+	}
+	m.leaving.inFlight, m.leaving.requested = true, true
+	lease := m.lease
+	n.kvClient.Call(kv.RevokeLease(lease), func(now micros.Micros, result kv.Result) {
+		if m.state != memberJoined || m.lease != lease {
+			return
+		}
+		m.leaving.inFlight = false
+		if result.Outcome == kv.OK || result.Outcome == kv.NotFound {
+			n.endLeaving(now)
+			return
+		}
+		m.leaving.retryAt = now + leaveRetryDelay
+		m.leaving.failures++
+		if m.leaving.failures == 1 {
+			n.log.Info("still a member: leaving is not confirmed", "outcome", result.Outcome.String())
+		}
+	})
+}
+
+// endLeaving ends membership after the key-value store has confirmed that the lease is gone.
+func (n *Node) endLeaving(now micros.Micros) {
 	n.membership.pausedUntil = now + leaveDuration
-	// If the call fails, the lease expires by itself.
-	n.kvClient.Call(kv.RevokeLease(n.membership.lease), func(micros.Micros, kv.Result) {})
 	n.setMemberState(now, memberAbsent, "unreachable by workers")
 }
 
--- a/internal/cluster/membership_test.go
+++ b/internal/cluster/membership_test.go
@@ -166,13 +166,96 @@
 	f.expectJoinAfter(joinRetryDelay)
 }
 
-func TestUnreachableNodeLeaves(t *testing.T) {
+// newUnreachableNode returns a fixture whose node leads, beside member n1, and is unreachable by workers.
+func newUnreachableNode(t *testing.T) *fixture {
+	t.Helper()
 	f := newFixture(t, testSettings("red"))
-	f.lead()
+	f.lead(memberEntry("n1", 1, 3), teamEntry("red", record.Team{Owner: "n0", Incarnation: f.node.Incarnation()}, 4))
 	f.kvClient.calls = nil
 	f.host.unreachable = true
+	return f
+}
+
+// expectMember checks that the node is a member, leads and owns its team.
+func (f *fixture) expectMember() {
+	f.t.Helper()
+	if f.node.membership.state != memberJoined || !f.node.IsLeader() || len(f.node.OwnTeams()) != 1 {
+		f.t.Errorf("state %s, leading %t, %d teams; want joined, true, 1",
+			f.node.membership.state, f.node.IsLeader(), len(f.node.OwnTeams()))
+	}
+}
+
+var revokeTarget = fmt.Sprintf("/leases/%d", testLease)
+
+// TestUnreachableNodeLeaves checks that an unreachable node gives up its teams when the store has
+// confirmed that its lease is gone, and stays absent for a while.
+func TestUnreachableNodeLeaves(t *testing.T) {
+	for _, outcome := range []kv.Outcome{kv.OK, kv.NotFound} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			f := newUnreachableNode(t)
+			f.tick(0)
+			revocation := f.expect("DELETE", revokeTarget)
+			f.expectMember()
+			f.tick(0)
+			f.expectNoCall() // one revocation at a time
+			f.fail(revocation, outcome)
+			f.expectAbsent()
+			f.expectJoinAfter(leaveDuration)
+		})
+	}
+}
+
+// TestNoLeavingWithoutConfirmation guards against an owner that gives up its teams during an outage of
+// the key-value store, when no peer can take over what it has to do (review case 4).
+func TestNoLeavingWithoutConfirmation(t *testing.T) {
+	for _, outcome := range []kv.Outcome{kv.Refused, kv.Throttled, kv.Unknown} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			f := newUnreachableNode(t)
+			f.tick(0)
+			f.fail(f.expect("DELETE", revokeTarget), outcome)
+			f.expectMember()
+			f.tick(leaveRetryDelay - 1)
+			f.expectNoCall()
+			f.tick(1)
+			f.fail(f.expect("DELETE", revokeTarget), kv.OK)
+			f.expectAbsent()
+			f.expectJoinAfter(leaveDuration)
+		})
+	}
+}
+
+// TestLeavingExecutedWithoutResult checks that a node whose revocation was executed, but got no result,
+// stays absent as after a confirmed one, unless workers reach it again.
+func TestLeavingExecutedWithoutResult(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		unreachable bool
+		wantPause   micros.Micros
+	}{
+		{"still unreachable", true, leaveDuration},
+		{"reachable again", false, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newUnreachableNode(t)
+			f.tick(0)
+			f.fail(f.expect("DELETE", revokeTarget), kv.Unknown)
+			f.host.unreachable = false
+			f.tick(testTTL / renewalsPerLease)
+			renewal := f.expect("POST", revokeTarget+"/extend")
+			f.host.unreachable = test.unreachable
+			f.fail(renewal, kv.NotFound)
+			f.expectAbsent()
+			f.tick(test.wantPause)
+			f.expect("GET", memberTarget)
+		})
+	}
+}
+
+// TestLastMemberStays checks that an unreachable node does not leave if no other node is a member.
+func TestLastMemberStays(t *testing.T) {
+	f := newUnreachableNode(t)
+	f.delete(record.MemberKey("n1"), leaderRevision+1)
 	f.tick(0)
-	f.expect("DELETE", fmt.Sprintf("/leases/%d", testLease))
-	f.expectAbsent()
-	f.expectJoinAfter(leaveDuration)
+	f.expectNoCall()
+	f.expectMember()
 }
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -79,6 +79,16 @@
 	return ok
 }
 
+// hasMemberBesides reports whether a node other than the given one is a member.
+func (v *View) hasMemberBesides(node string) bool {
+	for member := range v.members {
+		if member != node {
+			return true
+		}
+	}
+	return false
+}
+
 // Members returns the names of the nodes that are members, sorted.
 func (v *View) Members() []string { return slices.Sorted(maps.Keys(v.members)) }
 
