Keep what a discarded owner knew until another one has recovered it

A user is told that a job is cancelled, its machine hangs, and the key-value store goes down between the end of an owner's state and the next recovery: the task stays on the machine beyond cancel_s (ran_cancelled).

Cause: whatever ends an owner (leaving, a restart of the recovery, a new member record, a team taken over, a lost lease) dropped its state at once, on the assumption that somebody can read it from the records.

Change: Core.setOwner, the only place where an owner ends, passes the machines with tasks to the new package internal/handover. Sequence numbers are not renewed during an outage. Active owners list the usage of their teams in all peer heartbeats, not only if there are other owners; the messages are unchanged.

--- a/controller/cancellation_acks.go
+++ b/controller/cancellation_acks.go
@@ -22,6 +22,7 @@
 
 func (h cancellationHost) HandleCancelled(job string) {
 	h.c.graph.ForgetVersion(job)
+	h.c.handover.MarkCancelled(job, h.c.now)
 	if h.c.owner != nil {
 		h.c.owner.handleJobRemoved(job, h.c.now)
 	}
--- a/controller/core.go
+++ b/controller/core.go
@@ -13,6 +13,7 @@
 	"tamarindlead/internal/cluster"
 	"tamarindlead/internal/dag"
 	"tamarindlead/internal/frontend"
+	"tamarindlead/internal/handover"
 	"tamarindlead/internal/jobview"
 	"tamarindlead/internal/kv"
 	"tamarindlead/internal/machinetypes"
@@ -48,6 +49,8 @@
 	cluster *cluster.View // the view that node maintains
 	owner   *owner        // nil unless this node owns teams
 	numbers numberGenerator
+	// handover keeps what discarded owners of this node knew until other owners have recovered it.
+	handover *handover.Tracker
 
 	// Users' requests and the active jobs.
 	frontend      *frontend.Frontend
@@ -100,6 +103,7 @@
 	c.cluster = c.node.View()
 	c.peers = peers.New(cfg, peersHost{c})
 	c.cancellations = newCancellationTracker(c)
+	c.handover = handover.NewTracker(handoverHost{c}, cfg.CancellationDeadline, log)
 	c.budget = budget.New(budget.Limits{
 		Requests: cfg.KVRequestRate, Writes: cfg.KVWriteRate, MinWriteBurst: frontend.CancellationWrites + 1,
 	}, len(cfg.Siblings)+1)
@@ -152,6 +156,7 @@
 	c.jobView.Tick()
 	c.tickStatus()
 	c.cancellations.PruneCancelled(c.now)
+	c.handover.Tick(c.now)
 	if c.owner != nil {
 		c.owner.slowTick()
 	}
--- a/controller/machine_requests.go
+++ b/controller/machine_requests.go
@@ -148,10 +148,13 @@
 	return maxRatio
 }
 
-// addOwnerSummary adds this owner's job counts to a heartbeat and, if there are other owners, its
-// machines and the usage of its teams.
+// addOwnerSummary adds this owner's job counts, the usage of its teams and, if there are other owners, its
+// machines to a heartbeat. A team that is listed has an active owner: see handoverHost.Successor.
 func (o *owner) addOwnerSummary(heartbeat *peer.Heartbeat) {
 	heartbeat.Jobs = o.jobCounts()
+	if o.state == ownerActive {
+		heartbeat.Teams = o.teamUsage()
+	}
 	if o.commits.OwnsAllTeams() {
 		return // no other owner requests machines
 	}
@@ -161,8 +164,14 @@
 			heartbeat.IdleMachines = append(heartbeat.IdleMachines, &peer.IdleMachine{Type: m.Type, Zone: m.Zone, Spot: m.Spot})
 		}
 	}
+}
+
+// teamUsage returns the resources that this owner's teams use.
+func (o *owner) teamUsage() []*peer.TeamUsage {
+	var list []*peer.TeamUsage
 	for _, name := range ordered.Keys(o.Teams) {
 		used := scheduler.Usage(o.Teams[name]).Used
-		heartbeat.Teams = append(heartbeat.Teams, &peer.TeamUsage{Team: name, Cpu: used.CPU, Gpu: used.GPU})
+		list = append(list, &peer.TeamUsage{Team: name, Cpu: used.CPU, Gpu: used.GPU})
 	}
+	return list
 }
--- a/controller/membership.go
+++ b/controller/membership.go
@@ -55,11 +55,13 @@
 	return c.owner != nil && c.owner.allMachinesUnresponsive() && c.onlyPeersReachable()
 }
 
-// setOwner replaces the owner; nil ends the ownership. No other function changes the owner.
+// setOwner replaces the owner; nil ends the ownership. No other function changes the owner. What the earlier
+// owner knew of tasks on machines is retained until an owner has recovered it from the records.
 func (c *Core) setOwner(o *owner) {
 	if c.owner != nil {
 		c.owner.workers.RefusePendingHeartbeats()
 		c.owner.logDiscarded(o != nil)
+		c.retainTasks(c.owner)
 	}
 	c.owner = o
 	c.updateRateLimits()
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -90,7 +90,7 @@
 	if o.state != ownerActive {
 		return
 	}
-	if o.c.numbers.nearlyExhausted(o.c.node.RecordVersion()) {
+	if o.c.numbers.nearlyExhausted(o.c.node.RecordVersion()) && !o.c.store.Unavailable() {
 		o.c.node.Rejoin(o.c.now, "numbers are exhausted") // ends this owner
 		return
 	}
--- a/controller/scenario_commands_test.go
+++ b/controller/scenario_commands_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -162,6 +163,26 @@
 		}
 		return "started"
 	},
+	// run-until-no-owner runs until no node owns teams, as far as the nodes know.
+	"run-until-no-owner": silent(func(c *command) {
+		c.runUntil(60, simulationStep, func() bool { return c.sim.leader() < 0 })
+		if c.sim.leader() >= 0 {
+			c.fail("a node still owns teams")
+		}
+	}),
+	// run-until-recovering runs until an owner recovers its records.
+	"run-until-recovering": silent(func(c *command) {
+		recovering := func() bool {
+			return slices.ContainsFunc(c.sim.nodes, func(node *simNode) bool {
+				owner, active := node.ownership()
+				return node.up && owner != nil && !active
+			})
+		}
+		c.runUntil(60, simulationStep, recovering)
+		if !recovering() {
+			c.fail("no owner recovers its records")
+		}
+	}),
 	// faults-ended marks the end of the faults: from then on, the rules about delays are checked too.
 	"faults-ended": silent(func(c *command) { c.sim.faultsEndedAt = c.sim.now }),
 }
--- a/controller/worker_heartbeats.go
+++ b/controller/worker_heartbeats.go
@@ -46,6 +46,7 @@
 		return
 	}
 	c.workerHeartbeats.record(c.now)
+	c.handover.ObserveHeartbeat(heartbeat.Machine, heartbeat.AgentEpoch)
 	switch {
 	case c.owner != nil:
 		c.owner.workers.HandleHeartbeat(r.ID, heartbeat)
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -135,6 +135,15 @@
 	return ""
 }
 
+// NewerOwner returns the live node that owns a team by a record that is newer than the given version, or "".
+func (v *View) NewerOwner(team string, version uint64) string {
+	record := v.teams[team]
+	if record.Version <= version || !v.IsLive(record.OwnerID()) {
+		return ""
+	}
+	return record.Owner
+}
+
 // HasSuccessor reports whether an owner still owns a team, or the current owner of a team is its
 // successor.
 func (v *View) HasSuccessor(owner record.OwnerID) bool {
--- a/internal/cluster/view_test.go
+++ b/internal/cluster/view_test.go
@@ -44,6 +44,15 @@
 	if got := view.FirstOwner(); got != "n1" {
 		t.Errorf("first owner %q; want n1, because the owner of blue is not a member", got)
 	}
+	for _, test := range []struct {
+		team    string
+		version uint64
+		want    string
+	}{{"red", 8, "n1"}, {"red", 9, ""}, {"blue", 7, ""}, {"green", 0, ""}} {
+		if got := view.NewerOwner(test.team, test.version); got != test.want {
+			t.Errorf("owner of %s newer than %d is %q, want %q", test.team, test.version, got, test.want)
+		}
+	}
 	for id, want := range map[record.OwnerID]bool{"n0/1": true, "n2/5": true, "n1/4": true, "n2/4": false} {
 		if view.HasSuccessor(id) != want {
 			t.Errorf("HasSuccessor(%s) is %t", id, !want)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -1,6 +1,8 @@
 package peers
 
 import (
+	"slices"
+
 	"tamarindlead/config"
 	"tamarindlead/internal/peer"
 	"tamarindlead/micros"
@@ -69,6 +71,28 @@
 	return p.firstReachable(func(*node) bool { return true }) != nil
 }
 
+// IsReachable reports whether a peer is reachable.
+func (p *Peers) IsReachable(name string) bool {
+	n := p.byName[name]
+	return n != nil && n.reachable(p.host.Now())
+}
+
+// IsActiveOwner reports whether a reachable peer is the active owner of a team, as far as the peer knows.
+func (p *Peers) IsActiveOwner(name, team string) bool {
+	n := p.byName[name]
+	return n != nil && n.reachable(p.host.Now()) && n.isActiveOwner(team)
+}
+
+// AnyActiveOwner reports whether any reachable peer is the active owner of a team, as far as the peer knows.
+func (p *Peers) AnyActiveOwner(team string) bool {
+	return p.firstReachable(func(n *node) bool { return n.isActiveOwner(team) }) != nil
+}
+
+// isActiveOwner reports whether the latest heartbeat of a peer lists a team. Only active owners list teams.
+func (n *node) isActiveOwner(team string) bool {
+	return slices.ContainsFunc(n.teams, func(usage *peer.TeamUsage) bool { return usage.Team == team })
+}
+
 // AnyReachableOutside reports whether a peer outside a zone is reachable.
 func (p *Peers) AnyReachableOutside(zone string) bool {
 	return p.firstReachable(func(n *node) bool { return n.Zone != zone }) != nil
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -153,12 +153,16 @@
 			idle, teams := p.OwnerSummary("n2")
 			for what, got := range map[string]bool{
 				"reachable": p.AnyReachable(), "outside zone a": p.AnyReachableOutside("a"),
+				"n2 reachable": p.IsReachable("n2"), "active owner": p.IsActiveOwner("n2", "red"), "any active owner": p.AnyActiveOwner("red"),
 				"receives heartbeats": p.AnyReceivesHeartbeats(), "idle machines": len(idle) == 1, "teams": len(teams) == 1,
 			} {
 				if got != c.valid {
 					t.Errorf("%s: %v, want %v", what, got, c.valid)
 				}
 			}
+			if p.IsReachable("n1") || p.IsActiveOwner("n1", "red") || p.AnyActiveOwner("blue") {
+				t.Error("a silent peer is reachable, or a team has an owner that no peer reports")
+			}
 			if p.AnyReachableOutside("b") || p.Claimant("m2") != "" {
 				t.Error("a peer in zone a is reachable, or a machine that no peer owns has a claimant")
 			}
