--- a/internal/handover/tracker.go
+++ b/internal/handover/tracker.go
@@ -127,7 +127,7 @@
 			clear(d.machines)
 		case t.resume(d):
 			t.log.Info("discarded owner's machines handed over", "successor", "this node")
-		case !successor.canAct():
+		default:
 			due = append(due, t.overdue(d, now)...)
 		}
 	}
