Handover test: the deadline where it is used, and a corrected comment

The comment on the command terminate said that it takes what is due; it takes a machine whether it is due or not, to check the assertion. go test ./internal/handover passes.

--- a/internal/handover/tracker_test.go
+++ b/internal/handover/tracker_test.go
@@ -15,8 +15,6 @@
 	"tamarindlead/micros"
 )
 
-const testDeadline = 40 * micros.Second
-
 // fakeHost is a Host whose answers the scenario sets. It records what the tracker asks of it.
 type fakeHost struct {
 	successor            Successor
@@ -61,7 +59,7 @@
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd == "new" {
 				host := &fakeHost{successor: SuccessorNone}
-				s = &scenario{host: host, tracker: NewTracker(host, testDeadline, slog.New(slog.NewTextHandler(io.Discard, nil)))}
+				s = &scenario{host: host, tracker: NewTracker(host, 40*micros.Second, slog.New(slog.NewTextHandler(io.Discard, nil)))}
 			}
 			return s.execute(t, d)
 		})
@@ -103,7 +101,7 @@
 		var epoch uint64
 		d.ScanArgs(t, "epoch", &epoch)
 		s.tracker.ObserveHeartbeat(d.CmdArgs[0].Key, epoch)
-	case "terminate": // whatever is due
+	case "terminate": // whether it is due or not
 		s.tracker.terminate([]string{d.CmdArgs[0].Key}, s.now)
 	case "new":
 	default:
