Known fault: a late copy of an answered start command starts a forgotten attempt

What callers saw (incident, rule ran_twice): a task that had failed on one machine and was placed on another one started once more on the first, by a copy of the call that had started it there before. The copy came 0.25 s after the worker had been made to forget the attempt, with the same fencing token and session.

The simulator keeps direct commands that a worker has executed and answered, and delivers copies of them.

--- a/controller/scenario_commands_test.go
+++ b/controller/scenario_commands_test.go
@@ -26,7 +26,7 @@
 var scenarioCommands = mergeCommands(
 	timeCommands, jobCommands, queryCommands, nodeCommands, machineCommands, kvFaultCommands,
 	responseDelayCommands, userCommands, pipelineCommands, productionCommands, workerFaultCommands, adoptionCommands,
-	machineTypeCommands,
+	machineTypeCommands, lateCommandCommands,
 )
 
 func mergeCommands(tables ...commandTable) commandTable {
--- a/controller/scenario_machines_test.go
+++ b/controller/scenario_machines_test.go
@@ -1,6 +1,11 @@
 package controller
 
-import "tamarindlead/micros"
+import (
+	"slices"
+
+	"tamarindlead/internal/wire"
+	"tamarindlead/micros"
+)
 
 // machineCommands cause faults of machines and of the cloud.
 var machineCommands = commandTable{
@@ -20,7 +25,7 @@
 }
 
 // targetMachines returns the machines that a command selects by count, share, zone or name. The name may
-// also be "all" or "busiest".
+// also be "all", "busiest" or "running", for the machines that run tasks of a job.
 func (c *command) targetMachines() []string {
 	c.t.Helper()
 	if selected := c.selectMachines(); selected != nil {
@@ -30,6 +35,8 @@
 	switch name := c.text("name", names[0]); name {
 	case "all":
 		return names
+	case "running":
+		return slices.DeleteFunc(names, func(name string) bool { return !c.sim.runsJob(name, c.jobID()) })
 	case "busiest":
 		return []string{c.busiestMachine(names)}
 	default:
@@ -37,6 +44,16 @@
 	}
 }
 
+// runsJob reports whether a task of a job is on a machine.
+func (sim *simulation) runsJob(machine, job string) bool {
+	for task, name := range sim.runningOn {
+		if id, _, _ := wire.SplitTaskName(task); name == machine && id == job {
+			return true
+		}
+	}
+	return false
+}
+
 // busiestMachine returns the machine with the most tasks, the first of them if there are several.
 func (c *command) busiestMachine(names []string) string {
 	c.t.Helper()
--- a/controller/simulation_network_test.go
+++ b/controller/simulation_network_test.go
@@ -229,7 +229,11 @@
 		return
 	}
 	if respond = sim.delayCommand(call, respond); respond != nil {
-		respond(sim.executeAtWorker(worker, call))
+		response := sim.executeAtWorker(worker, call)
+		respond(response)
+		if node.productionCore == nil && call.Target == wire.PathCommands && response.Status == wire.StatusOK {
+			sim.lateCommands.copyLater(sim, answeredCommand{worker, call})
+		}
 	}
 }
 
--- a/controller/simulation_test.go
+++ b/controller/simulation_test.go
@@ -31,10 +31,11 @@
 	taskLedger
 	messageFaults
 	workerFaults
-	kvFaults   kvFaults
-	users      userLoad
-	pipelines  pipelineState
-	nextLimits nextLimits
+	kvFaults     kvFaults
+	lateCommands lateCommands
+	users        userLoad
+	pipelines    pipelineState
+	nextLimits   nextLimits
 
 	production *productionProcess // runs the nodes of the production version
 	onMessage  func(body []byte)  // called with each peer message
@@ -102,6 +103,7 @@
 	peerDelayStream  = 8
 	// responseDelayStream generates the response delays of a fault pair run.
 	responseDelayStream = 9
+	lateCommandStream   = 10
 )
 
 const (
@@ -111,16 +113,17 @@
 
 func newSimulation(seed uint64, cfg *config.Settings) *simulation {
 	sim := &simulation{
-		now:        micros.Hour,
-		rng:        rand.New(rand.NewPCG(seed, simulationStream)),
-		cfg:        cfg,
-		kvStore:    fake.NewKVStore(),
-		cloud:      fake.NewCloud(),
-		jobLedger:  newJobLedger(),
-		taskLedger: taskLedger{runningOn: map[string]string{}, exitsByCause: map[string]int{}},
-		kvFaults:   newKVFaults(seed),
-		users:      newUserLoad(seed),
-		pipelines:  newPipelineState(seed),
+		now:          micros.Hour,
+		rng:          rand.New(rand.NewPCG(seed, simulationStream)),
+		cfg:          cfg,
+		kvStore:      fake.NewKVStore(),
+		cloud:        fake.NewCloud(),
+		jobLedger:    newJobLedger(),
+		taskLedger:   taskLedger{runningOn: map[string]string{}, exitsByCause: map[string]int{}},
+		kvFaults:     newKVFaults(seed),
+		lateCommands: lateCommands{rng: rand.New(rand.NewPCG(seed, lateCommandStream))},
+		users:        newUserLoad(seed),
+		pipelines:    newPipelineState(seed),
 	}
 	sim.fleet = fake.NewFleet(fake.FleetTimeouts{Lease: cfg.WorkerLease, GangPeerTimeout: cfg.GangFailureTimeout, GangWaitTimeout: cfg.GangStartTimeout})
 	sim.fleet.Info, sim.fleet.OnStart, sim.fleet.OnExit, sim.fleet.OnDone = sim.taskInfo, sim.onTaskStart, sim.onTaskExit, sim.onTaskCompleted
--- a/internal/fake/worker_commands.go
+++ b/internal/fake/worker_commands.go
@@ -43,6 +43,9 @@
 	return newResponse(wire.StatusOK, w.BuildHeartbeat())
 }
 
+// Knows reports whether the worker has an attempt of a task, in any phase.
+func (w *Worker) Knows(task string, attempt uint64) bool { return w.findAttempt(task, attempt) != nil }
+
 // findAttempt returns an attempt of a task in any phase, including refused and past ones, or nil.
 func (w *Worker) findAttempt(task string, attempt uint64) *Task {
 	if t := w.Tasks[task]; t != nil && t.Attempt == attempt {
