Log and count the starts of attempts that were closed before

Nothing told the controllers or the operators of the incident that a closed attempt ran again: the worker reported it, the owner had no such attempt and stopped it in silence.

When a machine reports one of them as fetching, waiting or running, it logs "closed attempt started again" with the task, attempt, machine, token and time since it was closed, and counts it in restarted_attempts of the status line.

--- a/controller/core.go
+++ b/controller/core.go
@@ -66,6 +66,9 @@
 	counters counters
 	// violations is the number of violated invariants since the node started.
 	violations int
+	// restartedAttempts is the number of closed attempts that machines have started again, since the
+	// node started.
+	restartedAttempts int
 }
 
 // outboundCalls are the calls whose results are outstanding.
--- a/controller/inventory_adapter.go
+++ b/controller/inventory_adapter.go
@@ -21,6 +21,8 @@
 	h.o.commits.MarkChunkDirty(j, chunk)
 }
 
+func (h inventoryHost) AttemptClosed(a *inventory.Attempt) { h.o.workers.AttemptClosed(a) }
+
 func (h inventoryHost) CommandsNeeded(m *inventory.Machine) { h.o.workers.QueueDispatch(m) }
 
 // forgetMachine removes a machine that was terminated or belongs to another block or owner, and refuses
--- a/controller/status.go
+++ b/controller/status.go
@@ -33,7 +33,7 @@
 	c.log.Info("status", "events", n.events, "heartbeats", n.heartbeats, "lookups", c.frontend.TakeLookupCount(), "calls", n.calls,
 		"open_calls", len(c.calls.pending), "kv_requests", usage.Requests, "kv_writes", usage.Writes, "refused", n.refused,
 		"dropped", n.dropped, "pending_submissions", c.frontend.PendingSubmissions(), "violations", c.violations,
-		"retained_machines", c.handover.MachineCount(),
+		"restarted_attempts", c.restartedAttempts, "retained_machines", c.handover.MachineCount(),
 		"types_source", typesSource.String(), "types_age_s", math.Round(typesAge.Seconds()))
 	*n = counters{loggedAt: c.now}
 	if c.owner != nil && c.owner.state == ownerActive {
--- a/controller/workers_adapter.go
+++ b/controller/workers_adapter.go
@@ -71,4 +71,6 @@
 	return h.o.scheduler.EstimatedRunTime(j)
 }
 
+func (h workersHost) RecordRestartedAttempt() { h.o.c.restartedAttempts++ }
+
 func (h workersHost) RecordSpotReclaimed(m *inventory.Machine) { h.o.scheduler.RecordSpotReclaimed(m) }
--- a/internal/commit/fixtures_test.go
+++ b/internal/commit/fixtures_test.go
@@ -144,6 +144,7 @@
 // The methods of inventory.Host.
 
 func (o *testOwner) EntryChanged(m *inventory.Machine)                { o.MarkDirty(m) }
+func (o *testOwner) AttemptClosed(*inventory.Attempt)                 {}
 func (o *testOwner) CompletionUnrecorded(j *inventory.Job, chunk int) { o.MarkChunkDirty(j, chunk) }
 func (o *testOwner) CommandsNeeded(*inventory.Machine)                {}
 
--- a/internal/fleet/host_test.go
+++ b/internal/fleet/host_test.go
@@ -106,6 +106,7 @@
 func (*fakeHost) RecordSpotUptime(micros.Micros)                     {}
 func (*fakeHost) RecordSpotReclaimed(*inventory.Machine)             {}
 func (*fakeHost) EntryChanged(*inventory.Machine)                    {}
+func (*fakeHost) AttemptClosed(*inventory.Attempt)                   {}
 func (*fakeHost) CompletionUnrecorded(*inventory.Job, int)           {}
 func (*fakeHost) CommandsNeeded(*inventory.Machine)                  {}
 
--- a/internal/inventory/attempt.go
+++ b/internal/inventory/attempt.go
@@ -83,9 +83,18 @@
 	Index int
 }
 
+// AttemptKey identifies an attempt among those of one machine.
+type AttemptKey struct {
+	TaskKey
+	Number uint64
+}
+
 // Key returns the key of the attempt's task.
 func (a *Attempt) Key() TaskKey { return TaskKey{a.Job.ID, a.Index} }
 
+// AttemptKey returns the key of the attempt.
+func (a *Attempt) AttemptKey() AttemptKey { return AttemptKey{a.Key(), a.Number} }
+
 // TaskName returns the name of the attempt's task on the wire.
 func (a *Attempt) TaskName() string { return wire.TaskName(a.Job.ID, a.Index) }
 
--- a/internal/inventory/fixtures_test.go
+++ b/internal/inventory/fixtures_test.go
@@ -23,6 +23,8 @@
 	h.calls = append(h.calls, fmt.Sprintf("completion in chunk %d of %s", chunk, j.ID))
 }
 
+func (h *recordingHost) AttemptClosed(*Attempt) {}
+
 func (h *recordingHost) CommandsNeeded(m *Machine) {
 	h.calls = append(h.calls, "commands for "+m.Name)
 }
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -18,6 +18,8 @@
 	// CompletionUnrecorded is called when the completion of a task in a chunk of a job must be
 	// recorded.
 	CompletionUnrecorded(j *Job, chunk int)
+	// AttemptClosed is called when an attempt is closed.
+	AttemptClosed(a *Attempt)
 	// CommandsNeeded is called when a machine may need commands.
 	CommandsNeeded(m *Machine)
 }
--- a/internal/inventory/inventory_attempts.go
+++ b/internal/inventory/inventory_attempts.go
@@ -115,6 +115,7 @@
 		}
 	}
 	inv.SchedulingNeeded = true
+	inv.host.AttemptClosed(a)
 }
 
 // AddAttempt adds an attempt in a state, and counts the resources that it uses.
--- a/internal/recovery/fixtures_test.go
+++ b/internal/recovery/fixtures_test.go
@@ -65,6 +65,8 @@
 
 func (o *testOwner) EntryChanged(*inventory.Machine) {}
 
+func (o *testOwner) AttemptClosed(*inventory.Attempt) {}
+
 func (o *testOwner) CompletionUnrecorded(*inventory.Job, int) {}
 
 func (o *testOwner) CommandsNeeded(m *inventory.Machine) { o.record("command " + m.Name) }
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -49,6 +49,8 @@
 
 func (h *fakeHost) CommandsNeeded(m *inventory.Machine) { h.commanded = append(h.commanded, m.Name) }
 
+func (h *fakeHost) AttemptClosed(*inventory.Attempt) {}
+
 func (h *fakeHost) CompletionUnrecorded(*inventory.Job, int) {}
 
 func (h *fakeHost) Evict(a *inventory.Attempt, reason string) {
--- a/internal/workers/host.go
+++ b/internal/workers/host.go
@@ -61,6 +61,8 @@
 	RecordRunTime(a *inventory.Attempt)
 	// EstimatedRunTime returns the estimated run time of a job's tasks.
 	EstimatedRunTime(j *inventory.Job) micros.Micros
+	// RecordRestartedAttempt records that a machine has started an attempt again that was closed.
+	RecordRestartedAttempt()
 	// RecordSpotReclaimed records that the cloud reclaims a spot machine.
 	RecordSpotReclaimed(m *inventory.Machine)
 }
--- a/internal/workers/host_test.go
+++ b/internal/workers/host_test.go
@@ -26,14 +26,15 @@
 	overdue            map[string]bool
 	estimatedRunTime   micros.Micros
 
-	responses    []fakeResponse
-	calls        []fakeCall
-	violations   []string
-	restarts     []string
-	adopted      []string
-	runTimes     int
-	spotReclaims int
-	dirty        []string
+	responses         []fakeResponse
+	calls             []fakeCall
+	violations        []string
+	restarts          []string
+	adopted           []string
+	runTimes          int
+	restartedAttempts int
+	spotReclaims      int
+	dirty             []string
 }
 
 // fakeResponse is a response to or refusal of a heartbeat.
@@ -95,6 +96,8 @@
 
 func (h *fakeHost) EstimatedRunTime(*inventory.Job) micros.Micros { return h.estimatedRunTime }
 
+func (h *fakeHost) RecordRestartedAttempt() { h.restartedAttempts++ }
+
 func (h *fakeHost) RecordSpotReclaimed(*inventory.Machine) { h.spotReclaims++ }
 
 // fakeInventoryHost handles notifications of changes in the inventory in the same way as an owner.
@@ -102,6 +105,7 @@
 
 func (h fakeInventoryHost) EntryChanged(m *inventory.Machine)        { h.dirty = append(h.dirty, m.Name) }
 func (h fakeInventoryHost) CompletionUnrecorded(*inventory.Job, int) {}
+func (h fakeInventoryHost) AttemptClosed(a *inventory.Attempt)       { h.manager.AttemptClosed(a) }
 func (h fakeInventoryHost) CommandsNeeded(m *inventory.Machine)      { h.manager.QueueDispatch(m) }
 
 // newFakeHost returns the host of an active owner, with a manager and an empty inventory.
--- a/internal/workers/manager.go
+++ b/internal/workers/manager.go
@@ -21,6 +21,8 @@
 	dispatchQueue []*inventory.Machine
 	// callsInFlight is the number of requests to workers in flight.
 	callsInFlight int
+	// closed holds the attempts that were closed last.
+	closed closedAttempts
 }
 
 // New returns a manager for an owner that has not received any heartbeats yet.
--- a/internal/workers/reconciliation.go
+++ b/internal/workers/reconciliation.go
@@ -24,6 +24,7 @@
 		key := inventory.TaskKey{Job: id, Index: index}
 		a := m.Attempts[key]
 		if a == nil || a.Number != task.Attempt {
+			w.checkClosed(m, inventory.AttemptKey{TaskKey: key, Number: task.Attempt}, task)
 			continue
 		}
 		reported[key] = true
