Have a worker forget an attempt only under a higher token than its start

Cause: a check in one path and not in another. A worker ignores a repeated start of an attempt that it knows, and refuses commands with a lower token. An owner had it forget an attempt as soon as no command was unanswered, under the token of the start. From then on neither protected it: a late copy of the answered start command started the attempt again, on the knowledge of an owner that had closed it.

Fix: an attempt whose start command was sent directly may be forgotten only under a higher fencing token, or after the agent has restarted (Machine.MayForget, the only place that decides; every outgoing command is checked against it again, permittedCommands). The token is raised to the revision of the write of the machine's block that removes the attempt, so nothing more is written, and no start waits: a command with the higher token lets the worker refuse the copy and forget the attempt at once. Heartbeats with any token since the claim count as confirmed, so a raised token delays nothing. A completed task is forgotten with the next write of its block; until then its exit stays in the heartbeats. No bound on how late a copy is enters.

Fixtures of tests claim machines with Claim instead of setting the token; "token not confirmed" of TestReconcileMissing has a claim's token, as in the program.

--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -39,7 +39,8 @@
 	}
 	for i := range benchMachines {
 		m := o.newMachine(inventory.MachineInfo{Name: fmt.Sprintf("m-%06d", i), Type: "mid", Zone: o.c.cfg.Zones[i%2], Spot: i%3 == 0, Endpoint: "worker"})
-		m.FencingToken, m.AgentEpoch, m.TokenConfirmed, m.TokenConfirmedAt, m.LastHeartbeat, m.State = 1, 1, true, o.c.now, o.c.now, inventory.MachineReady
+		m.Claim(1)
+		m.AgentEpoch, m.TokenConfirmed, m.TokenConfirmedAt, m.LastHeartbeat, m.State = 1, true, o.c.now, o.c.now, inventory.MachineReady
 		for n := range benchTasks {
 			at := i*benchTasks + n
 			j := o.Queue[at/100]
--- a/controller/fault_pairs_test.go
+++ b/controller/fault_pairs_test.go
@@ -121,6 +121,10 @@
 	jobStateDeadline   = 25 * micros.Second  // after all jobs are terminal, all nodes respond about them within this time
 	completionDeadline = 300 * micros.Second // after the faults, all jobs reach a terminal state within this time
 	maxSchedulingDelay = 90 * micros.Second  // after the faults, a job that can be scheduled is not pending for longer
+
+	lateCommandShare    = 0.5                     // of the answered direct commands a copy arrives later
+	minLateCommandDelay = 50 * micros.Millisecond // shortest delay of the copy
+	maxLateCommandDelay = 60 * micros.Second      // longest delay, four leases of a worker
 )
 
 func newFaultPairRun(seed uint64) *faultPairRun {
@@ -135,6 +139,7 @@
 	cfg.Tuning.SpreadTeams = rng.IntN(2) == 0
 	sim := newSimulation(seed, cfg)
 	run.sim = sim
+	sim.lateCommands.share, sim.lateCommands.minDelay, sim.lateCommands.maxDelay = lateCommandShare, minLateCommandDelay, maxLateCommandDelay
 	sim.cloud.Now = sim.now
 	bootSeconds := []float64{1, 10}[rng.IntN(2)]
 	spots := 2 * rng.IntN(2)
@@ -261,5 +266,6 @@
 
 func (run *faultPairRun) summary() string {
 	sim := run.sim
-	return fmt.Sprintf("%v: %d tasks started, %d of them after an acknowledged cancellation; %d jobs submitted, %d cancelled", sim.now-micros.Hour, sim.startedTasks, sim.users.startsAfterCancel, len(sim.submitted), len(sim.acknowledgedCancellations))
+	return fmt.Sprintf("%v: %d tasks started, %d of them after an acknowledged cancellation; %d jobs submitted, %d cancelled; %d late copies of commands delivered, which started %d tasks",
+		sim.now-micros.Hour, sim.startedTasks, sim.users.startsAfterCancel, len(sim.submitted), len(sim.acknowledgedCancellations), sim.lateCommands.delivered, sim.lateCommands.started)
 }
--- a/controller/limits_test.go
+++ b/controller/limits_test.go
@@ -121,7 +121,8 @@
 	}
 	for i := range 30 {
 		m := o.newMachine(inventory.MachineInfo{Name: fmt.Sprintf("m-%06d", i), Type: "mid", Zone: o.c.cfg.Zones[0], Spot: false, Endpoint: "worker"})
-		m.FencingToken, m.AgentEpoch, m.TokenConfirmed, m.TokenConfirmedAt, m.LastHeartbeat, m.State = 1, 1, true, o.c.now, o.c.now, inventory.MachineReady
+		m.Claim(1)
+		m.AgentEpoch, m.TokenConfirmed, m.TokenConfirmedAt, m.LastHeartbeat, m.State = 1, true, o.c.now, o.c.now, inventory.MachineReady
 	}
 	for range 20 {
 		o.SchedulingNeeded = true
@@ -207,7 +208,8 @@
 	const machines, tasksEach = 30, 14
 	for i := range machines {
 		m := o.newMachine(inventory.MachineInfo{Name: fmt.Sprintf("m-%06d", i*7919), Type: "mid", Zone: "a", Spot: false, Endpoint: fmt.Sprintf("10.1.%d.%d:9000", i*37%256, i*91%256)})
-		m.FencingToken, m.AgentEpoch, m.TokenConfirmed, m.LastHeartbeat, m.State = uint64(1000+i*4711), 1, true, o.c.now, inventory.MachineReady
+		m.Claim(uint64(1000 + i*4711))
+		m.AgentEpoch, m.TokenConfirmed, m.LastHeartbeat, m.State = 1, true, o.c.now, inventory.MachineReady
 	}
 	o.SchedulingNeeded = true
 	o.scheduler.Schedule()
--- a/controller/machine_transfers.go
+++ b/controller/machine_transfers.go
@@ -182,7 +182,8 @@
 	o.recovery.RecoverMachine(block, data, &data.Machines[0])
 	m := block.Machines[0]
 	o.fleet.ClearOwnedElsewhere(m.Name)
-	m.FencingToken, m.Dirty, m.Recovered, block.Dirty = version, false, true, false
+	m.Claim(version)
+	m.Dirty, m.Recovered, block.Dirty = false, true, false
 	m.TokenConfirmedAt = o.c.now
 	o.c.log.Info("machine transfer accepted", "machine", m.Name, "type", m.Type, "zone", m.Zone)
 }
--- a/controller/owner_state_test.go
+++ b/controller/owner_state_test.go
@@ -142,7 +142,8 @@
 			o.state, o.activeSince, o.c.now = test.state, test.since, now
 			for i, last := range test.last {
 				m := o.newMachine(inventory.MachineInfo{Name: fmt.Sprintf("m-%06d", i), Type: "mid", Zone: "a"})
-				m.State, m.LastHeartbeat, m.FencingToken, m.AgentEpoch = inventory.MachineReady, last, 7, 1
+				m.Claim(7)
+				m.State, m.LastHeartbeat, m.AgentEpoch = inventory.MachineReady, last, 1
 			}
 			m := o.newMachine(inventory.MachineInfo{Name: "m-booting", Type: "mid", Zone: "a"})
 			m.LastHeartbeat = now // set at its launch; no heartbeat is expected of a booting machine
--- a/controller/workers_adapter_test.go
+++ b/controller/workers_adapter_test.go
@@ -16,7 +16,8 @@
 	core.setOwner(o)
 	o.setState(ownerActive)
 	m := o.newMachine(inventory.MachineInfo{Name: "m-000001", Type: "small", Zone: "a", Endpoint: "worker:m-000001"})
-	m.State, m.FencingToken, m.TokenConfirmed, m.Recorded = inventory.MachineReady, 7, true, true
+	m.Claim(7)
+	m.State, m.TokenConfirmed, m.Recorded = inventory.MachineReady, true, true
 	j := inventory.NewJob(&sched.Job{ID: "req-000001", Team: "red", Tasks: 1, Need: sched.NewResources(1, 0, 1)}, 5, 0)
 	o.Jobs[j.ID] = j
 	return o, o.AddAttempt(j, 0, 1, m, inventory.AttemptRecorded)
--- a/internal/commit/block_entries.go
+++ b/internal/commit/block_entries.go
@@ -8,7 +8,7 @@
 // newEntry returns a machine's entry without its tasks.
 func (w *blockWrite) newEntry(m *inventory.Machine) record.BlockMachine {
 	return record.BlockMachine{
-		Name: m.Name, FencingToken: m.FencingToken, Endpoint: m.Endpoint, MachineType: w.offerIndex(m),
+		Name: m.Name, FencingToken: m.ClaimToken, Endpoint: m.Endpoint, MachineType: w.offerIndex(m),
 		LaunchedAt:      int64(m.ProvisionedAt) - w.data.LaunchTimeBase,
 		Decommissioning: m.State == inventory.MachineDecommissioning || m.State == inventory.MachineTerminating,
 	}
--- a/internal/commit/block_result.go
+++ b/internal/commit/block_result.go
@@ -52,6 +52,9 @@
 		}
 		p.setFencingToken(m, revision)
 	}
+	for _, m := range w.raised {
+		m.RaiseToken(revision)
+	}
 	for _, m := range w.announced {
 		if !m.Verifying {
 			p.verifyAdoption(m, revision)
--- a/internal/commit/block_write.go
+++ b/internal/commit/block_write.go
@@ -33,6 +33,7 @@
 	sources   []*inventory.Block   // see inventory.Block.Sources
 
 	claimed         []*inventory.Machine
+	raised          []*inventory.Machine // machines whose fencing token becomes the revision of the write
 	decommissioning []*inventory.Machine
 	terminated      []*inventory.Machine
 	transferred     []*inventory.Machine
@@ -111,8 +112,11 @@
 	}
 	w.stored = append(w.stored, m)
 	entry := w.newEntry(m)
-	if m.FencingToken == 0 || m.Fencing == inventory.FencingNeeded {
+	switch {
+	case m.FencingToken == 0 || m.Fencing == inventory.FencingNeeded:
 		w.claim(m, &entry, adoptable)
+	case m.NeedsHigherToken():
+		w.raised = append(w.raised, m)
 	}
 	if m.State == inventory.MachineDecommissioning {
 		w.decommissioning = append(w.decommissioning, m)
--- a/internal/commit/block_write_test.go
+++ b/internal/commit/block_write_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"tamarindlead/internal/inventory"
+	"tamarindlead/internal/kv"
+	"tamarindlead/internal/wire"
 )
 
 // BenchmarkBlock measures writing and decoding the record of a full block.
@@ -52,3 +54,40 @@
 		}
 	}
 }
+
+// TestTokenIsRaisedWithTheRecord checks that the fencing token of a machine is raised to the revision of
+// the write that removes an ended attempt, but not if the write is refused, and that the entry keeps
+// the token of the claim.
+func TestTokenIsRaisedWithTheRecord(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		ended     bool
+		outcome   kv.Outcome
+		wantToken uint64
+	}{
+		{"committed", true, kv.OK, 8},
+		{"refused", true, kv.PreconditionFailed, 7},
+		{"attempt still runs", false, kv.OK, 7},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			o := newSmallOwner(t)
+			m := o.blocks[0].Machines[0]
+			a := o.inv.AddAttempt(o.addJob("req-000001", 1, 2), 0, 1, m, inventory.AttemptLive)
+			m.StartsSent([]wire.Command{{Verb: wire.VerbStart, Task: a.TaskName(), Attempt: a.Number}})
+			if c.ended {
+				o.inv.SetAttemptState(a, inventory.AttemptRemoving)
+			}
+			o.MarkDirty(m)
+			if data := o.flushBlock(t, o.blocks[0].Name); data.Machines[0].FencingToken != 7 {
+				t.Errorf("token %d in the entry, want 7", data.Machines[0].FencingToken)
+			}
+			o.respond(t, c.outcome, kv.TransactionResult{Revision: 8})
+			if m.FencingToken != c.wantToken || m.ClaimToken != 7 {
+				t.Errorf("token %d, claimed with %d; want %d and 7", m.FencingToken, m.ClaimToken, c.wantToken)
+			}
+			if got, want := m.MayForget(a.AttemptKey()), c.wantToken == 8; got != want {
+				t.Errorf("MayForget() = %t, want %t", got, want)
+			}
+		})
+	}
+}
--- a/internal/commit/fixtures_test.go
+++ b/internal/commit/fixtures_test.go
@@ -188,7 +188,8 @@
 // addMachine adds a machine that is ready and claimed.
 func (o *testOwner) addMachine(b *inventory.Block, info inventory.MachineInfo, fencingToken uint64) *inventory.Machine {
 	m := o.inv.AddMachine(b, info, sched.NewResources(28, 0, 112))
-	m.FencingToken, m.State, m.LastHeartbeat = fencingToken, inventory.MachineReady, o.now
+	m.Claim(fencingToken)
+	m.State, m.LastHeartbeat = inventory.MachineReady, o.now
 	return m
 }
 
--- a/internal/commit/machine_claims.go
+++ b/internal/commit/machine_claims.go
@@ -25,7 +25,7 @@
 
 // setFencingToken makes the revision of a transaction the fencing token of a machine.
 func (p *Pipeline) setFencingToken(m *inventory.Machine, revision uint64) {
-	m.FencingToken, m.TokenConfirmed = revision, false
+	m.Claim(revision)
 	m.TokenConfirmedAt = max(m.TokenConfirmedAt, p.host.Now())
 	if m.Fencing == inventory.FencingNeeded {
 		p.inv.SetFencingState(m, inventory.FencingPending)
--- a/internal/fleet/host_test.go
+++ b/internal/fleet/host_test.go
@@ -127,7 +127,8 @@
 	})
 	for _, name := range machines {
 		m := h.NewMachine(inventory.MachineInfo{Name: name, Type: "small", Zone: "a", Endpoint: "worker:" + name})
-		m.State, m.FencingToken, m.TokenConfirmed, m.Recorded, m.AgentEpoch = inventory.MachineReady, 7, true, true, 1
+		m.Claim(7)
+		m.State, m.TokenConfirmed, m.Recorded, m.AgentEpoch = inventory.MachineReady, true, true, 1
 	}
 	return f, h
 }
--- a/internal/fleet/scale_out_test.go
+++ b/internal/fleet/scale_out_test.go
@@ -87,7 +87,7 @@
 		t.Errorf("the exhausted offer is not requested until %v, want %v", f.scaleOuts.refusedOffers[offer], want)
 	}
 	flush(t, f, true, 0, 0) // the machine is not claimed yet
-	m.FencingToken = 7
+	m.Claim(7)
 	flush(t, f, true, 0, 1)
 	if len(f.scaleOuts.requests) != 0 || len(host.violations) != 0 {
 		t.Errorf("%d requests left and violations %q, want none", len(f.scaleOuts.requests), host.violations)
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -253,7 +253,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			inv, _, m := newTestInventory(t)
-			m.FencingToken = 7
+			m.Claim(7)
 			test.change(inv, m, addJob(inv, "j", 1, false))
 			if got := m.NeedsWrite(); got != test.want {
 				t.Errorf("NeedsWrite() = %v, want %v", got, test.want)
--- a/internal/inventory/machine.go
+++ b/internal/inventory/machine.go
@@ -109,7 +109,10 @@
 	Recorded bool
 	// FencingToken authorizes commands to the machine; 0 until the machine is claimed.
 	FencingToken uint64
-	Fencing      FencingState
+	// ClaimToken is the first fencing token that this owner has used since the machine was claimed
+	// or fenced.
+	ClaimToken uint64
+	Fencing    FencingState
 	// Verifying is set while it is being verified that an adopted machine does not belong to another
 	// owner.
 	Verifying bool
@@ -126,7 +129,7 @@
 	// HeartbeatGraceUntil is the time from which missing heartbeats are counted, after a network
 	// partition of the machine's zone.
 	HeartbeatGraceUntil micros.Micros
-	// TokenConfirmed is set if the last heartbeat carried this owner's fencing token.
+	// TokenConfirmed is set if the last heartbeat carried ClaimToken or a higher token of this owner.
 	// TokenConfirmedAt is when a heartbeat last carried it, or when this owner began to expect that.
 	TokenConfirmed   bool
 	TokenConfirmedAt micros.Micros
@@ -161,6 +164,9 @@
 type DispatchState struct {
 	// CommandsInFlight is set while a request with commands is in flight.
 	CommandsInFlight bool
+	// RepeatableStarts are the attempts whose start command was sent directly, under the present
+	// fencing token and agent epoch.
+	RepeatableStarts map[AttemptKey]bool
 	// DispatchNeeded is set if the machine may need commands, InDispatchQueue while it is in
 	// the dispatch queue.
 	DispatchNeeded  bool
--- a/internal/record/block.go
+++ b/internal/record/block.go
@@ -9,7 +9,7 @@
 
 // Block holds the entries of several machines of one owner. They share a record because the
 // key-value store limits the rate of writes. Each machine has its own fencing token, which never
-// decreases.
+// decreases. It may be higher than in the entry, but not higher than the revision of the record.
 type Block struct {
 	Owner OwnerID `cbor:"o"`
 	Data  string  `cbor:"d"` // BlockData in CBOR, compressed, in base64, since values must be text
@@ -48,7 +48,7 @@
 type BlockMachine struct {
 	_               struct{} `cbor:",toarray"`
 	Name            string
-	FencingToken    uint64 // 0: the token is the revision of this record
+	FencingToken    uint64 // of the claim; 0: the token is the revision of this record
 	Endpoint        string
 	MachineType     int      // index in BlockData.MachineTypes
 	LaunchedAt      int64    // wall clock time in microseconds, relative to BlockData.LaunchTimeBase
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -146,7 +146,8 @@
 func (f *fixture) addMachine(n int, spot bool) *inventory.Machine {
 	info := inventory.MachineInfo{Name: fmt.Sprintf("m-%06d", n), Type: "mid", Zone: "a", Spot: spot, Endpoint: "worker"}
 	m := f.inventory.AddMachine(&inventory.Block{Name: info.Name}, info, f.fake.types[0].Size)
-	m.FencingToken, m.AgentEpoch, m.TokenConfirmed, m.LastHeartbeat, m.State = 7, 1, true, f.fake.now, inventory.MachineReady
+	m.Claim(7)
+	m.AgentEpoch, m.TokenConfirmed, m.LastHeartbeat, m.State = 1, true, f.fake.now, inventory.MachineReady
 	return m
 }
 
--- a/internal/workers/assertions.go
+++ b/internal/workers/assertions.go
@@ -1,6 +1,8 @@
 package workers
 
 import (
+	"slices"
+
 	"tamarindlead/internal/inventory"
 	"tamarindlead/internal/wire"
 )
@@ -35,3 +37,16 @@
 		"machine", a.Machine.Name, "attempt_state", a.State.String(), "recorded", a.Machine.Recorded, "job_cancelled", cancelled)
 	return false
 }
+
+// permittedCommands asserts, for every command that is about to be sent to a machine, that its worker may
+// forget the attempts that it is commanded to forget. It omits the other commands.
+func (w *Manager) permittedCommands(m *inventory.Machine, commands []wire.Command) []wire.Command {
+	return slices.DeleteFunc(commands, func(c wire.Command) bool {
+		if m.MayExecute(c) {
+			return false
+		}
+		w.host.ReportViolation("forget of an attempt whose start may be repeated", "task", c.Task, "attempt", c.Attempt,
+			"machine", m.Name, "fencing_token", m.FencingToken, "fencing", m.Fencing.String())
+		return true
+	})
+}
--- a/internal/workers/assertions_test.go
+++ b/internal/workers/assertions_test.go
@@ -1,9 +1,11 @@
 package workers
 
 import (
+	"net/http"
 	"testing"
 
 	"tamarindlead/internal/inventory"
+	"tamarindlead/internal/wire"
 )
 
 // TestStartsRequireRecords checks that a start command is issued only for a recorded placement and under
@@ -40,3 +42,28 @@
 		})
 	}
 }
+
+// TestForgetRequiresHigherToken checks that a worker is commanded to forget an attempt only under a
+// higher token than its start command, and that any other forget command is omitted and reported.
+func TestForgetRequiresHigherToken(t *testing.T) {
+	h := newFakeHost(t)
+	m := addPendingStarts(h, 1)[0]
+	h.manager.DispatchQueuedMachines()
+	a := h.manager.inventory.Jobs[jobID].Attempts[0]
+	running := newHeartbeat(2, reported(1, wire.PhaseRunning, ""))
+	h.calls[0].done(Response{Status: http.StatusOK, Body: wire.Encode(running)})
+	h.manager.HandleHeartbeat(1, newHeartbeat(3, reported(1, wire.PhaseExited, wire.CauseError)))
+	h.manager.inventory.SetAttemptState(a, inventory.AttemptClosed)
+
+	if commands := h.manager.commands(m); len(commands) != 0 {
+		t.Errorf("commands %+v under the token of the start, want none", commands)
+	}
+	forget := []wire.Command{{Verb: wire.VerbForget, Task: a.TaskName(), Attempt: a.Number}}
+	if permitted := h.manager.permittedCommands(m, forget); len(permitted) != 0 || len(h.violations) != 1 {
+		t.Errorf("permitted %+v, violations %q; want none and one", permitted, h.violations)
+	}
+	m.RaiseToken(8)
+	if commands := h.manager.permittedCommands(m, h.manager.commands(m)); len(commands) != 1 || commands[0].Verb != wire.VerbForget {
+		t.Errorf("commands %+v under a higher token, want one to forget the attempt", commands)
+	}
+}
--- a/internal/workers/commands.go
+++ b/internal/workers/commands.go
@@ -37,7 +37,6 @@
 // set of these tasks except those for which a forget command is issued.
 func (w *Manager) commandsForReportedTasks(m *inventory.Machine) (reported map[inventory.TaskKey]bool, commands []wire.Command) {
 	reported = make(map[inventory.TaskKey]bool, len(m.ReportedTasks))
-	commandsSettled := m.Fencing == inventory.FencingNone && !m.CommandsInFlight
 	for i := range m.ReportedTasks {
 		task := &m.ReportedTasks[i]
 		id, index, ok := wire.SplitTaskName(task.Task)
@@ -52,10 +51,8 @@
 			}
 		case !exited: // this owner has no such attempt
 			commands = append(commands, stopCommand(task.Task, task.Attempt, 0))
-		case commandsSettled:
-			// The outcome of an attempt that this owner no longer records is already recorded,
-			// so the machine may forget the attempt, but not while a start command for it may
-			// be in flight.
+		case m.MayForget(inventory.AttemptKey{TaskKey: key, Number: task.Attempt}):
+			// The outcome of an attempt that this owner no longer records is already recorded.
 			commands = append(commands, wire.Command{Verb: wire.VerbForget, Task: task.Task, Attempt: task.Attempt})
 			reported[key] = false
 		}
--- a/internal/workers/dispatch.go
+++ b/internal/workers/dispatch.go
@@ -71,6 +71,8 @@
 // sendCommands sends commands to a machine's worker. An empty list only conveys this owner's fencing
 // token to the worker.
 func (w *Manager) sendCommands(m *inventory.Machine, commands []wire.Command) {
+	commands = w.permittedCommands(m, commands)
+	m.StartsSent(commands)
 	m.CommandsInFlight = true
 	body := wire.Encode(wire.CommandsRequest{FencingToken: m.FencingToken, AgentEpoch: m.AgentEpoch, Commands: commands})
 	w.call(m, Call{Method: http.MethodPost, Path: wire.PathCommands, Body: body}, func(response Response) {
--- a/internal/workers/heartbeats.go
+++ b/internal/workers/heartbeats.go
@@ -109,7 +109,7 @@
 	}
 	response := wire.HeartbeatResponse{FencingToken: m.FencingToken}
 	if w.applyHeartbeat(m, heartbeat) {
-		response.Commands = w.commands(m)
+		response.Commands = w.permittedCommands(m, w.commands(m))
 	}
 	w.host.Respond(request, wire.StatusOK, response)
 }
@@ -177,10 +177,11 @@
 	if heartbeat.AgentEpoch > m.AgentEpoch && m.AgentEpoch != 0 {
 		// The agent has restarted and will not execute commands that were sent to the old epoch.
 		w.inventory.SetFencingState(m, inventory.FencingNone)
+		m.AgentRestarted()
 	}
 	m.AgentEpoch, m.HeartbeatSeq, m.ReportedTasks = heartbeat.AgentEpoch, heartbeat.HeartbeatSeq, heartbeat.Tasks
 	m.Endpoint = cmp.Or(heartbeat.Endpoint, m.Endpoint)
-	m.TokenConfirmed = heartbeat.FencingToken == m.FencingToken
+	m.TokenConfirmed = m.Confirms(heartbeat.FencingToken)
 	if m.TokenConfirmed {
 		m.TokenConfirmedAt = max(m.TokenConfirmedAt, w.host.Now())
 		if m.Fencing == inventory.FencingPending {
--- a/internal/workers/heartbeats_test.go
+++ b/internal/workers/heartbeats_test.go
@@ -76,7 +76,7 @@
 	if m == nil || len(h.responses) != 0 || !reflect.DeepEqual(h.adopted, []string{machineName}) {
 		t.Fatalf("machine %v, responses %+v, adopted %q; want the machine adopted and no response", m, h.responses, h.adopted)
 	}
-	m.FencingToken = 9
+	m.Claim(9)
 	h.manager.HandlePendingHeartbeat(m)
 	h.manager.HandlePendingHeartbeat(m) // no longer pending
 	want := []fakeResponse{{request: 1, status: wire.StatusOK, body: wire.HeartbeatResponse{FencingToken: 9}}}
--- a/internal/workers/host_test.go
+++ b/internal/workers/host_test.go
@@ -127,7 +127,8 @@
 func (h *fakeHost) addMachine(name string) *inventory.Machine {
 	info := inventory.MachineInfo{Name: name, Type: "small", Zone: "a", Endpoint: "worker:" + name}
 	m := h.manager.inventory.AddMachine(&inventory.Block{}, info, sched.NewResources(8, 0, 8))
-	m.State, m.FencingToken, m.TokenConfirmed, m.Recorded = inventory.MachineReady, 7, true, true
+	m.Claim(7)
+	m.State, m.TokenConfirmed, m.Recorded = inventory.MachineReady, true, true
 	return m
 }
 
--- a/internal/workers/reconciliation_test.go
+++ b/internal/workers/reconciliation_test.go
@@ -69,7 +69,8 @@
 		{"starting, reported before", inventory.AttemptStarting, func(_ *inventory.Machine, a *inventory.Attempt) {
 			a.HeartbeatSeen = true
 		}, inventory.AttemptRemoving},
-		{"token not confirmed", inventory.AttemptLive, func(m *inventory.Machine, _ *inventory.Attempt) { m.FencingToken = 9 }, inventory.AttemptLive},
+		{"token not confirmed", inventory.AttemptLive, func(m *inventory.Machine, _ *inventory.Attempt) { m.Claim(9) }, inventory.AttemptLive},
+		{"raised token not seen", inventory.AttemptLive, func(m *inventory.Machine, _ *inventory.Attempt) { m.RaiseToken(9) }, inventory.AttemptRemoving},
 		{"fencing needed", inventory.AttemptLive, func(m *inventory.Machine, _ *inventory.Attempt) { m.Fencing = inventory.FencingNeeded }, inventory.AttemptLive},
 		{"commands in flight", inventory.AttemptLive, func(m *inventory.Machine, _ *inventory.Attempt) { m.CommandsInFlight = true }, inventory.AttemptLive},
 	} {
