Soak test: late copies of answered direct commands

The soak drew duplicates on the links between controllers and to the store, but none of the calls to workers, which carry the one request that was not idempotent.

The copies have a random stream of their own, so that a seed draws the other faults as before. The result counts the copies and the tasks that they started; any such start breaks the rule late_command.

--- a/cmd/soaktest/main.go
+++ b/cmd/soaktest/main.go
@@ -172,6 +172,7 @@
 	fmt.Fprintf(&text, "%d jobs, %d accepted, %d done, %d cancelled, %d unfinished; ", s.Jobs, s.Accepted, s.Done, s.Cancelled, s.Unfinished)
 	fmt.Fprintf(&text, "%d responses, %d refused, %d unanswered; ", s.Responses, s.Refused, s.Unanswered)
 	fmt.Fprintf(&text, "%d starts, %d after a cancellation; ", s.Starts, s.StartsAfterCancel)
+	fmt.Fprintf(&text, "%d late copies of commands, which started %d tasks; ", s.LateCommands, s.LateCommandStarts)
 	fmt.Fprintf(&text, "%d machines lost; %d histories undecided\n", s.MachinesLost, s.Undecided)
 	if len(result.Violations) > 0 {
 		fmt.Fprintf(&text, "logs: %s\nrepeat: %s\n", o.Dir, repeatCommand(o))
--- a/internal/soaktest/fault_injector.go
+++ b/internal/soaktest/fault_injector.go
@@ -143,7 +143,7 @@
 			l.update(func(c *linkConditions) { b.apply(c, b.peerDelay, b.maxPeerDelay) })
 		}
 	}
-	h.setDuplicateHeartbeats(b.duplicateHeartbeat)
+	h.setDuplicateMessages(b.duplicateHeartbeat, true)
 }
 
 // apply sets the conditions of a link between controllers or to the key-value store.
@@ -152,16 +152,19 @@
 	c.responseLossProbability, c.requestDelayProbability, c.duplicateProbability = b.loss, b.requestDelay, b.duplication
 }
 
-// endBackgroundFaults removes the faults of all links and the duplicate heartbeats.
+// endBackgroundFaults removes the faults of all links and the copies of heartbeats and commands.
 func (h *harness) endBackgroundFaults() {
 	for _, l := range h.links.all() {
 		l.update(func(c *linkConditions) { *c = linkConditions{} })
 	}
-	h.setDuplicateHeartbeats(0)
+	h.setDuplicateMessages(0, false)
 }
 
-func (h *harness) setDuplicateHeartbeats(probability float64) {
+// setDuplicateMessages sets the probability that a heartbeat is duplicated, and whether copies of
+// answered commands are drawn.
+func (h *harness) setDuplicateMessages(heartbeatProbability float64, lateCommands bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.duplicateHeartbeatProbability = probability
+	h.duplicateHeartbeatProbability = heartbeatProbability
+	h.lateCommands.active = lateCommands
 }
--- a/internal/soaktest/harness.go
+++ b/internal/soaktest/harness.go
@@ -35,6 +35,7 @@
 	fleet                         *fake.Fleet
 	checker                       *checker
 	duplicateHeartbeatProbability float64 // probability that a delayed duplicate of a heartbeat is sent
+	lateCommands                  lateCommands
 	lastStepAt                    micros.Micros
 }
 
@@ -65,6 +66,7 @@
 	h := &harness{
 		options: o, addrs: addrs, startedAt: time.Now(), ctx: ctx, client: newHTTPClient(),
 		rng: newRandom(o.Seed, streamHarness), links: newLinks(o.Seed, o.Controllers),
+		lateCommands: lateCommands{rng: newRandom(o.Seed, streamLateCommands)},
 	}
 	h.checker = newChecker(h)
 	h.makeFakes()
--- a/internal/soaktest/random.go
+++ b/internal/soaktest/random.go
@@ -9,6 +9,8 @@
 	streamFaults
 	streamJobs
 	streamLinks // the links use the streams after this one
+
+	streamLateCommands uint64 = 1 << 32 // above the streams of all links
 )
 
 func newRandom(seed, stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
--- a/internal/soaktest/rules.go
+++ b/internal/soaktest/rules.go
@@ -19,6 +19,8 @@
 	RuleWrongPlace Rule = "wrong_place"
 	// RuleRanCancelled is a task of a cancelled job that starts or runs after the cancellation deadline.
 	RuleRanCancelled Rule = "ran_cancelled"
+	// RuleLateCommand is a task that a late copy of an answered command starts.
+	RuleLateCommand Rule = "late_command"
 	// RuleForgotten is an accepted job that is reported as unknown or about which users get no response,
 	// or a valid submission that is refused permanently.
 	RuleForgotten Rule = "forgotten"
@@ -68,6 +70,7 @@
 	Jobs, Accepted, Done, Cancelled int
 	Responses, Refused, Unanswered  int // requests with a conclusive, an inconclusive and no response
 	Starts, StartsAfterCancel       int
+	LateCommands, LateCommandStarts int // copies of answered commands, and tasks that they started
 	Faults, Kills                   int
 	Unfinished                      int // accepted jobs without a response that shows a terminal state
 	Undecided                       int // histories for which the linearizability check timed out
--- a/internal/soaktest/workers.go
+++ b/internal/soaktest/workers.go
@@ -76,6 +76,9 @@
 		return callResult{status: wire.StatusOK, body: wire.Encode(w.BuildHeartbeat())}, workerResponsive
 	}
 	response := w.ExecuteDirect(h.now(), r.body)
+	if response.Status == wire.StatusOK {
+		h.copyLater(machine, r)
+	}
 	return callResult{status: response.Status, body: response.Body}, workerResponsive
 }
 
