--- a/internal/inventory/fencing_token.go
+++ b/internal/inventory/fencing.go
@@ -1,6 +1,10 @@
 package inventory
 
-import "tamarindlead/internal/wire"
+import (
+	"fmt"
+
+	"tamarindlead/internal/wire"
+)
 
 // This file keeps the fencing tokens of a machine and decides when the machine may forget an attempt.
 //
@@ -8,6 +12,30 @@
 // attempt, it would execute a late copy of the command, unless it refuses the copy for its token. So
 // an attempt that was started under one token may be forgotten only under a higher one.
 
+// FencingState is the state of fencing a machine. A direct command without a response may still be
+// executed until the machine has received a higher fencing token or has begun a new agent epoch.
+type FencingState int
+
+// The states of fencing a machine.
+const (
+	FencingNone    FencingState = iota // no earlier command can still be executed
+	FencingNeeded                      // a higher fencing token must be recorded
+	FencingPending                     // the token is recorded, but the machine has not confirmed it
+)
+
+// String returns the name of the state for logs.
+func (s FencingState) String() string {
+	switch s {
+	case FencingNone:
+		return "none"
+	case FencingNeeded:
+		return "needed"
+	case FencingPending:
+		return "pending"
+	}
+	return fmt.Sprintf("FencingState(%d)", int(s))
+}
+
 // Claim sets the fencing token with which the machine was claimed. The worker must confirm it before
 // anything is concluded from its heartbeats.
 func (m *Machine) Claim(token uint64) {
--- a/internal/inventory/machine.go
+++ b/internal/inventory/machine.go
@@ -51,30 +51,6 @@
 // IsUp reports whether a machine in this state has booted and no decision to terminate it was made.
 func (s MachineState) IsUp() bool { return s >= MachineReady && s <= MachineTransferring }
 
-// FencingState is the state of fencing a machine. A direct command without a response may still be
-// executed until the machine has received a higher fencing token or has begun a new agent epoch.
-type FencingState int
-
-// The states of fencing a machine.
-const (
-	FencingNone    FencingState = iota // no earlier command can still be executed
-	FencingNeeded                      // a higher fencing token must be recorded
-	FencingPending                     // the token is recorded, but the machine has not confirmed it
-)
-
-// String returns the name of the state for logs.
-func (s FencingState) String() string {
-	switch s {
-	case FencingNone:
-		return "none"
-	case FencingNeeded:
-		return "needed"
-	case FencingPending:
-		return "pending"
-	}
-	return fmt.Sprintf("FencingState(%d)", int(s))
-}
-
 // MachineInfo describes a machine. It is constant except for the endpoint, which is empty until the
 // machine has sent a heartbeat.
 type MachineInfo struct {
