--- a/controller/scenario_queries_test.go
+++ b/controller/scenario_queries_test.go
@@ -79,19 +79,21 @@
 
 // metrics are printed as exact values.
 var metrics = map[string]func(c *command) int{
-	"running-tasks":              func(c *command) int { return len(c.sim.runningOn) },
-	"delayed-heartbeats":         func(c *command) int { return len(c.sim.delayedHeartbeats) + len(c.sim.delayNextHeartbeatOf) },
-	"cancelled-tasks-running":    func(c *command) int { return c.sim.countCancelledRunning() },
-	"started-tasks":              func(c *command) int { return c.sim.startedTasks },
-	"stopped-tasks":              func(c *command) int { return c.sim.exitsByCause["stopped"] },
-	"failed-tasks":               func(c *command) int { return c.sim.exitsByCause["error"] },
-	"machines":                   func(c *command) int { return c.sim.countMachines() },
-	"launched-machines":          func(c *command) int { return len(c.sim.cloud.Machines) },
-	"acknowledged-cancellations": func(c *command) int { return len(c.sim.acknowledgedCancellations) },
-	"starts-after-cancellation":  func(c *command) int { return c.sim.users.startsAfterCancel },
-	"cancelled-at-completion":    func(c *command) int { return c.sim.users.cancelledAtCompletion },
-	"throttled-kv-requests":      func(c *command) int { return c.sim.kvStore.Throttled },
-	"records":                    func(c *command) int { return len(c.sim.kvStore.Keys(c.text("prefix", ""))) },
+	"running-tasks":                  func(c *command) int { return len(c.sim.runningOn) },
+	"delayed-heartbeats":             func(c *command) int { return len(c.sim.delayedHeartbeats) + len(c.sim.delayNextHeartbeatOf) },
+	"cancelled-tasks-running":        func(c *command) int { return c.sim.countCancelledRunning() },
+	"started-tasks":                  func(c *command) int { return c.sim.startedTasks },
+	"stopped-tasks":                  func(c *command) int { return c.sim.exitsByCause["stopped"] },
+	"failed-tasks":                   func(c *command) int { return c.sim.exitsByCause["error"] },
+	"killed-tasks":                   func(c *command) int { return c.sim.exitsByCause["killed"] },
+	"tasks-started-by-late-commands": func(c *command) int { return c.sim.lateCommands.started },
+	"machines":                       func(c *command) int { return c.sim.countMachines() },
+	"launched-machines":              func(c *command) int { return len(c.sim.cloud.Machines) },
+	"acknowledged-cancellations":     func(c *command) int { return len(c.sim.acknowledgedCancellations) },
+	"starts-after-cancellation":      func(c *command) int { return c.sim.users.startsAfterCancel },
+	"cancelled-at-completion":        func(c *command) int { return c.sim.users.cancelledAtCompletion },
+	"throttled-kv-requests":          func(c *command) int { return c.sim.kvStore.Throttled },
+	"records":                        func(c *command) int { return len(c.sim.kvStore.Keys(c.text("prefix", ""))) },
 }
 
 // metricsWithMinimum count how often the conditions occurred that a scenario is meant to cause.
@@ -101,6 +103,8 @@
 	"delayed-commits":              func(c *command) int { return c.sim.kvFaults.delayedCommits },
 	"lost-responses":               func(c *command) int { return c.sim.kvFaults.lostResponses },
 	"delayed-responses":            func(c *command) int { return c.sim.kvFaults.delayedResponses() },
+	"late-commands":                func(c *command) int { return c.sim.lateCommands.delivered },
+	"tasks-in-largest-heartbeat":   func(c *command) int { return c.sim.mostReportedTasks },
 	"responses":                    func(c *command) int { return c.sim.users.responseCount[c.text("job", "")] },
 	"refused-429":                  func(c *command) int { return c.sim.users.refusals[wire.StatusTooManyRequests] },
 	"refused-503":                  func(c *command) int { return c.sim.users.refusals[wire.StatusUnavailable] },
--- a/controller/simulation_test.go
+++ b/controller/simulation_test.go
@@ -77,6 +77,8 @@
 	runningOn      map[string]string // machine by task
 	startedTasks   int
 	exitsByCause   map[string]int
+	// mostReportedTasks is the number of tasks in the largest heartbeat, including exited ones.
+	mostReportedTasks int
 }
 
 // messageFaults are faults of the network.
--- a/controller/simulation_workers_test.go
+++ b/controller/simulation_workers_test.go
@@ -107,6 +107,9 @@
 	sim.runCompletionHooks(id)
 }
 
+// heartbeatTimeout is how long a worker waits for the response to a heartbeat.
+const heartbeatTimeout = 4 * micros.Second
+
 // stepWorker advances a worker and sends its heartbeat if one is due, subject to the active faults.
 func (sim *simulation) stepWorker(worker *fake.Worker) {
 	if worker.Machine.Gone {
@@ -117,27 +120,54 @@
 		return
 	}
 	worker.HeartbeatSent(sim.now, sim.cfg.HeartbeatInterval)
-	agentEpoch := worker.AgentEpoch
-	node := sim.nodes[worker.Controller]
-	body := wire.Encode(worker.BuildHeartbeat())
-	if sim.rng.Float64() < sim.duplicateHeartbeatShare {
-		copyTo := sim.nodes[sim.rng.IntN(len(sim.nodes))]
-		sim.after(micros.Micros(sim.rng.Int64N(int64(sim.maxCopyDelay))), func() {
-			sim.sendRequest(copyTo, Request{Method: "POST", Path: "/hello", Body: body}, micros.Second, func(Respond) {})
-		})
-	}
-	if sim.interceptHeartbeat(worker, body) || worker.HeartbeatsBlocked || node.workersUnreachable || sim.zonesPartitioned(sim.nodeZone(worker.Controller), worker.Machine.Zone) || sim.rng.Float64() < sim.lossRate {
-		sim.after(4*micros.Second, func() { worker.HandleHeartbeatResponse(sim.now, 0, nil, agentEpoch, sim.nodeIndex, len(sim.nodes)) })
+	agentEpoch, node := worker.AgentEpoch, sim.nodes[worker.Controller]
+	heartbeat := worker.BuildHeartbeat()
+	sim.checkHeartbeatSize(&heartbeat)
+	body := wire.Encode(heartbeat)
+	sim.duplicateHeartbeat(body)
+	receive := func(response Respond) {
+		worker.HandleHeartbeatResponse(sim.now, response.Status, response.Body, agentEpoch, sim.nodeIndex, len(sim.nodes))
+	}
+	timeOut := func() { sim.after(heartbeatTimeout, func() { receive(Respond{}) }) }
+	if sim.losesHeartbeat(worker, node, body) {
+		timeOut()
 		return
 	}
-	sim.sendRequest(node, Request{Method: "POST", Path: "/hello", Body: body}, 4*micros.Second, func(response Respond) {
-		if worker.InboundBlocked {
-			sim.after(4*micros.Second, func() { worker.HandleHeartbeatResponse(sim.now, 0, nil, agentEpoch, sim.nodeIndex, len(sim.nodes)) })
-			return
-		}
-		if worker.Partitioned || worker.Hung || worker.Machine.Gone {
-			response = Respond{}
+	sim.sendRequest(node, Request{Method: "POST", Path: PathHeartbeat, Body: body}, heartbeatTimeout, func(response Respond) {
+		switch {
+		case worker.InboundBlocked:
+			timeOut()
+		case worker.Partitioned || worker.Hung || worker.Machine.Gone:
+			receive(Respond{})
+		default:
+			receive(response)
 		}
-		worker.HandleHeartbeatResponse(sim.now, response.Status, response.Body, agentEpoch, sim.nodeIndex, len(sim.nodes))
 	})
 }
+
+// duplicateHeartbeat sends a delayed copy of a heartbeat to a random node, if one is drawn.
+func (sim *simulation) duplicateHeartbeat(body []byte) {
+	if sim.rng.Float64() >= sim.duplicateHeartbeatShare {
+		return
+	}
+	to := sim.rng.IntN(len(sim.nodes))
+	sim.after(micros.Micros(sim.rng.Int64N(int64(sim.maxCopyDelay))), func() { sim.sendHeartbeatCopy(to, body) })
+}
+
+// losesHeartbeat reports whether a heartbeat does not reach its node, because of a fault or by chance.
+func (sim *simulation) losesHeartbeat(worker *fake.Worker, node *simNode, body []byte) bool {
+	return sim.interceptHeartbeat(worker, body) || worker.HeartbeatsBlocked || node.workersUnreachable ||
+		sim.zonesPartitioned(sim.nodeZone(worker.Controller), worker.Machine.Zone) || sim.rng.Float64() < sim.lossRate
+}
+
+// maxTaskStatusBytes bounds the size of one task in a heartbeat, as the limit of 64 KiB counts it: names
+// and braces, a task name, two numbers of 64 bits, a phase and a cause.
+const maxTaskStatusBytes = 160
+
+// checkHeartbeatSize checks that a heartbeat keeps the size limit of messages.
+func (sim *simulation) checkHeartbeatSize(heartbeat *wire.Heartbeat) {
+	sim.mostReportedTasks = max(sim.mostReportedTasks, len(heartbeat.Tasks))
+	if n := len(heartbeat.Tasks); n*maxTaskStatusBytes > wire.MaxBody {
+		sim.reportViolation("limits: the heartbeat of %s has %d tasks", heartbeat.Machine, n)
+	}
+}
