--- a/internal/workers/heartbeats_test.go
+++ b/internal/workers/heartbeats_test.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"net/http"
 	"reflect"
 	"testing"
 
@@ -219,3 +220,22 @@
 		t.Errorf("last heartbeat %v, want that of the previous owner", got)
 	}
 }
+
+// TestAgentRestartEndsLateCopies checks that after a restart of the agent, which refuses the commands sent
+// before, no higher token is needed to have attempts forgotten.
+func TestAgentRestartEndsLateCopies(t *testing.T) {
+	h := newFakeHost(t)
+	m := addPendingStarts(h, 1)[0]
+	h.manager.DispatchQueuedMachines()
+	h.calls[0].done(Response{Status: http.StatusOK, Body: wire.Encode(newHeartbeat(2, reported(1, wire.PhaseRunning, "")))})
+	started := inventory.AttemptKey{TaskKey: inventory.TaskKey{Job: jobID}, Number: 1}
+	if m.MayForget(started) {
+		t.Fatal("the attempt may be forgotten under the token of its start")
+	}
+	restarted := newHeartbeat(3)
+	restarted.AgentEpoch++
+	h.manager.HandleHeartbeat(1, restarted)
+	if !m.MayForget(started) {
+		t.Error("the attempt may not be forgotten, though the agent refuses late copies of its start")
+	}
+}
