--- a/internal/commit/block_write_test.go
+++ b/internal/commit/block_write_test.go
@@ -88,6 +88,11 @@
 			if got, want := m.MayForget(a.AttemptKey()), c.wantToken == 8; got != want {
 				t.Errorf("MayForget() = %t, want %t", got, want)
 			}
+			o.now += flushInterval
+			o.MarkDirty(m)
+			if data := o.flushBlock(t, o.blocks[0].Name); data.Machines[0].FencingToken != 7 {
+				t.Errorf("token %d in the next entry, want 7", data.Machines[0].FencingToken)
+			}
 		})
 	}
 }
