Log the check of a submission's dependencies

Debug logs did not show on which evidence a job with dependencies was accepted as queued. Three explanations of the orphaned answers could not be told apart: a dependency left the node's graph during the check, the graph had kept the dependency without its cancellation, or the check was right and its result was lost before the response.

The new debug line has the result of the check, the graph's revisions after the refresh and at the end, and the dependencies that were active at the first and no longer at the second. The line "job accepted" has the phase, and when the dependencies were read.

--- a/internal/frontend/submission_commits.go
+++ b/internal/frontend/submission_commits.go
@@ -97,7 +97,7 @@
 	switch result.Outcome {
 	case kv.OK:
 		for _, sub := range batch {
-			s.node.Log.Debug("job accepted", "job", sub.job.ID)
+			s.node.Log.Debug("job accepted", "job", sub.job.ID, "phase", sub.phase, "dependencies_read_us", int64(sub.dependenciesReadAt))
 			s.handleAccepted(sub, evidence)
 		}
 	case kv.PreconditionFailed:
--- a/internal/jobview/dependency_check.go
+++ b/internal/jobview/dependency_check.go
@@ -1,7 +1,9 @@
 package jobview
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
 
 	"tamarindlead/internal/budget"
 	"tamarindlead/internal/record"
@@ -51,6 +53,9 @@
 	deadline micros.Micros
 	resets   int // count of the graph's resets when the view was refreshed
 	done     func(DependencyResult)
+
+	refreshedRevision uint64   // the graph's revision after the refresh
+	activeAtRefresh   []string // dependencies that were active at that revision
 }
 
 // CheckDependencies determines the state of the dependencies of a submission, by reads that are sent
@@ -61,7 +66,29 @@
 }
 
 // fail ends the check with an unknown state.
-func (d *dependencyCheck) fail() { d.done(DependencyResult{Status: DependenciesUnknown}) }
+func (d *dependencyCheck) fail() { d.finish(DependencyResult{Status: DependenciesUnknown}) }
+
+// finish ends the check.
+func (d *dependencyCheck) finish(result DependencyResult) {
+	d.logResult(result)
+	d.done(result)
+}
+
+// logResult logs the result, and which dependencies left the graph between the refresh and the result.
+func (d *dependencyCheck) logResult(result DependencyResult) {
+	log := d.view.log
+	if !log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	var endedSinceRefresh []string
+	for _, id := range d.activeAtRefresh {
+		if !d.view.graph.IsActive(id) {
+			endedSinceRefresh = append(endedSinceRefresh, id)
+		}
+	}
+	log.Debug("dependencies checked", "dependencies", d.ids, "status", result.Status, "upstream", result.CancelledRoot,
+		"refreshed_revision", d.refreshedRevision, "revision", d.view.graph.Revision(), "ended_since_refresh", endedSinceRefresh)
+}
 
 // handleRefreshed reads the terminal states of the dependencies that are not active.
 func (d *dependencyCheck) handleRefreshed(ok bool) {
@@ -70,9 +97,13 @@
 		return
 	}
 	d.resets = d.view.graph.Resets()
+	d.refreshedRevision = d.view.graph.Revision()
 	var inactive []string
 	for _, id := range d.ids {
-		if !d.view.graph.IsActive(id) && d.view.terminalStates.Of(id) != wire.JobDone {
+		switch {
+		case d.view.graph.IsActive(id):
+			d.activeAtRefresh = append(d.activeAtRefresh, id)
+		case d.view.terminalStates.Of(id) != wire.JobDone:
 			inactive = append(inactive, id)
 		}
 	}
@@ -92,7 +123,7 @@
 	for _, id := range inactive {
 		rec, accepted := found[id]
 		if !accepted {
-			d.done(DependencyResult{Status: DependenciesNeverAccepted})
+			d.finish(DependencyResult{Status: DependenciesNeverAccepted})
 			return
 		}
 		if rec.Status == record.StatusCancelled && root == "" {
@@ -100,7 +131,7 @@
 		}
 	}
 	if root != "" {
-		d.done(DependencyResult{Status: DependenciesCancelled, CancelledRoot: root})
+		d.finish(DependencyResult{Status: DependenciesCancelled, CancelledRoot: root})
 		return
 	}
 	d.view.resolveDependenciesSince(d.resets, d.ids, d.deadline, d.handleResolved)
@@ -114,9 +145,9 @@
 	}
 	for _, id := range d.ids {
 		if job := d.view.graph.Blocked(id); job != nil && job.Cancelled() {
-			d.done(DependencyResult{Status: DependenciesCancelled, CancelledRoot: job.CancelledRoot})
+			d.finish(DependencyResult{Status: DependenciesCancelled, CancelledRoot: job.CancelledRoot})
 			return
 		}
 	}
-	d.done(DependencyResult{Status: DependenciesOpen})
+	d.finish(DependencyResult{Status: DependenciesOpen})
 }
