Have the check of a submission read the terminal states of dependencies that end meanwhile

Cause: CheckDependencies decided from the node's graph of active jobs after its reads. A dependency that was active after the refresh and ended during a read is no longer in the graph, and a job that isn't there was taken for one that isn't cancelled.

Fix: nothing is concluded from absence. After the upstream jobs are resolved, the check reads the terminal state of each dependency that has left the graph, until none has left since the last read. Terminal states never change, so a dependency is read once. A job that was active and has no terminal state makes the result unknown (503), never a rejection (422).

--- a/controller/scenario_pipelines_test.go
+++ b/controller/scenario_pipelines_test.go
@@ -118,13 +118,8 @@
 // pipelineCommands submit, cancel and query jobs with dependencies.
 var pipelineCommands = commandTable{
 	// submit-chain submits jobs each of which depends on the previous one.
-	"submit-chain": silent(func(c *command) {
-		dependencies := c.dependencies()
-		for _, id := range c.jobIDs(1) {
-			c.withDependencies(dependencies...).submit(id)
-			dependencies = []string{id}
-		}
-	}),
+	"submit-chain":           silent(func(c *command) { c.submitChain(c.jobIDs(1)) }),
+	"submit-chains-and-poll": silent((*command).submitChainsAndPoll),
 	// submit-parallel submits jobs that all have the same dependencies.
 	"submit-parallel": silent(func(c *command) {
 		for _, id := range c.jobIDs(1) {
@@ -191,6 +186,31 @@
 	},
 }
 
+// submitChain submits jobs each of which depends on the previous one.
+func (c *command) submitChain(ids []string) {
+	c.t.Helper()
+	dependencies := c.dependencies()
+	for _, id := range ids {
+		c.withDependencies(dependencies...).submit(id)
+		dependencies = []string{id}
+	}
+}
+
+// submitChainsAndPoll submits chains of "length" jobs, one chain every "interval", each to another node
+// than the previous one. All nodes are queried about the jobs of a chain every 40 ms for a second.
+func (c *command) submitChainsAndPoll() {
+	c.t.Helper()
+	sim, interval, turn := c.sim, c.seconds("interval", 1), 0
+	for ids := range slices.Chunk(c.jobIDs(2), c.integer("length", 2)) {
+		chain := c.withArgs(append([]datadriven.CmdArg{{Key: "to-node", Vals: []string{fmt.Sprint(turn % len(sim.nodes))}}}, c.CmdArgs...))
+		sim.after(micros.Micros(turn)*interval, func() {
+			chain.submitChain(ids)
+			sim.pollJobs(ids, 40*micros.Millisecond, sim.now+micros.Second)
+		})
+		turn++
+	}
+}
+
 // cancelAtCompletion has a user cancel a job when the last task of "completed-job" completes, or
 // "delay" after that.
 func (c *command) cancelAtCompletion() {
--- a/internal/jobview/dependency_check.go
+++ b/internal/jobview/dependency_check.go
@@ -47,50 +47,32 @@
 
 // dependencyCheck determines the state of a submission's dependencies by reads that are sent after the
 // check began.
+//
+// Dependencies may end while the check waits for a read. The graph then no longer shows whether they
+// are cancelled, so the check reads the terminal state of each dependency that is not active.
 type dependencyCheck struct {
 	view     *View
-	ids      []string
+	ids      []string // the dependencies, sorted
 	deadline micros.Micros
 	resets   int // count of the graph's resets when the view was refreshed
 	done     func(DependencyResult)
 
-	refreshedRevision uint64   // the graph's revision after the refresh
-	activeAtRefresh   []string // dependencies that were active at that revision
+	refreshedRevision uint64          // the graph's revision after the refresh
+	seenActive        map[string]bool // dependencies that the graph showed as active
+	terminalRead      map[string]bool // dependencies whose terminal states were read
 }
 
-// CheckDependencies determines the state of the dependencies of a submission, by reads that are sent
-// after this call.
+// CheckDependencies determines the state of the dependencies of a submission, which must be sorted, by
+// reads that are sent after this call.
 func (v *View) CheckDependencies(ids []string, deadline micros.Micros, done func(DependencyResult)) {
-	check := &dependencyCheck{view: v, ids: ids, deadline: deadline, done: done}
-	v.Refresh(check.handleRefreshed)
-}
-
-// fail ends the check with an unknown state.
-func (d *dependencyCheck) fail() { d.finish(DependencyResult{Status: DependenciesUnknown}) }
-
-// finish ends the check.
-func (d *dependencyCheck) finish(result DependencyResult) {
-	d.logResult(result)
-	d.done(result)
-}
-
-// logResult logs the result, and which dependencies left the graph between the refresh and the result.
-func (d *dependencyCheck) logResult(result DependencyResult) {
-	log := d.view.log
-	if !log.Enabled(context.Background(), slog.LevelDebug) {
-		return
-	}
-	var endedSinceRefresh []string
-	for _, id := range d.activeAtRefresh {
-		if !d.view.graph.IsActive(id) {
-			endedSinceRefresh = append(endedSinceRefresh, id)
-		}
+	check := &dependencyCheck{
+		view: v, ids: ids, deadline: deadline, done: done,
+		seenActive: map[string]bool{}, terminalRead: map[string]bool{},
 	}
-	log.Debug("dependencies checked", "dependencies", d.ids, "status", result.Status, "upstream", result.CancelledRoot,
-		"refreshed_revision", d.refreshedRevision, "revision", d.view.graph.Revision(), "ended_since_refresh", endedSinceRefresh)
+	v.Refresh(check.handleRefreshed)
 }
 
-// handleRefreshed reads the terminal states of the dependencies that are not active.
+// handleRefreshed begins with the dependencies that are not active.
 func (d *dependencyCheck) handleRefreshed(ok bool) {
 	if !ok {
 		d.fail()
@@ -98,37 +80,52 @@
 	}
 	d.resets = d.view.graph.Resets()
 	d.refreshedRevision = d.view.graph.Revision()
-	var inactive []string
 	for _, id := range d.ids {
-		switch {
-		case d.view.graph.IsActive(id):
-			d.activeAtRefresh = append(d.activeAtRefresh, id)
-		case d.view.terminalStates.Of(id) != wire.JobDone:
-			inactive = append(inactive, id)
+		if d.view.graph.IsActive(id) {
+			d.seenActive[id] = true
 		}
 	}
-	d.view.readTerminalStates(budget.UserRequests, inactive, d.deadline, func(found map[string]record.TerminalState, ok bool) {
+	d.readEnded(d.unreadEnded())
+}
+
+// unreadEnded returns the dependencies that are neither active nor known to be done, and whose terminal
+// states this check has not read, sorted. The graph must be synced.
+func (d *dependencyCheck) unreadEnded() []string {
+	var ended []string
+	for _, id := range d.ids {
+		known := d.terminalRead[id] || d.view.terminalStates.Of(id) == wire.JobDone
+		if !known && !d.view.graph.IsActive(id) {
+			ended = append(ended, id)
+		}
+	}
+	return ended
+}
+
+// readEnded reads the terminal states of dependencies that are not active.
+func (d *dependencyCheck) readEnded(ended []string) {
+	d.view.readTerminalStates(budget.UserRequests, ended, d.deadline, func(found map[string]record.TerminalState, ok bool) {
 		if !ok {
 			d.fail()
 			return
 		}
-		d.handleTerminalStatesRead(inactive, found)
+		d.handleTerminalStatesRead(ended, found)
 	})
 }
 
 // handleTerminalStatesRead ends the check if a terminal state decides it, and otherwise resolves the
 // upstream jobs of the active dependencies.
-func (d *dependencyCheck) handleTerminalStatesRead(inactive []string, found map[string]record.TerminalState) {
+func (d *dependencyCheck) handleTerminalStatesRead(ended []string, found map[string]record.TerminalState) {
 	root := ""
-	for _, id := range inactive {
+	for _, id := range ended {
 		rec, accepted := found[id]
 		if !accepted {
-			d.finish(DependencyResult{Status: DependenciesNeverAccepted})
+			d.finishWithoutTerminalState(id)
 			return
 		}
 		if rec.Status == record.StatusCancelled && root == "" {
 			root = rec.CancelledRoot(id)
 		}
+		d.terminalRead[id] = true
 	}
 	if root != "" {
 		d.finish(DependencyResult{Status: DependenciesCancelled, CancelledRoot: root})
@@ -137,12 +134,28 @@
 	d.view.resolveDependenciesSince(d.resets, d.ids, d.deadline, d.handleResolved)
 }
 
-// handleResolved ends the check with the state that the graph shows.
+// finishWithoutTerminalState ends the check because a dependency is neither active nor has a terminal
+// state. A job that was active before was accepted, so the submission must not be rejected for it.
+func (d *dependencyCheck) finishWithoutTerminalState(id string) {
+	if d.seenActive[id] {
+		d.view.log.Error("a job that was active has no terminal state", "job", id)
+		d.fail()
+		return
+	}
+	d.finish(DependencyResult{Status: DependenciesNeverAccepted})
+}
+
+// handleResolved ends the check with the state that the graph shows, unless a dependency has ended
+// while the upstream jobs were read.
 func (d *dependencyCheck) handleResolved(ok bool) {
 	if !ok {
 		d.fail()
 		return
 	}
+	if ended := d.unreadEnded(); len(ended) > 0 {
+		d.readEnded(ended)
+		return
+	}
 	for _, id := range d.ids {
 		if job := d.view.graph.Blocked(id); job != nil && job.Cancelled() {
 			d.finish(DependencyResult{Status: DependenciesCancelled, CancelledRoot: job.CancelledRoot})
@@ -151,3 +164,28 @@
 	}
 	d.finish(DependencyResult{Status: DependenciesOpen})
 }
+
+// fail ends the check with an unknown state.
+func (d *dependencyCheck) fail() { d.finish(DependencyResult{Status: DependenciesUnknown}) }
+
+// finish ends the check.
+func (d *dependencyCheck) finish(result DependencyResult) {
+	d.logResult(result)
+	d.done(result)
+}
+
+// logResult logs the result, and which dependencies left the graph between the refresh and the result.
+func (d *dependencyCheck) logResult(result DependencyResult) {
+	log := d.view.log
+	if !log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	var endedSinceRefresh []string
+	for _, id := range d.ids {
+		if d.seenActive[id] && !d.view.graph.IsActive(id) {
+			endedSinceRefresh = append(endedSinceRefresh, id)
+		}
+	}
+	log.Debug("dependencies checked", "dependencies", d.ids, "status", result.Status, "upstream", result.CancelledRoot,
+		"refreshed_revision", d.refreshedRevision, "revision", d.view.graph.Revision(), "ended_since_refresh", endedSinceRefresh)
+}
--- a/internal/jobview/dependency_check_test.go
+++ b/internal/jobview/dependency_check_test.go
@@ -98,6 +98,84 @@
 	}
 }
 
+// TestCheckDependenciesThatEndMeanwhile guards against `orphaned` answers: a submission was answered as
+// queued because its cancelled dependency had left the graph while the check waited for a read.
+func TestCheckDependenciesThatEndMeanwhile(t *testing.T) {
+	done := record.TerminalState{Status: record.StatusDone, FinishedAt: 1}
+	cancelled := record.TerminalState{Status: record.StatusCancelled}
+	cancelledWithA := record.TerminalState{Status: record.StatusCancelled, CancelledDependency: jobA}
+	jobs := slices.Concat(acceptanceWrites(jobA, 8<<10), acceptanceWrites(jobB, 8<<10), acceptanceWrites(jobC, 8<<10, jobA))
+	tests := []struct {
+		name    string
+		listed  []kv.Write   // before the listing
+		written []kv.Write   // after the listing: these writes let the check wait for a read
+		endings [][]kv.Write // one for each read that the check waits for, visible in the graph before its response
+		ids     []string
+		want    DependencyResult
+	}{
+		{
+			name: "cancelled with an upstream job", listed: jobs, written: terminalStateWrites(jobA, cancelled),
+			endings: [][]kv.Write{terminalStateWrites(jobC, cancelledWithA)},
+			ids:     []string{jobC}, want: DependencyResult{Status: DependenciesCancelled, CancelledRoot: jobA},
+		},
+		{
+			name: "cancelled by its user", listed: jobs, written: terminalStateWrites(jobA, done),
+			endings: [][]kv.Write{terminalStateWrites(jobB, cancelled)},
+			ids:     []string{jobB, jobC}, want: DependencyResult{Status: DependenciesCancelled, CancelledRoot: jobB},
+		},
+		{
+			name: "cancelled while another dependency's terminal state is read", listed: jobs,
+			written: slices.Concat(terminalStateWrites(jobA, cancelled), terminalStateWrites(jobB, done)),
+			endings: [][]kv.Write{terminalStateWrites(jobC, cancelledWithA)},
+			ids:     []string{jobB, jobC}, want: DependencyResult{Status: DependenciesCancelled, CancelledRoot: jobA},
+		},
+		{
+			name: "cancelled while its dependencies are read", listed: acceptanceWrites(jobC, 1, jobA),
+			endings: [][]kv.Write{append(terminalStateWrites(jobC, cancelledWithA), kv.Write{Delete: record.DependencyPartKey(jobC, 0)})},
+			ids:     []string{jobC}, want: DependencyResult{Status: DependenciesCancelled, CancelledRoot: jobA},
+		},
+		{
+			name: "one done, then the other cancelled", listed: jobs, written: terminalStateWrites(jobA, done),
+			endings: [][]kv.Write{terminalStateWrites(jobC, done), terminalStateWrites(jobB, cancelled)},
+			ids:     []string{jobB, jobC}, want: DependencyResult{Status: DependenciesCancelled, CancelledRoot: jobB},
+		},
+		{
+			name: "done", listed: jobs, written: terminalStateWrites(jobA, done),
+			endings: [][]kv.Write{terminalStateWrites(jobC, done)},
+			ids:     []string{jobC}, want: DependencyResult{Status: DependenciesOpen},
+		},
+		{
+			name: "without a terminal state", listed: jobs, written: terminalStateWrites(jobA, done),
+			endings: [][]kv.Write{{{Delete: record.ActiveJobKey(jobC)}}},
+			ids:     []string{jobC}, want: DependencyResult{Status: DependenciesUnknown},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			v, node := newSyncedView(t, test.listed...)
+			if len(test.written) > 0 {
+				node.commit(test.written...)
+			}
+			var results []DependencyResult
+			v.CheckDependencies(test.ids, node.now+micros.Second, func(r DependencyResult) { results = append(results, r) })
+			node.respondFirst() // the refresh
+			for _, ending := range test.endings {
+				if len(node.unanswered) != 1 {
+					t.Fatalf("the check waits for %d reads, want 1; results %v", len(node.unanswered), results)
+				}
+				node.commit(ending...)
+				v.Refresh(func(bool) {})
+				node.respondLast()
+				node.respondFirst()
+			}
+			node.respondAll()
+			if !slices.Equal(results, []DependencyResult{test.want}) {
+				t.Fatalf("results %v, want %v", results, test.want)
+			}
+		})
+	}
+}
+
 // TestResolveDependenciesRejectsReset checks that a query fails if a listing replaces the graph before
 // the query ends.
 func TestResolveDependenciesRejectsReset(t *testing.T) {
--- a/internal/jobview/fixture_test.go
+++ b/internal/jobview/fixture_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"testing"
 
 	"tamarindlead/internal/budget"
@@ -126,8 +127,20 @@
 // respondFirst responds to the oldest request.
 func (n *testNode) respondFirst() {
 	n.t.Helper()
-	sent := n.unanswered[0]
-	n.unanswered = n.unanswered[1:]
+	n.respond(0)
+}
+
+// respondLast responds to the newest request.
+func (n *testNode) respondLast() {
+	n.t.Helper()
+	n.respond(len(n.unanswered) - 1)
+}
+
+// respond responds to the request at an index of unanswered.
+func (n *testNode) respond(index int) {
+	n.t.Helper()
+	sent := n.unanswered[index]
+	n.unanswered = slices.Delete(n.unanswered, index, index+1)
 	if n.now < n.throttledUntil {
 		sent.done(kv.Response{Status: http.StatusTooManyRequests, Sent: true})
 		return
