Name the states of a job in the graph

A missing blocked job meant "ended", "never accepted" or "submitted without dependencies", and each caller had to know which. dag.JobState names them, and the linter's check for exhaustive switches makes callers that switch on it consider a job that is not active.

TestGraph compares the state of every job with the records at each step, now also of jobs without dependencies and of those that are not active.

--- a/controller/blocked_jobs.go
+++ b/controller/blocked_jobs.go
@@ -20,12 +20,13 @@
 func (o *owner) addBlockedJob(j *inventory.Job) {
 	o.SetJobState(j, inventory.JobBlocked)
 	o.BlockedJobs[j.ID] = j
-	switch blocked := o.c.graph.Blocked(j.ID); {
-	case blocked == nil: // its record is already deleted, which the watch will report
-	case blocked.Cancelled():
+	switch o.c.graph.State(j.ID) {
+	case dag.JobCancelled:
 		o.queueCascadedCancellation(j.ID)
-	case blocked.Ready():
-		o.unblockJob(blocked)
+	case dag.JobReady:
+		o.unblockJob(o.c.graph.Blocked(j.ID))
+	case dag.JobNotActive: // its record is already deleted, which the watch will report
+	case dag.JobBlocked, dag.JobIndependent:
 	}
 }
 
@@ -77,13 +78,13 @@
 	for len(o.cascadedCancellations) > 0 && !full() {
 		id := o.cascadedCancellations[0]
 		o.cascadedCancellations = o.cascadedCancellations[1:]
-		j, blocked := o.BlockedJobs[id], o.c.graph.Blocked(id)
+		j := o.BlockedJobs[id]
 		if j == nil {
 			continue
 		}
 		j.CancelQueued = false
-		if blocked != nil && blocked.Cancelled() && !j.RecordStale {
-			o.recordCascadedCancellation(t, j, blocked.CancelledRoot)
+		if o.c.graph.State(id) == dag.JobCancelled && !j.RecordStale {
+			o.recordCascadedCancellation(t, j, o.c.graph.Blocked(id).CancelledRoot)
 		}
 	}
 }
@@ -142,7 +143,7 @@
 			return
 		}
 		o.c.after(recheckDelay, func() {
-			if blocked := o.c.graph.Blocked(j.ID); !o.superseded() && blocked != nil && blocked.Cancelled() {
+			if !o.superseded() && o.c.graph.State(j.ID) == dag.JobCancelled {
 				o.queueCascadedCancellation(j.ID)
 			}
 		})
--- a/internal/dag/graph.go
+++ b/internal/dag/graph.go
@@ -120,8 +120,8 @@
 // HasOpenDependencies reports whether a job was submitted with dependencies and is not ready, so
 // that its state depends on other jobs.
 func (g *Graph) HasOpenDependencies(id string) bool {
-	job := g.blocked[id]
-	return job != nil && !job.Ready()
+	state := g.State(id)
+	return state == JobBlocked || state == JobCancelled
 }
 
 // Version returns the last known version of an active job's record, or 0.
--- a/internal/dag/graph_test.go
+++ b/internal/dag/graph_test.go
@@ -123,3 +123,20 @@
 		t.Error("no error for a record that cannot be decoded")
 	}
 }
+
+// TestJobStateString checks that every state has a text.
+func TestJobStateString(t *testing.T) {
+	texts := map[JobState]string{
+		JobNotActive:     "not active",
+		JobIndependent:   "independent",
+		JobBlocked:       "blocked",
+		JobReady:         "ready",
+		JobCancelled:     "cancelled",
+		JobCancelled + 1: "JobState(5)",
+	}
+	for state, want := range texts {
+		if got := state.String(); got != want {
+			t.Errorf("%d: %q, want %q", int(state), got, want)
+		}
+	}
+}
--- a/internal/dag/simulation_test.go
+++ b/internal/dag/simulation_test.go
@@ -108,6 +108,22 @@
 	return phase
 }
 
+// stateOf returns a job's state in a graph that is up to date, computed from the records alone.
+func (r *records) stateOf(id string) JobState {
+	switch phase := r.phaseOf(id); {
+	case r.active[id] == 0:
+		return JobNotActive
+	case len(r.dependencies[id]) == 0:
+		return JobIndependent
+	case phase == wire.JobCancelled:
+		return JobCancelled
+	case phase == phaseReady:
+		return JobReady
+	default:
+		return JobBlocked
+	}
+}
+
 // rootOf returns an upstream job that a user cancelled, or "".
 func (r *records) rootOf(id string) string {
 	for _, dependency := range r.dependencies[id] {
@@ -276,20 +292,13 @@
 	if hasDependencies := active && len(s.records.dependencies[id]) > 0; (job != nil) != hasDependencies {
 		s.t.Fatalf("step %d: %s is %v in the graph; active with dependencies: %t", s.step, id, job, hasDependencies)
 	}
-	if job == nil {
-		return
+	if got, want := s.graph.State(id), s.records.stateOf(id); got != want {
+		s.t.Fatalf("step %d: %s is %s; want %s according to the records", s.step, id, got, want)
 	}
-	got := phaseBlocked
-	switch {
-	case job.Cancelled():
-		got = wire.JobCancelled
-		if root := s.records.terminalStates[job.CancelledRoot]; root.phase != wire.JobCancelled {
-			s.t.Fatalf("step %d: %s is cancelled because of %s, whose phase is %q", s.step, id, job.CancelledRoot, root.phase)
-		}
-	case job.Ready():
-		got = phaseReady
+	if job == nil || !job.Cancelled() {
+		return
 	}
-	if want := s.records.phaseOf(id); got != want {
-		s.t.Fatalf("step %d: %s is %s; want %s according to the records", s.step, id, got, want)
+	if root := s.records.terminalStates[job.CancelledRoot]; root.phase != wire.JobCancelled {
+		s.t.Fatalf("step %d: %s is cancelled because of %s, whose phase is %q", s.step, id, job.CancelledRoot, root.phase)
 	}
 }
--- a/internal/frontend/fixture_test.go
+++ b/internal/frontend/fixture_test.go
@@ -249,6 +249,13 @@
 
 func (g *fakeGraph) IsSynced() bool { return g.synced }
 
+func (g *fakeGraph) State(job string) dag.JobState {
+	if g.blocked[job] == nil {
+		return dag.JobNotActive
+	}
+	return g.blocked[job].State()
+}
+
 func (g *fakeGraph) Blocked(job string) *dag.BlockedJob { return g.blocked[job] }
 
 func (g *fakeGraph) HasOpenDependencies(job string) bool { return g.blocked[job] != nil }
--- a/internal/frontend/lookup_dependencies.go
+++ b/internal/frontend/lookup_dependencies.go
@@ -1,6 +1,9 @@
 package frontend
 
-import "tamarindlead/internal/wire"
+import (
+	"tamarindlead/internal/dag"
+	"tamarindlead/internal/wire"
+)
 
 // deriveStates looks up blocked jobs, whose states are derived from the terminal states of their
 // dependencies. One refresh of the view serves them all.
@@ -31,14 +34,17 @@
 
 // finishDerived finishes a lookup from the view, after the job's dependencies were resolved.
 func (q *lookupQueue) finishDerived(l *lookup, ok bool) {
-	switch job := q.node.Graph.Blocked(l.job); {
-	case !ok:
+	if !ok {
 		q.finish(l, lookupResult{})
-	case job == nil:
+		return
+	}
+	job := q.node.Graph.Blocked(l.job)
+	switch q.node.Graph.State(l.job) {
+	case dag.JobNotActive, dag.JobIndependent:
 		q.readActive(l) // the job has ended meanwhile
-	case job.Cancelled():
+	case dag.JobCancelled:
 		q.finishTerminal(l, wire.JobCancelled, job.CancelledRoot)
-	default:
+	case dag.JobBlocked, dag.JobReady:
 		q.finish(l, activeResult(job.Version, l.readEvidence))
 	}
 }
--- a/internal/frontend/lookup_reads.go
+++ b/internal/frontend/lookup_reads.go
@@ -89,7 +89,7 @@
 		q.finish(l, lookupResult{})
 		return
 	}
-	if job := q.node.Graph.Blocked(l.job); hasDependencies && (job == nil || !job.Ready()) {
+	if hasDependencies && q.node.Graph.State(l.job) != dag.JobReady {
 		q.retryDerivation(l) // this node's view is not up to date
 		return
 	}
--- a/internal/frontend/services.go
+++ b/internal/frontend/services.go
@@ -77,6 +77,8 @@
 type Graph interface {
 	// IsSynced reports whether the view is complete as of some revision.
 	IsSynced() bool
+	// State returns the state of a job in the view.
+	State(job string) dag.JobState
 	// Blocked returns an active job that was submitted with dependencies, or nil.
 	Blocked(job string) *dag.BlockedJob
 	// HasOpenDependencies reports whether a job's state depends on the states of upstream jobs.
--- a/internal/jobview/dependency_check.go
+++ b/internal/jobview/dependency_check.go
@@ -6,6 +6,7 @@
 	"log/slog"
 
 	"tamarindlead/internal/budget"
+	"tamarindlead/internal/dag"
 	"tamarindlead/internal/record"
 	"tamarindlead/internal/wire"
 	"tamarindlead/micros"
@@ -157,8 +158,8 @@
 		return
 	}
 	for _, id := range d.ids {
-		if job := d.view.graph.Blocked(id); job != nil && job.Cancelled() {
-			d.finish(DependencyResult{Status: DependenciesCancelled, CancelledRoot: job.CancelledRoot})
+		if d.view.graph.State(id) == dag.JobCancelled {
+			d.finish(DependencyResult{Status: DependenciesCancelled, CancelledRoot: d.view.graph.Blocked(id).CancelledRoot})
 			return
 		}
 	}
