Scenarios: fail on arguments that a command does not read

An argument that no handler asked for was ignored, so a misspelled one had no effect. The check runs at the end of a scenario, because some handlers read arguments later.

--- a/controller/scenario_commands_test.go
+++ b/controller/scenario_commands_test.go
@@ -14,8 +14,14 @@
 // command is a command of a scenario file together with the simulation it acts on.
 type command struct {
 	*datadriven.TestData
-	t   *testing.T
-	sim *simulation
+	t    *testing.T
+	sim  *simulation
+	read map[string]bool // keys of the arguments that the handler asked for
+}
+
+func newCommand(t *testing.T, sim *simulation, d *datadriven.TestData) *command {
+	data := *d // the caller uses d again for the next command
+	return &command{TestData: &data, t: t, sim: sim, read: map[string]bool{}}
 }
 
 // commandTable maps the names of commands to their handlers, which return what the scenario
@@ -77,23 +83,45 @@
 	return argSeconds(t, d, key, def).Seconds()
 }
 
+// HasArg reports whether the command has an argument with the given key.
+func (c *command) HasArg(key string) bool {
+	c.read[key] = true
+	return c.TestData.HasArg(key)
+}
+
+// checkArgsRead fails the test if a command of the scenario has an argument that its handler has not
+// asked for by the end of the scenario: a misspelled one would have no effect.
+func (sim *simulation) checkArgsRead(t *testing.T) {
+	for _, c := range sim.commands {
+		for _, a := range c.CmdArgs {
+			if !c.read[a.Key] && !t.Failed() {
+				t.Errorf("%s: %s does not read the argument %s", c.Pos, c.Cmd, a.Key)
+			}
+		}
+	}
+}
+
 func (c *command) integer(key string, def int) int {
 	c.t.Helper()
+	c.read[key] = true
 	return arg(c.t, c.TestData, key, def)
 }
 
 func (c *command) text(key, def string) string {
 	c.t.Helper()
+	c.read[key] = true
 	return arg(c.t, c.TestData, key, def)
 }
 
 func (c *command) number(key string, def float64) float64 {
 	c.t.Helper()
+	c.read[key] = true
 	return argNumber(c.t, c.TestData, key, def)
 }
 
 func (c *command) seconds(key string, def float64) micros.Micros {
 	c.t.Helper()
+	c.read[key] = true
 	return argSeconds(c.t, c.TestData, key, def)
 }
 
--- a/controller/scenario_jobs_test.go
+++ b/controller/scenario_jobs_test.go
@@ -37,7 +37,7 @@
 func (c *command) withArgs(args []datadriven.CmdArg) *command {
 	data := *c.TestData
 	data.CmdArgs = args
-	return &command{TestData: &data, t: c.t, sim: c.sim}
+	return &command{TestData: &data, t: c.t, sim: c.sim, read: c.read}
 }
 
 // submit submits the job that the arguments describe. Only with "print-status" does it wait for the
--- a/controller/scenario_pipelines_test.go
+++ b/controller/scenario_pipelines_test.go
@@ -15,6 +15,7 @@
 // dependencies returns the jobs that depends-on lists, as in (req-000001,req-000004..req-000009).
 func (c *command) dependencies() []string {
 	c.t.Helper()
+	c.read["depends-on"] = true
 	var ids []string
 	for _, a := range c.CmdArgs {
 		if a.Key != "depends-on" {
--- a/controller/scenario_setup_test.go
+++ b/controller/scenario_setup_test.go
@@ -18,6 +18,7 @@
 	t.Helper()
 	cfg := scenarioSettings(t, d)
 	sim := newSimulation(scenarioSeed(t, d), cfg)
+	t.Cleanup(func() { sim.checkArgsRead(t) })
 	sim.nextLimits = parseNextLimits(t, d)
 	sim.applyResponseDelayFromEnv(t)
 	sim.cloud.Now = sim.now
--- a/controller/scenario_test.go
+++ b/controller/scenario_test.go
@@ -47,7 +47,9 @@
 func executeScenarioCommand(t *testing.T, sim *simulation, d *datadriven.TestData) string {
 	t.Helper()
 	if execute, ok := scenarioCommands[d.Cmd]; ok {
-		return execute(&command{TestData: d, t: t, sim: sim})
+		c := newCommand(t, sim, d)
+		sim.commands = append(sim.commands, c)
+		return execute(c)
 	}
 	if runLimitCommand(t, sim, d) {
 		return ""
--- a/controller/simulation_test.go
+++ b/controller/simulation_test.go
@@ -26,6 +26,7 @@
 	eventSeq      int
 	faultsEndedAt micros.Micros // 0 until the faults have ended
 	violations    []string
+	commands      []*command // executed commands of a scenario
 
 	jobLedger
 	taskLedger
